--- /dev/null
+++ b/table/table.go
@@ -0,0 +1,57 @@
+// Package table reaches the platform's services over HTTP: the transactional
+// table, the object store and the list of instances.
+package table
+
+import "encoding/json"
+
+// Row is one row of the table. The version rises by one with each write; a
+// row that does not exist has version 0.
+type Row struct {
+	Key     string          `json:"key"`
+	Value   json.RawMessage `json:"value,omitempty"`
+	Version int64           `json:"version"`
+}
+
+// Condition holds when the row's version is the one given; 0 asks that the
+// row does not exist.
+type Condition struct {
+	Key     string `json:"key"`
+	Version int64  `json:"version"`
+}
+
+// Put writes a row.
+type Put struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Transaction is applied whole when every condition holds, else not at all.
+type Transaction struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts,omitempty"`
+	Deletes    []string    `json:"deletes,omitempty"`
+}
+
+// Commit is the answer to a transaction. Conflicts holds the present rows of
+// the conditions that failed.
+type Commit struct {
+	Committed bool  `json:"committed"`
+	Conflicts []Row `json:"conflicts,omitempty"`
+}
+
+// Paths of the platform's HTTP interface. RowsPath and ObjectsPath take the
+// escaped key or name as their last element; ScanPath takes the query
+// parameters prefix, after (exclusive) and limit.
+const (
+	TransactionPath = "/v1/table/transaction" // POST Transaction: 200 or 409 with Commit
+	RowsPath        = "/v1/table/rows/"       // GET: 200 with Row; an absent row has version 0
+	ScanPath        = "/v1/table/scan"        // GET: 200 with Scan, in key order
+	ObjectsPath     = "/v1/objects/"          // PUT, GET: 200 or 404, raw bytes
+	InstancesPath   = "/v1/instances"         // GET: 200 with model.InstanceList
+)
+
+// Scan is a page of rows in key order. More tells that rows follow.
+type Scan struct {
+	Rows []Row `json:"rows"`
+	More bool  `json:"more"`
+}
