--- /dev/null
+++ b/place/choices.go
@@ -0,0 +1,20 @@
+package place
+
+import "math/rand/v2"
+
+func init() { Policies.Add("twoChoices", twoChoices{}) }
+
+// twoChoices starts tasks on every worker and takes the one with more free
+// slots of two drawn at random.
+type twoChoices struct{}
+
+func (twoChoices) Owns(string, string, Owner) bool { return true }
+
+func (twoChoices) Choose(candidates []Candidate) int {
+	first := rand.IntN(len(candidates))
+	second := rand.IntN(len(candidates))
+	if candidates[second].Free > candidates[first].Free {
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/queue/item.go
@@ -0,0 +1,47 @@
+package queue
+
+import (
+	"context"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// Item is one task that waits for a slot.
+type Item struct {
+	Request  model.StartRequest
+	Expected time.Duration
+
+	// Deliver receives the outcome exactly once. It must not block.
+	Deliver func(Outcome)
+}
+
+// Outcome is how an item ended: a worker's reply, or an error without one.
+// NotRun tells that no attempt at the task was or will be started.
+type Outcome struct {
+	Reply  model.TaskReply
+	Err    error
+	NotRun bool
+}
+
+// Job is a job with waiting tasks. Its context ends when the job's deadline
+// has passed or nobody wants its answer any more.
+type Job struct {
+	Context  context.Context
+	ID       string
+	Team     string
+	Pool     string
+	Weight   int
+	Arrived  time.Time
+	Deadline time.Time
+	Items    []*Item
+}
+
+// Remaining returns the expected run time of the tasks that wait.
+func (j *Job) Remaining() time.Duration {
+	var sum time.Duration
+	for _, it := range j.Items {
+		sum += it.Expected
+	}
+	return sum
+}
--- /dev/null
+++ b/relay/batch.go
@@ -0,0 +1,63 @@
+package relay
+
+import (
+	"time"
+
+	"foxtailmux/model"
+	"foxtailmux/queue"
+)
+
+// Methods that this package serves to peers.
+const (
+	MethodRun    = "tasks.run"
+	MethodCancel = "tasks.cancel"
+)
+
+// Batch asks a peer to run tasks of one job. LeftMillis is the time until the
+// job's deadline, since the clocks of two instances need not agree.
+type Batch struct {
+	JobID      string `json:"jobId"`
+	Team       string `json:"team"`
+	Pool       string `json:"pool"`
+	Weight     int    `json:"weight"`
+	LeftMillis int64  `json:"leftMillis"`
+	Tasks      []Task `json:"tasks"`
+}
+
+// Task is one task of a batch.
+type Task struct {
+	Request        model.StartRequest `json:"request"`
+	ExpectedMillis int64              `json:"expectedMillis"`
+}
+
+// BatchReply holds an outcome for each task of a batch, in its order.
+type BatchReply struct {
+	Outcomes []TaskOutcome `json:"outcomes"`
+}
+
+// TaskOutcome is how a forwarded task ended. NotRun promises that it was not
+// started; Unknown tells that it may have been.
+type TaskOutcome struct {
+	Reply   model.TaskReply `json:"reply,omitzero"`
+	NotRun  bool            `json:"notRun,omitempty"`
+	Unknown string          `json:"unknown,omitempty"`
+}
+
+// Cancellation asks a peer to stop the tasks of a batch.
+type Cancellation struct {
+	JobID string `json:"jobId"`
+}
+
+func batchOf(j *queue.Job, items []*queue.Item) Batch {
+	b := Batch{
+		JobID:      j.ID,
+		Team:       j.Team,
+		Pool:       j.Pool,
+		Weight:     j.Weight,
+		LeftMillis: time.Until(j.Deadline).Milliseconds(),
+	}
+	for _, it := range items {
+		b.Tasks = append(b.Tasks, Task{Request: it.Request, ExpectedMillis: it.Expected.Milliseconds()})
+	}
+	return b
+}
--- /dev/null
+++ b/relay/plan.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"time"
+
+	"foxtailmux/model"
+	"foxtailmux/queue"
+)
+
+// peerMargin is how much fuller, in tasks for each slot, this instance must
+// be than a peer before a task is forwarded.
+const peerMargin = 0.25
+
+// Member is a peer that tasks may be forwarded to.
+type Member struct {
+	ID         string
+	DataCentre string
+	Load       model.Load
+	LastHeard  time.Time
+}
+
+// share is what one instance takes of a job. The ID of this instance is
+// empty.
+type share struct {
+	id    string
+	slots int
+	busy  int
+	items []*queue.Item
+}
+
+func newShare(id string, load model.Load, extra int) *share {
+	return &share{
+		id:    id,
+		slots: load.Slots,
+		busy:  load.Slots - load.FreeSlots + load.QueuedTasks + extra,
+	}
+}
+
+// fullness returns the tasks for each slot after one more task.
+func (s *share) fullness() float64 {
+	return float64(s.busy+1) / float64(s.slots)
+}
+
+func (s *share) take(it *queue.Item) {
+	s.items = append(s.items, it)
+	s.busy++
+}
+
+// split spreads items over this instance and its peers: here while a slot is
+// free, then wherever the fewest tasks wait for a slot.
+func split(items []*queue.Item, here *share, peers []*share) {
+	for _, it := range items {
+		pick(here, peers).take(it)
+	}
+}
+
+func pick(here *share, peers []*share) *share {
+	if here.slots > 0 && here.busy < here.slots {
+		return here
+	}
+
+	best := emptiest(peers)
+	if best == nil {
+		return here
+	}
+	if here.slots > 0 && here.fullness() <= best.fullness()+peerMargin {
+		return here
+	}
+	return best
+}
+
+func emptiest(peers []*share) *share {
+	var best *share
+	for _, p := range peers {
+		if p.slots == 0 {
+			continue
+		}
+		if best == nil || p.fullness() < best.fullness() {
+			best = p
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,244 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/model"
+	"foxtailmux/queue"
+)
+
+// cancelTimeout bounds the call that cancels a forwarded batch.
+const cancelTimeout = time.Second
+
+// Scheduler starts tasks on the workers of this instance.
+type Scheduler interface {
+	Submit(j *queue.Job) error
+	NeverFits(pool string, needs model.Needs) bool
+	Load() model.Load
+}
+
+// Peers reaches the other entry instances.
+type Peers interface {
+	Members() []Member
+	Call(ctx context.Context, peerID, method string, params, result any) error
+}
+
+// Observer counts forwards and their messages.
+type Observer interface {
+	Forwarded(outcome string)
+	Message(purpose, kind string)
+}
+
+// Relay submits the tasks of a job here or to peers.
+type Relay struct {
+	DataCentre string
+	Local      Scheduler
+	Peers      Peers
+	Observer   Observer
+	SpillOver  func() bool
+
+	mu       sync.Mutex
+	inFlight map[string]int
+	running  map[string]map[int]context.CancelFunc
+	batches  int
+
+	forwards conc.WaitGroup
+}
+
+// NeverFits reports whether no worker of the pool could hold the needs.
+func (r *Relay) NeverFits(pool string, needs model.Needs) bool {
+	return r.Local.NeverFits(pool, needs)
+}
+
+// Submit spreads the items of a job. Until it returns an error every item's
+// Deliver is called exactly once, after an error none is.
+func (r *Relay) Submit(j *queue.Job) error {
+	here, peers := r.shares()
+	split(j.Items, here, peers)
+
+	// What stays here is submitted first: its refusal must leave nothing sent.
+	if err := r.submitHere(j, here); err != nil {
+		return r.spill(j, err)
+	}
+	for _, p := range peers {
+		if len(p.items) > 0 {
+			r.forward(j, p.id, p.items)
+		}
+	}
+	return nil
+}
+
+func (r *Relay) submitHere(j *queue.Job, here *share) error {
+	if len(here.items) == 0 {
+		return nil
+	}
+	local := *j
+	local.Items = here.items
+	return r.Local.Submit(&local)
+}
+
+// spill forwards a whole job that this data centre has no room for to the
+// instance with the most room elsewhere.
+func (r *Relay) spill(j *queue.Job, refusal error) error {
+	if !r.SpillOver() {
+		return refusal
+	}
+
+	best := emptiest(r.peerShares(func(m Member) bool { return m.DataCentre != r.DataCentre }))
+	if best == nil || best.busy+len(j.Items) > best.slots {
+		return refusal
+	}
+	r.forward(j, best.id, j.Items)
+	return nil
+}
+
+func (r *Relay) shares() (here *share, peers []*share) {
+	here = newShare("", r.Local.Load(), 0)
+	peers = r.peerShares(func(m Member) bool { return m.DataCentre == r.DataCentre })
+	return here, peers
+}
+
+func (r *Relay) peerShares(wanted func(Member) bool) []*share {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	var shares []*share
+	for _, m := range r.Peers.Members() {
+		if wanted(m) {
+			shares = append(shares, newShare(m.ID, m.Load, r.inFlight[m.ID]))
+		}
+	}
+	return shares
+}
+
+// forward sends items to a peer in one call and delivers what comes back.
+func (r *Relay) forward(j *queue.Job, peerID string, items []*queue.Item) {
+	r.addInFlight(peerID, len(items))
+	r.forwards.Go(func() {
+		defer r.addInFlight(peerID, -len(items))
+
+		var reply BatchReply
+		err := r.Peers.Call(j.Context, peerID, MethodRun, batchOf(j, items), &reply)
+		r.settle(j, peerID, items, reply, err)
+	})
+}
+
+func (r *Relay) addInFlight(peerID string, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.inFlight == nil {
+		r.inFlight = map[string]int{}
+	}
+	r.inFlight[peerID] += n
+}
+
+func (r *Relay) settle(j *queue.Job, peerID string, items []*queue.Item, reply BatchReply, err error) {
+	switch {
+	case err == nil && len(reply.Outcomes) == len(items):
+		r.Observer.Forwarded("answered")
+		r.Observer.Message("needed", "forward")
+		r.deliver(j, items, reply.Outcomes)
+	case err != nil && !sent(err):
+		r.Observer.Forwarded("notSent")
+		r.runHere(j, items)
+	default:
+		r.Observer.Forwarded("unknown")
+		r.Observer.Message("wasted", "forward")
+		deliverUnknown(items, err)
+		r.cancelThere(peerID, j.ID)
+	}
+}
+
+// sent reports whether a failed call may have reached the peer.
+func sent(err error) bool {
+	var e interface{ Sent() bool }
+	return !errors.As(err, &e) || e.Sent()
+}
+
+// deliver hands on the outcomes. Tasks that the peer did not run are run here.
+func (r *Relay) deliver(j *queue.Job, items []*queue.Item, outcomes []TaskOutcome) {
+	var back []*queue.Item
+	for i, o := range outcomes {
+		switch {
+		case o.NotRun:
+			back = append(back, items[i])
+		case o.Unknown != "":
+			items[i].Deliver(unknown(eris.New(o.Unknown)))
+		default:
+			items[i].Deliver(queue.Outcome{Reply: o.Reply})
+		}
+	}
+	r.runHere(j, back)
+}
+
+func (r *Relay) runHere(j *queue.Job, items []*queue.Item) {
+	if len(items) == 0 {
+		return
+	}
+
+	local := *j
+	local.Items = items
+	if err := r.Local.Submit(&local); err != nil {
+		deliverNotRun(items, err)
+	}
+}
+
+func deliverNotRun(items []*queue.Item, cause error) {
+	err := &Error{Op: "forward", Kind: KindNotRun, Err: cause}
+	for _, it := range items {
+		it.Deliver(queue.Outcome{Err: err, NotRun: true})
+	}
+}
+
+func deliverUnknown(items []*queue.Item, cause error) {
+	if cause == nil {
+		cause = eris.New("the peer's reply does not match the batch")
+	}
+	for _, it := range items {
+		it.Deliver(unknown(cause))
+	}
+}
+
+func unknown(cause error) queue.Outcome {
+	return queue.Outcome{Err: &Error{Op: "forward", Kind: KindUnknown, Err: cause}}
+}
+
+// cancelThere stops a batch whose outcome nobody waits for. Its loss only
+// costs the peer time.
+func (r *Relay) cancelThere(peerID, jobID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+
+	_ = r.Peers.Call(ctx, peerID, MethodCancel, Cancellation{JobID: jobID}, nil)
+}
+
+// Wait returns when every forward has ended or the context is done.
+func (r *Relay) Wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		r.forwards.Wait()
+		close(ended)
+	}()
+
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "wait for forwards", Kind: KindUnknown, Err: ctx.Err()}
+	}
+}
+
+func decode(params json.RawMessage, value any) error {
+	if err := json.Unmarshal(params, value); err != nil {
+		return &Error{Op: "decode params", Kind: KindBadCall, Err: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/runner/gather.go
@@ -0,0 +1,114 @@
+package runner
+
+import (
+	"encoding/json"
+	"sync"
+
+	"foxtailmux/model"
+	"foxtailmux/queue"
+)
+
+// gather collects the outcomes of a job's tasks. It is decided when every
+// task has ended or one has failed.
+type gather struct {
+	id string
+
+	mu      sync.Mutex
+	results []json.RawMessage
+	pending int
+	started bool
+	unknown bool
+	failure *model.Failure
+
+	decided chan struct{}
+	ended   chan struct{}
+}
+
+func newGather(id string, tasks int) *gather {
+	return &gather{
+		id:      id,
+		results: make([]json.RawMessage, tasks),
+		pending: tasks,
+		decided: make(chan struct{}),
+		ended:   make(chan struct{}),
+	}
+}
+
+// add records the final outcome of one task.
+func (g *gather) add(index int, o queue.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.pending--
+	g.note(index, o)
+	if g.pending == 0 {
+		close(g.ended)
+	}
+}
+
+func (g *gather) note(index int, o queue.Outcome) {
+	switch {
+	case o.NotRun:
+		g.fail(model.FailDeadline, "a task got no slot in time")
+	case o.Err != nil:
+		g.unknown = true
+		g.fail(model.FailWorkerLost, "the outcome of a task is unknown")
+	case o.Reply.Outcome == model.OutcomeDone:
+		g.started = true
+		g.results[index] = o.Reply.Result
+	case o.Reply.Outcome == model.OutcomeCancelled:
+		g.started = true
+		g.fail(model.FailCancelled, "a task was stopped")
+	default:
+		g.started = true
+		g.fail(model.FailWorkerError, "a task failed: "+o.Reply.Reason)
+	}
+	if g.pending == 0 && g.failure == nil {
+		close(g.decided)
+	}
+}
+
+// fail keeps the first failure. The lock is held.
+func (g *gather) fail(kind model.FailureKind, reason string) {
+	if g.failure != nil {
+		return
+	}
+	g.failure = &model.Failure{Kind: kind, Reason: reason}
+	close(g.decided)
+}
+
+// refuse fails the job before or beside its tasks.
+func (g *gather) refuse(f model.Failure) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	g.fail(f.Kind, f.Reason)
+	g.failure.RetryAfterMillis = max(g.failure.RetryAfterMillis, f.RetryAfterMillis)
+}
+
+// answer builds the caller's answer from what is known now.
+func (g *gather) answer() model.Answer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if g.failure == nil && g.pending == 0 {
+		return model.Answer{JobID: g.id, Result: model.Complete, Ran: model.RanYes, Tasks: g.results}
+	}
+
+	a := model.Answer{JobID: g.id, Result: model.Failed, Ran: g.ran(), Error: g.failure}
+	if a.Error == nil {
+		a.Error = &model.Failure{Kind: model.FailDeadline, Reason: "the deadline passed"}
+	}
+	return a
+}
+
+func (g *gather) ran() model.Ran {
+	switch {
+	case g.started:
+		return model.RanYes
+	case g.unknown || g.pending > 0:
+		return model.RanMaybe
+	default:
+		return model.RanNo
+	}
+}
--- /dev/null
+++ b/sched/error.go
@@ -0,0 +1,31 @@
+// Package sched starts waiting tasks on the workers of one entry instance as
+// slots become free.
+package sched
+
+import "fmt"
+
+// Kind classifies an error of this package.
+type Kind string
+
+// The kinds of error.
+const (
+	KindQueueFull Kind = "queueFull"
+	KindNoWorker  Kind = "noWorker"
+	KindEnded     Kind = "ended"
+	KindPlugin    Kind = "plugin"
+)
+
+// Error is the error type of this package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string {
+	return fmt.Sprintf("sched: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/sched/sched.go
@@ -0,0 +1,221 @@
+package sched
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/config"
+	"foxtailmux/model"
+	"foxtailmux/place"
+	"foxtailmux/queue"
+	"foxtailmux/worker"
+)
+
+// Observer counts what the scheduler does.
+type Observer interface {
+	TaskStarted()
+	Retried(reason string)
+	Message(purpose, kind string)
+	QueueLength(tasks int)
+	QueueWait(d time.Duration)
+}
+
+// Scheduler owns the run queue of an instance and the slots of the workers
+// that it may start tasks on.
+type Scheduler struct {
+	self       string
+	dataCentre string
+	dial       worker.Dialer
+	observer   Observer
+
+	mu        sync.Mutex
+	document  config.Document
+	policy    place.Policy
+	owner     place.Owner
+	queue     *queue.Queue
+	workers   map[string]*worker.Worker
+	owned     []*worker.Worker
+	elsewhere []model.Worker
+
+	attempts conc.WaitGroup
+}
+
+// New returns a scheduler of the instance self without workers. Apply must be
+// called before the first job is submitted.
+func New(self, dataCentre string, dial worker.Dialer, observer Observer) *Scheduler {
+	return &Scheduler{
+		self:       self,
+		dataCentre: dataCentre,
+		dial:       dial,
+		observer:   observer,
+		owner:      func(string) string { return self },
+		workers:    map[string]*worker.Worker{},
+	}
+}
+
+// Apply brings a configuration into force.
+func (s *Scheduler) Apply(document config.Document) error {
+	policy, err := place.Policies.Get(document.Placement.Policy)
+	if err != nil {
+		return &Error{Op: "apply configuration", Kind: KindPlugin, Err: err}
+	}
+	order, err := queue.Orders.Get(document.Placement.Order)
+	if err != nil {
+		return &Error{Op: "apply configuration", Kind: KindPlugin, Err: err}
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.document = document
+	s.policy = policy
+	if s.queue == nil {
+		s.queue = queue.New(order)
+	}
+	s.queue.SetOrder(order)
+	s.refreshOwned()
+	s.pump()
+	return nil
+}
+
+// SetOwner changes who is the home of which worker.
+func (s *Scheduler) SetOwner(owner place.Owner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.owner = owner
+	s.refreshOwned()
+	s.pump()
+}
+
+// Submit queues the items of a job. Until it returns an error every item's
+// Deliver is called exactly once, after an error none is.
+func (s *Scheduler) Submit(j *queue.Job) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if err := s.admit(j); err != nil {
+		return err
+	}
+
+	s.queue.Push(j)
+	context.AfterFunc(j.Context, func() { s.withdraw(j) })
+	s.pump()
+	return nil
+}
+
+func (s *Scheduler) admit(j *queue.Job) error {
+	slots := s.slots(j.Pool)
+	if slots == 0 {
+		err := eris.Errorf("no worker of pool %q", j.Pool)
+		return &Error{Op: "submit", Kind: KindNoWorker, Err: err}
+	}
+
+	limit := slots * s.document.Placement.MaxQueuePerSlot
+	if s.queue.Len()+len(j.Items) > limit+slots {
+		err := eris.Errorf("%d tasks wait, the limit is %d", s.queue.Len(), limit)
+		return &Error{Op: "submit", Kind: KindQueueFull, Err: err}
+	}
+	return nil
+}
+
+// slots counts the slots of the workers of a pool that take new work.
+func (s *Scheduler) slots(pool string) int {
+	var sum int
+	for _, w := range s.owned {
+		if w.Info.Pool == pool && !w.Leaving {
+			sum += w.Info.Slots
+		}
+	}
+	return sum
+}
+
+// withdraw takes out the items of a job that nobody waits for any more.
+func (s *Scheduler) withdraw(j *queue.Job) {
+	s.mu.Lock()
+	items := s.queue.Remove(j)
+	s.observer.QueueLength(s.queue.Len())
+	s.mu.Unlock()
+
+	for _, it := range items {
+		it.Deliver(endedOutcome(j))
+	}
+}
+
+func endedOutcome(j *queue.Job) queue.Outcome {
+	err := &Error{Op: "wait for a slot", Kind: KindEnded, Err: context.Cause(j.Context)}
+	return queue.Outcome{Err: err, NotRun: true}
+}
+
+// pump starts waiting tasks while a worker has room. The lock is held.
+func (s *Scheduler) pump() {
+	if s.queue == nil {
+		return
+	}
+
+	now := time.Now()
+	for s.queue.Len() > 0 && s.startNext(now) {
+	}
+	s.observer.QueueLength(s.queue.Len())
+}
+
+func (s *Scheduler) startNext(now time.Time) bool {
+	if !s.anyFree(now) {
+		return false
+	}
+
+	var candidates []place.Candidate
+	j, it := s.queue.Pop(now, func(j *queue.Job, it *queue.Item) bool {
+		candidates = s.candidates(j.Pool, it.Request.Needs, now)
+		return len(candidates) > 0
+	})
+	if it == nil {
+		return false
+	}
+
+	w := candidates[s.policy.Choose(candidates)].Worker
+	w.Claim(it.Request.Needs)
+	s.observer.QueueWait(now.Sub(j.Arrived))
+	s.attempts.Go(func() { s.attempt(w, j, it) })
+	return true
+}
+
+func (s *Scheduler) anyFree(now time.Time) bool {
+	for _, w := range s.owned {
+		if w.Free(now) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) candidates(pool string, needs model.Needs, now time.Time) []place.Candidate {
+	var list []place.Candidate
+	for _, w := range s.owned {
+		free := w.Free(now)
+		if free > 0 && w.Info.Pool == pool && w.Fits(needs) {
+			list = append(list, place.Candidate{Worker: w, Free: free})
+		}
+	}
+	return list
+}
+
+// Wait returns when every attempt has ended or the context is done.
+func (s *Scheduler) Wait(ctx context.Context) error {
+	ended := make(chan struct{})
+	go func() {
+		s.attempts.Wait()
+		close(ended)
+	}()
+
+	select {
+	case <-ended:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "wait for attempts", Kind: KindEnded, Err: ctx.Err()}
+	}
+}
--- /dev/null
+++ b/sched/update.go
@@ -0,0 +1,126 @@
+package sched
+
+import (
+	"slices"
+	"strings"
+
+	"foxtailmux/model"
+	"foxtailmux/worker"
+)
+
+// Update takes a list of workers. Workers that it lacks get no new work; the
+// attempts that run on them go on.
+func (s *Scheduler) Update(list []model.Worker) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	seen := map[string]bool{}
+	s.elsewhere = s.elsewhere[:0]
+	for _, info := range list {
+		if info.DataCentre != s.dataCentre {
+			s.elsewhere = append(s.elsewhere, info)
+			continue
+		}
+		seen[info.ID] = true
+		s.updateWorker(info)
+	}
+
+	for id, w := range s.workers {
+		if !seen[id] {
+			w.Client.Close()
+			delete(s.workers, id)
+		}
+	}
+	s.refreshOwned()
+	s.pump()
+}
+
+func (s *Scheduler) updateWorker(info model.Worker) {
+	w, known := s.workers[info.ID]
+	if !known || w.Info.Addr != info.Addr {
+		if known {
+			w.Client.Close()
+		}
+		maxIdle := s.document.Intervals.IdleConn
+		w = &worker.Worker{Client: worker.NewClient(info.Addr, s.dial, maxIdle)}
+		s.workers[info.ID] = w
+	}
+
+	w.Info = info
+	if info.State == model.Leaving {
+		w.Leaving = true
+	}
+}
+
+// SetLeaving marks a worker that said itself that it leaves.
+func (s *Scheduler) SetLeaving(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if w, ok := s.workers[id]; ok {
+		w.Leaving = true
+	}
+}
+
+func (s *Scheduler) refreshOwned() {
+	if s.policy == nil {
+		return
+	}
+
+	s.owned = s.owned[:0]
+	for id, w := range s.workers {
+		if s.policy.Owns(id, s.self, s.owner) {
+			s.owned = append(s.owned, w)
+		}
+	}
+	slices.SortFunc(s.owned, func(a, b *worker.Worker) int {
+		return strings.Compare(a.Info.ID, b.Info.ID)
+	})
+}
+
+// NeverFits reports whether workers of the pool are known in any data centre
+// and none could hold the needs even when idle.
+func (s *Scheduler) NeverFits(pool string, needs model.Needs) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	known := false
+	for _, w := range s.workers {
+		if w.Info.Pool != pool {
+			continue
+		}
+		if worker.CouldHold(w.Info.Capacity, needs) {
+			return false
+		}
+		known = true
+	}
+	for _, info := range s.elsewhere {
+		if info.Pool != pool {
+			continue
+		}
+		if worker.CouldHold(info.Capacity, needs) {
+			return false
+		}
+		known = true
+	}
+	return known
+}
+
+// Load returns the room that this instance has.
+func (s *Scheduler) Load() model.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var load model.Load
+	for _, w := range s.owned {
+		if w.Leaving {
+			continue
+		}
+		load.Slots += w.Info.Slots
+		load.FreeSlots += max(0, w.Info.Slots-w.Running)
+	}
+	if s.queue != nil {
+		load.QueuedTasks = s.queue.Len()
+	}
+	return load
+}
--- /dev/null
+++ b/worker/client.go
@@ -0,0 +1,268 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"foxtailmux/model"
+)
+
+const (
+	dialTimeout    = time.Second
+	controlTimeout = 2 * time.Second
+
+	// cancelGrace is how long a cancelled attempt may still report its outcome.
+	cancelGrace = time.Second
+)
+
+// Dialer opens a connection to an address.
+type Dialer func(ctx context.Context, addr string) (net.Conn, error)
+
+// DialTCP opens a TCP connection.
+func DialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	return d.DialContext(ctx, "tcp", addr)
+}
+
+// Client sends requests to one worker over kept connections. Every request is
+// sent at most once.
+type Client struct {
+	addr    string
+	dial    Dialer
+	maxIdle time.Duration
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	closed bool
+}
+
+// NewClient returns a client of the worker at addr. A connection that was
+// idle for longer than maxIdle carries no further request.
+func NewClient(addr string, dial Dialer, maxIdle time.Duration) *Client {
+	return &Client{addr: addr, dial: dial, maxIdle: maxIdle}
+}
+
+// Start asks the worker to run one attempt and waits for its outcome until
+// the context is done and the grace for a cancelled attempt has passed.
+func (c *Client) Start(ctx context.Context, start model.StartRequest) (model.TaskReply, error) {
+	var reply model.TaskReply
+
+	body, err := json.Marshal(start)
+	if err != nil {
+		return reply, &Error{Op: "encode start", Kind: KindNotSent, Err: err}
+	}
+
+	stop := context.AfterFunc(ctx, func() { c.cancelQuietly(start.TaskID) })
+	defer stop()
+
+	deadline := time.Now().Add(time.Duration(start.LeaseMillis)*time.Millisecond + cancelGrace)
+	if err := c.do(ctx, fasthttp.MethodPost, "/tasks", body, &reply, deadline); err != nil {
+		return reply, err
+	}
+	if reply.TaskID != start.TaskID {
+		err := eris.Errorf("reply is for task %q, not %q", reply.TaskID, start.TaskID)
+		return reply, &Error{Op: "check reply", Kind: KindUnknown, Err: err}
+	}
+	return reply, nil
+}
+
+// cancelQuietly sends a cancellation whose loss only costs the worker time.
+func (c *Client) cancelQuietly(taskID string) {
+	ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+	defer cancel()
+
+	_, _ = c.Cancel(ctx, taskID)
+}
+
+// Cancel asks the worker to stop a task.
+func (c *Client) Cancel(ctx context.Context, taskID string) (model.CancelReply, error) {
+	var reply model.CancelReply
+	path := "/tasks/" + url.PathEscape(taskID)
+	err := c.do(ctx, fasthttp.MethodDelete, path, nil, &reply, time.Now().Add(controlTimeout))
+	return reply, err
+}
+
+// Status asks the worker for its load.
+func (c *Client) Status(ctx context.Context) (model.WorkerStatus, error) {
+	var reply model.WorkerStatus
+	err := c.do(ctx, fasthttp.MethodGet, "/status", nil, &reply, time.Now().Add(controlTimeout))
+	return reply, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, reply any, deadline time.Time) error {
+	k, err := c.get(ctx)
+	if err != nil {
+		return err
+	}
+
+	if err := ended(ctx); err != nil {
+		c.put(k)
+		return &Error{Op: "send", Kind: KindNotSent, Err: err}
+	}
+
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+
+	c.fill(req, method, path, body)
+	if err := k.exchange(req, resp, deadline); err != nil {
+		c.drop(k, err)
+		return err
+	}
+
+	err = json.Unmarshal(resp.Body(), reply)
+	if err != nil {
+		c.discard(k)
+		return &Error{Op: "decode reply", Kind: KindUnknown, Err: err}
+	}
+
+	c.keep(k, resp.ConnectionClose())
+	return nil
+}
+
+// ended looks at the clock itself: after a pause of the process the timer of
+// the context may not have fired yet.
+func ended(ctx context.Context) error {
+	deadline, ok := ctx.Deadline()
+	if ok && !time.Now().Before(deadline) {
+		return context.DeadlineExceeded
+	}
+	return ctx.Err()
+}
+
+func (c *Client) fill(req *fasthttp.Request, method, path string, body []byte) {
+	req.Header.SetMethod(method)
+	req.SetRequestURI(path)
+	req.Header.SetHost(c.addr)
+
+	if body != nil {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(body)
+	}
+}
+
+// get returns an idle connection that still lives, or a new one.
+func (c *Client) get(ctx context.Context) (*conn, error) {
+	for {
+		k, err := c.popIdle()
+		if err != nil {
+			return nil, err
+		}
+		if k == nil {
+			return c.connect(ctx)
+		}
+		if k.alive(c.maxIdle) {
+			return k, nil
+		}
+		c.discard(k)
+	}
+}
+
+func (c *Client) popIdle() (*conn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.closed {
+		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: net.ErrClosed}
+	}
+
+	last := len(c.idle) - 1
+	if last < 0 {
+		c.open++
+		return nil, nil
+	}
+	k := c.idle[last]
+	c.idle = c.idle[:last]
+	return k, nil
+}
+
+func (c *Client) connect(ctx context.Context) (*conn, error) {
+	raw, err := c.dial(ctx, c.addr)
+	if err != nil {
+		c.mu.Lock()
+		c.open--
+		c.mu.Unlock()
+		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: err}
+	}
+	return newConn(raw), nil
+}
+
+func (c *Client) keep(k *conn, closing bool) {
+	if closing {
+		c.discard(k)
+		return
+	}
+	c.put(k)
+}
+
+func (c *Client) put(k *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.closed {
+		c.open--
+		_ = k.Close()
+		return
+	}
+	c.idle = append(c.idle, k)
+}
+
+// drop closes a connection that failed. After a timeout the other idle ones
+// are suspect too, since something between may have lost track of them all.
+func (c *Client) drop(k *conn, cause error) {
+	c.discard(k)
+	if isTimeout(cause) {
+		c.CloseIdle(0)
+	}
+}
+
+func (c *Client) discard(k *conn) {
+	_ = k.Close()
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
+// CloseIdle closes the connections that were idle for longer than age.
+func (c *Client) CloseIdle(age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	kept := c.idle[:0]
+	for _, k := range c.idle {
+		if time.Since(k.lastUsed) < age {
+			kept = append(kept, k)
+			continue
+		}
+		c.open--
+		_ = k.Close()
+	}
+	c.idle = kept
+}
+
+// Open returns the number of open connections.
+func (c *Client) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.open
+}
+
+// Close closes the idle connections; those in use close after their request.
+func (c *Client) Close() {
+	c.CloseIdle(0)
+
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+}
