--- /dev/null
+++ b/cmd/fakeworker/main.go
@@ -0,0 +1,131 @@
+// Command fakeworker serves stand-ins for workers until it is interrupted. It
+// prints the addresses of each as one line of JSON.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"foxtailmux/fakes"
+)
+
+// Exit codes.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+type bound struct {
+	ID          string `json:"id"`
+	Addr        string `json:"addr"`
+	ControlAddr string `json:"controlAddr"`
+}
+
+// settings are the flags of the program.
+type settings struct {
+	Fleet      fakes.FleetOptions
+	Platform   string
+	DataCentre string
+	Events     string
+}
+
+func main() {
+	var s settings
+	flags := s.flags()
+	if err := ff.Parse(flags, os.Args[1:]); err != nil {
+		usage(flags, err)
+	}
+	s.Fleet.DataCentres = strings.Split(s.DataCentre, ",")
+
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := s.serve(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func (s *settings) flags() *ff.FlagSet {
+	flags := ff.NewFlagSet("fakeworker")
+	flags.IntVar(&s.Fleet.Count, 0, "count", 1, "number of workers, each on its own port")
+	flags.StringVar(&s.Fleet.Addr, 0, "addr", "", "IP and port to listen on when count is 1")
+	flags.StringVar(&s.Fleet.Name, 0, "name", "worker", "first part of the workers' ids")
+	flags.StringVar(&s.Fleet.Pool, 0, "pool", "pool", "pool of the workers")
+	flags.StringVar(&s.DataCentre, 0, "dataCentre", "dc1", "data centres, separated by commas; racks go round them")
+	flags.IntVar(&s.Fleet.RackSize, 0, "rackSize", 8, "workers in a rack")
+	flags.IntVar(&s.Fleet.Slots, 0, "slots", fakes.DefaultSlots, "task slots of a worker")
+	flags.IntVar(&s.Fleet.Connections, 0, "connections", fakes.DefaultConnections, "connections of a worker")
+	flags.IntVar(&s.Fleet.Capacity.Cores, 0, "cores", 0, "cores of a worker, 0 for no limit")
+	flags.IntVar(&s.Fleet.Capacity.MemoryMB, 0, "memoryMB", 0, "memory of a worker in MB, 0 for no limit")
+	flags.IntVar(&s.Fleet.Capacity.Accelerators, 0, "accelerators", 0, "accelerators of a worker")
+	flags.StringVar(&s.Platform, 0, "platform", "", "IP and port of the platform to register at")
+	flags.StringVar(&s.Events, 0, "events", "", "file that start and end events are appended to")
+	return flags
+}
+
+func usage(flags ff.Flags, err error) {
+	fmt.Fprintln(os.Stderr, ffhelp.Flags(flags))
+	if errors.Is(err, ff.ErrHelp) {
+		os.Exit(0)
+	}
+	fmt.Fprintln(os.Stderr, err)
+	os.Exit(exitUsage)
+}
+
+func (s *settings) serve(ctx context.Context) error {
+	if s.Events != "" {
+		file, err := os.OpenFile(s.Events, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		s.Fleet.EventWriter = &lockedWriter{inner: file}
+	}
+
+	fleet, err := fakes.StartFleet(s.Fleet)
+	if err != nil {
+		return err
+	}
+	defer fleet.Close()
+	for _, w := range fleet.Workers {
+		if err := s.announce(w); err != nil {
+			return err
+		}
+	}
+	<-ctx.Done()
+	return nil
+}
+
+func (s *settings) announce(w *fakes.Worker) error {
+	worker := w.Describe()
+	if s.Platform != "" {
+		if err := fakes.Register(s.Platform, worker); err != nil {
+			return err
+		}
+	}
+	return json.NewEncoder(os.Stdout).Encode(bound{ID: worker.ID, Addr: worker.Addr, ControlAddr: w.ControlAddr()})
+}
+
+// lockedWriter lets several workers share a file.
+type lockedWriter struct {
+	mu    sync.Mutex
+	inner io.Writer
+}
+
+// Write writes the whole line under the lock.
+func (w *lockedWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.inner.Write(b)
+}
--- /dev/null
+++ b/fakes/fleet.go
@@ -0,0 +1,77 @@
+package fakes
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/model"
+)
+
+// FleetOptions are the settings of a group of like workers. Racks of
+// RackSize workers go round the data centres.
+type FleetOptions struct {
+	Count       int
+	Addr        string // used when Count is 1
+	Name        string // first part of the ids
+	Pool        string
+	DataCentres []string
+	RackSize    int
+	Slots       int
+	Connections int
+	Capacity    model.Needs
+	EventWriter io.Writer // takes each event as a JSON line; must be safe for concurrent use
+}
+
+// Fleet is a group of workers in this process.
+type Fleet struct {
+	Workers []*Worker
+}
+
+// StartFleet starts the workers. When one can't start it stops the others
+// and returns the error.
+func StartFleet(options FleetOptions) (*Fleet, error) {
+	fleet := &Fleet{}
+	for i := range options.Count {
+		w, err := StartWorker(options.worker(i))
+		if err != nil {
+			fleet.Close()
+			return nil, err
+		}
+		fleet.Workers = append(fleet.Workers, w)
+	}
+	return fleet, nil
+}
+
+func (o FleetOptions) worker(index int) WorkerOptions {
+	rack := index / max(o.RackSize, 1)
+	dataCentre := ""
+	if len(o.DataCentres) > 0 {
+		dataCentre = o.DataCentres[rack%len(o.DataCentres)]
+	}
+
+	worker := WorkerOptions{
+		ID:          fmt.Sprintf("%s-%03d", o.Name, index+1),
+		DataCentre:  dataCentre,
+		Rack:        fmt.Sprintf("%s-rack-%02d", dataCentre, rack+1),
+		Pool:        o.Pool,
+		Slots:       o.Slots,
+		Connections: o.Connections,
+		Capacity:    o.Capacity,
+		Events:      NewEventLog(defaultMaxEvents, o.EventWriter),
+	}
+	if o.Count == 1 {
+		worker.Addr = o.Addr
+	}
+	return worker
+}
+
+// Close stops all workers at once and waits for their end.
+func (f *Fleet) Close() {
+	var group conc.WaitGroup
+	for _, w := range f.Workers {
+		group.Go(w.Close)
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/fakes/task.go
@@ -0,0 +1,265 @@
+package fakes
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// Payload is what the stand-in expects as the payload of a task.
+type Payload struct {
+	Nonce     string `json:"nonce"`
+	RunMillis int64  `json:"runMillis"`
+	Fail      bool   `json:"fail,omitempty"`
+	EchoBytes int    `json:"echoBytes,omitempty"`
+}
+
+// TaskResult is the result of a task that the stand-in ran.
+type TaskResult struct {
+	Nonce  string `json:"nonce"`
+	Worker string `json:"worker"`
+	Echo   string `json:"echo,omitempty"`
+}
+
+// Reasons of replies that are not done.
+const (
+	reasonLeaving   = "leaving"
+	reasonSlots     = "no free slot"
+	reasonNeeds     = "needs exceed the capacity"
+	reasonLease     = "lease expired"
+	reasonCancelled = "cancelled"
+	reasonStopped   = "worker stopped"
+	reasonFault     = "fails everything"
+	reasonPayload   = "payload can't be decoded"
+	reasonTask      = "task failed"
+)
+
+// maxEchoBytes bounds the echo in a result.
+const maxEchoBytes = 1 << 20
+
+// attempt is one attempt at a task that occupies a slot.
+type attempt struct {
+	request model.StartRequest
+	cancel  chan struct{}
+}
+
+func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request, first bool) {
+	faults := w.Faults()
+	if faults.CloseBeforeStart && !first {
+		abort()
+	}
+
+	var request model.StartRequest
+	if err := readJSON(r, &request); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if request.TaskID == "" {
+		http.Error(rw, "no taskId", http.StatusBadRequest)
+		return
+	}
+
+	a, reason := w.begin(request)
+	if a == nil {
+		w.reply(rw, model.TaskReply{TaskID: request.TaskID, Outcome: model.OutcomeNotRun, Reason: reason})
+		return
+	}
+	if faults.CloseAfterRead {
+		go w.run(a)
+		abort()
+	}
+	w.reply(rw, w.run(a))
+}
+
+// begin takes a slot and records the start, or returns why it can't.
+func (w *Worker) begin(request model.StartRequest) (*attempt, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.faults.Leaving:
+		return nil, reasonLeaving
+	case w.busy >= w.options.Slots:
+		return nil, reasonSlots
+	case exceeds(request.Needs, w.options.Capacity):
+		return nil, reasonNeeds
+	case !w.server.enter():
+		return nil, reasonStopped
+	}
+
+	w.events.Add(Event{Event: EventStart, TaskID: request.TaskID, Attempt: request.Attempt, Worker: w.options.ID})
+	a := &attempt{request: request, cancel: make(chan struct{})}
+	w.busy++
+	w.running[request.TaskID] = append(w.running[request.TaskID], a)
+	return a, ""
+}
+
+// exceeds tells whether a need is larger than a capacity that is set.
+func exceeds(needs, capacity model.Needs) bool {
+	over := func(need, limit int) bool { return limit > 0 && need > limit }
+	return over(needs.Cores, capacity.Cores) ||
+		over(needs.MemoryMB, capacity.MemoryMB) ||
+		needs.Accelerators > capacity.Accelerators
+}
+
+// run runs the attempt to its end and frees its slot.
+func (w *Worker) run(a *attempt) model.TaskReply {
+	defer w.server.leave()
+	started := time.Now()
+	reply := w.perform(a)
+	reply.TaskID = a.request.TaskID
+	reply.RunMillis = time.Since(started).Milliseconds()
+
+	w.finish(a)
+	w.events.Add(Event{
+		Event:   EventEnd,
+		TaskID:  a.request.TaskID,
+		Attempt: a.request.Attempt,
+		Worker:  w.options.ID,
+		Outcome: reply.Outcome,
+	})
+	return reply
+}
+
+func (w *Worker) perform(a *attempt) model.TaskReply {
+	faults := w.Faults()
+	if faults.FailEverything {
+		return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonFault}
+	}
+	var payload Payload
+	if len(a.request.Payload) > 0 {
+		if err := json.Unmarshal(a.request.Payload, &payload); err != nil {
+			return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonPayload}
+		}
+	}
+
+	if reason := w.wait(a, runTime(payload, faults)); reason != "" {
+		return model.TaskReply{Outcome: model.OutcomeCancelled, Reason: reason}
+	}
+	if payload.Fail {
+		return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonTask}
+	}
+	return model.TaskReply{Outcome: model.OutcomeDone, Result: w.result(payload)}
+}
+
+func runTime(payload Payload, faults WorkerFaults) time.Duration {
+	run := time.Duration(payload.RunMillis) * time.Millisecond
+	if faults.SlowFactor > 0 {
+		run = time.Duration(float64(run) * faults.SlowFactor)
+	}
+	return run
+}
+
+// wait lets the run time pass. It returns why the attempt was cut short, or
+// an empty string.
+func (w *Worker) wait(a *attempt, run time.Duration) string {
+	var lease <-chan time.Time
+	if a.request.LeaseMillis > 0 {
+		timer := time.NewTimer(time.Duration(a.request.LeaseMillis) * time.Millisecond)
+		defer timer.Stop()
+		lease = timer.C
+	}
+	done := time.NewTimer(run)
+	defer done.Stop()
+
+	select {
+	case <-done.C:
+		return ""
+	case <-lease:
+		return reasonLease
+	case <-a.cancel:
+		return reasonCancelled
+	case <-w.server.ctx.Done():
+		return reasonStopped
+	}
+}
+
+func (w *Worker) result(payload Payload) json.RawMessage {
+	echo := strings.Repeat("x", min(max(payload.EchoBytes, 0), maxEchoBytes))
+	result, err := json.Marshal(TaskResult{Nonce: payload.Nonce, Worker: w.options.ID, Echo: echo})
+	if err != nil {
+		panic(err)
+	}
+	return result
+}
+
+// finish frees the slot of the attempt and remembers that its task ended.
+func (w *Worker) finish(a *attempt) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := a.request.TaskID
+	w.busy--
+	rest := slices.DeleteFunc(w.running[id], func(b *attempt) bool { return a == b })
+	w.running[id] = rest
+	if len(rest) == 0 {
+		delete(w.running, id)
+	}
+
+	if _, ok := w.ended[id]; ok {
+		return
+	}
+	w.ended[id] = struct{}{}
+	w.order = append(w.order, id)
+	if len(w.order) > maxEndedTasks {
+		delete(w.ended, w.order[0])
+		w.order = w.order[1:]
+	}
+}
+
+// reply adds the worker's load to a reply and sends it.
+func (w *Worker) reply(rw http.ResponseWriter, reply model.TaskReply) {
+	status := w.Status()
+	reply.BusySlots = status.BusySlots
+	reply.Leaving = status.Leaving
+	writeJSON(rw, replyStatus(reply.Outcome), reply)
+}
+
+func replyStatus(outcome model.TaskOutcome) int {
+	switch outcome {
+	case model.OutcomeDone:
+		return http.StatusOK
+	case model.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case model.OutcomeCancelled:
+		return http.StatusConflict
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+func (w *Worker) serveCancel(rw http.ResponseWriter, r *http.Request) {
+	id, ok := lastElement(r, TasksPath+"/")
+	if !ok {
+		http.Error(rw, "no task id", http.StatusBadRequest)
+		return
+	}
+	if w.Faults().CancelIgnored {
+		http.Error(rw, "cancellation ignored", http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(rw, http.StatusOK, model.CancelReply{TaskID: id, Outcome: w.cancel(id)})
+}
+
+// cancel stops every running attempt at the task.
+func (w *Worker) cancel(id string) model.TaskOutcome {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	attempts := w.running[id]
+	for _, a := range attempts {
+		select {
+		case <-a.cancel:
+		default:
+			close(a.cancel)
+		}
+	}
+	if len(attempts) > 0 {
+		return model.OutcomeCancelled
+	}
+	if _, ok := w.ended[id]; ok {
+		return model.OutcomeDone
+	}
+	return model.OutcomeNotRun
+}
