table: add the client of the platform

The other parts need one client whose errors say what is known of a call. A failed dial, an ended context or a full client is notSent; an error status that proves no effect is refused; all else, a malformed answer and the statuses 500, 502 and 504 to a write among it, is unknown. No request is sent again: a server that closes after reading sees one. Cancelling inside fasthttp was ruled out, as it has no context: the sending goroutine keeps its buffers until the call has ended.

--- /dev/null
+++ b/table/client.go
@@ -0,0 +1,193 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+
+	"foxtailmux/model"
+)
+
+const (
+	maxInFlight    = 64
+	maxAnswerBytes = 32 << 20
+	maxIdleConn    = 5 * time.Second
+)
+
+// Client calls the platform. No request is ever sent again by the client
+// itself. It is safe for concurrent use.
+type Client struct {
+	host    *fasthttp.HostClient
+	timeout time.Duration
+	slots   chan struct{}
+	reads   atomic.Uint64
+	writes  atomic.Uint64
+}
+
+// NewClient returns a client of the platform at addr (host:port). Each call
+// ends within the timeout, or at the deadline of its context if that is
+// earlier.
+func NewClient(addr string, timeout time.Duration) *Client {
+	return newClient(addr, timeout, fasthttp.DialTimeout)
+}
+
+func newClient(addr string, timeout time.Duration, dial fasthttp.DialFuncWithTimeout) *Client {
+	return &Client{
+		host: &fasthttp.HostClient{
+			Addr:                      addr,
+			DialTimeout:               markDialErrors(dial),
+			MaxConns:                  maxInFlight,
+			MaxIdleConnDuration:       maxIdleConn,
+			MaxResponseBodySize:       maxAnswerBytes,
+			MaxIdemponentCallAttempts: 1,
+			RetryIfErr:                neverRetry,
+			DisablePathNormalizing:    true,
+		},
+		timeout: timeout,
+		slots:   make(chan struct{}, maxInFlight),
+	}
+}
+
+// Reads returns the number of reads that were sent.
+func (c *Client) Reads() uint64 {
+	return c.reads.Load()
+}
+
+// Writes returns the number of writes that were sent.
+func (c *Client) Writes() uint64 {
+	return c.writes.Load()
+}
+
+// Get reads a row. A row that does not exist has version 0 and no value.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	a, err := c.read(ctx, "get", RowsPath+url.PathEscape(key))
+	if err != nil {
+		return Row{}, err
+	}
+
+	row, err := parseRow(a.body, key)
+	return row, unusable("get", err)
+}
+
+// Scan reads at most limit rows whose keys start with prefix and sort after
+// the key given, in key order.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) (Scan, error) {
+	query := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	a, err := c.read(ctx, "scan", ScanPath+"?"+query.Encode())
+	if err != nil {
+		return Scan{}, err
+	}
+
+	page, err := parseScan(a.body, prefix, after, limit)
+	return page, unusable("scan", err)
+}
+
+// Commit applies a transaction. A transaction whose conditions failed is no
+// error: its commit is not committed and names the conflicts.
+func (c *Client) Commit(ctx context.Context, t Transaction) (Commit, error) {
+	body, err := json.Marshal(t)
+	if err != nil {
+		return Commit{}, &Error{Op: "commit", Kind: KindNotSent, Err: eris.Wrap(err, "encode")}
+	}
+
+	a, err := c.call(ctx, request{op: "commit", method: http.MethodPost, uri: TransactionPath, body: body})
+	if err != nil {
+		return Commit{}, err
+	}
+	if a.status != http.StatusOK && a.status != http.StatusConflict {
+		return Commit{}, refusal("commit", a, true)
+	}
+
+	commit, err := parseCommit(a.body, a.status, t)
+	return commit, unusable("commit", err)
+}
+
+// PutObject stores an object, replacing any of that name.
+func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	uri := ObjectsPath + url.PathEscape(name)
+	a, err := c.call(ctx, request{op: "put object", method: http.MethodPut, uri: uri, body: data})
+	if err != nil {
+		return err
+	}
+	if a.status != http.StatusOK {
+		return refusal("put object", a, true)
+	}
+	return nil
+}
+
+// GetObject reads an object. ErrNotFound is in the chain of the error if it
+// does not exist.
+func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
+	a, err := c.read(ctx, "get object", ObjectsPath+url.PathEscape(name))
+	if err != nil {
+		return nil, err
+	}
+	return a.body, nil
+}
+
+// Instances reads the platform's list of instances.
+func (c *Client) Instances(ctx context.Context) (model.InstanceList, error) {
+	a, err := c.read(ctx, "instances", InstancesPath)
+	if err != nil {
+		return model.InstanceList{}, err
+	}
+
+	list, err := parseInstances(a.body)
+	return list, unusable("instances", err)
+}
+
+func (c *Client) read(ctx context.Context, op, uri string) (answer, error) {
+	a, err := c.call(ctx, request{op: op, method: http.MethodGet, uri: uri})
+	if err != nil {
+		return answer{}, err
+	}
+	if a.status != http.StatusOK {
+		return answer{}, refusal(op, a, false)
+	}
+	return a, nil
+}
+
+func unusable(op string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &Error{Op: op, Kind: KindUnknown, Err: err}
+}
+
+// A server or gateway that failed on a write may have carried it out; of the
+// statuses from 500 up only 501 and 503 say that it did not try.
+func refusal(op string, a answer, write bool) error {
+	if a.status == http.StatusNotFound && a.object {
+		return &Error{Op: op, Kind: KindRefused, Err: ErrNotFound}
+	}
+
+	kind := KindRefused
+	if write && !provesNoEffect(a.status) {
+		kind = KindUnknown
+	}
+	return &Error{Op: op, Kind: kind, Err: eris.Errorf("status %d: %s", a.status, excerpt(a.body))}
+}
+
+func provesNoEffect(status int) bool {
+	if status == http.StatusNotImplemented || status == http.StatusServiceUnavailable {
+		return true
+	}
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+func excerpt(body []byte) []byte {
+	const maxExcerptBytes = 200
+	return bytes.TrimSpace(body[:min(len(body), maxExcerptBytes)])
+}
--- /dev/null
+++ b/table/parse.go
@@ -0,0 +1,146 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/model"
+)
+
+// parseRow accepts the row of the key asked for and nothing else.
+func parseRow(body []byte, key string) (Row, error) {
+	var r Row
+	if err := json.Unmarshal(body, &r); err != nil {
+		return Row{}, eris.Wrap(err, "malformed row")
+	}
+	if r.Key != key {
+		return Row{}, eris.Errorf("asked for row %q, got %q", key, r.Key)
+	}
+	return checkRow(r)
+}
+
+// checkRow holds the value against the version and drops a null that stands
+// for no value.
+func checkRow(r Row) (Row, error) {
+	if bytes.Equal(r.Value, []byte("null")) {
+		r.Value = nil
+	}
+	if r.Version < 0 {
+		return Row{}, eris.Errorf("row %q has version %d", r.Key, r.Version)
+	}
+	if exists := r.Version > 0; exists != (len(r.Value) > 0) {
+		return Row{}, eris.Errorf("row %q of version %d has a value of %d bytes", r.Key, r.Version, len(r.Value))
+	}
+	return r, nil
+}
+
+func parseScan(body []byte, prefix, after string, limit int) (Scan, error) {
+	if err := requireFields(body, "rows"); err != nil {
+		return Scan{}, err
+	}
+
+	var s Scan
+	if err := json.Unmarshal(body, &s); err != nil {
+		return Scan{}, eris.Wrap(err, "malformed page")
+	}
+	if len(s.Rows) > limit {
+		return Scan{}, eris.Errorf("asked for %d rows, got %d", limit, len(s.Rows))
+	}
+	if s.More && len(s.Rows) == 0 {
+		return Scan{}, eris.New("an empty page says that more rows follow")
+	}
+
+	last := after
+	for i, r := range s.Rows {
+		if !strings.HasPrefix(r.Key, prefix) || r.Key <= last || r.Version == 0 {
+			return Scan{}, eris.Errorf("row %q of version %d does not belong after %q in a scan of %q", r.Key, r.Version, last, prefix)
+		}
+
+		checked, err := checkRow(r)
+		if err != nil {
+			return Scan{}, err
+		}
+		s.Rows[i] = checked
+		last = r.Key
+	}
+	return s, nil
+}
+
+// parseCommit holds the answer against the status and the transaction.
+func parseCommit(body []byte, status int, t Transaction) (Commit, error) {
+	if err := requireFields(body, "committed"); err != nil {
+		return Commit{}, err
+	}
+
+	var c Commit
+	if err := json.Unmarshal(body, &c); err != nil {
+		return Commit{}, eris.Wrap(err, "malformed commit")
+	}
+	if c.Committed != (status == http.StatusOK) {
+		return Commit{}, eris.Errorf("status %d says committed: %t", status, c.Committed)
+	}
+	if c.Committed != (len(c.Conflicts) == 0) {
+		return Commit{}, eris.Errorf("committed: %t with %d conflicts", c.Committed, len(c.Conflicts))
+	}
+
+	for i, r := range c.Conflicts {
+		if !isConflict(r, t.Conditions) {
+			return Commit{}, eris.Errorf("row %q of version %d breaks no condition", r.Key, r.Version)
+		}
+
+		checked, err := checkRow(r)
+		if err != nil {
+			return Commit{}, err
+		}
+		c.Conflicts[i] = checked
+	}
+	return c, nil
+}
+
+func isConflict(r Row, conditions []Condition) bool {
+	return slices.ContainsFunc(conditions, func(c Condition) bool {
+		return c.Key == r.Key && c.Version != r.Version
+	})
+}
+
+func parseInstances(body []byte) (model.InstanceList, error) {
+	if err := requireFields(body, "workers", "entries"); err != nil {
+		return model.InstanceList{}, err
+	}
+
+	var l model.InstanceList
+	if err := json.Unmarshal(body, &l); err != nil {
+		return model.InstanceList{}, eris.Wrap(err, "malformed list")
+	}
+	for _, w := range l.Workers {
+		if w.ID == "" || w.Addr == "" {
+			return model.InstanceList{}, eris.Errorf("worker %q has the address %q", w.ID, w.Addr)
+		}
+	}
+	for _, e := range l.Entries {
+		if e.ID == "" {
+			return model.InstanceList{}, eris.New("an entry instance has no id")
+		}
+	}
+	return l, nil
+}
+
+// requireFields tells an answer that lacks a field from one whose field is
+// empty, which plain decoding does not.
+func requireFields(body []byte, names ...string) error {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return eris.Wrap(err, "malformed answer")
+	}
+	for _, name := range names {
+		if _, ok := fields[name]; !ok {
+			return eris.Errorf("answer lacks the field %q", name)
+		}
+	}
+	return nil
+}
