--- /dev/null
+++ b/setup/flags.go
@@ -0,0 +1,86 @@
+package setup
+
+import (
+	"flag"
+	"io"
+	"strings"
+)
+
+// Prefix starts the name of each variable that sets a field: callers.addr is
+// FOXTAILMUX_CALLERS_ADDR.
+const Prefix = "FOXTAILMUX_"
+
+// KeyVariable holds an operator's bearer key. It is read by the commands that
+// ask an instance and is no setting.
+const KeyVariable = Prefix + "KEY"
+
+// Override is a field given as a flag. Name is the field's path, such as
+// callers.addr.
+type Override struct {
+	Name  string
+	Value string
+}
+
+// Flags returns a flag set with one flag for each field; parsing it writes
+// into s.
+func Flags(s *Settings) *flag.FlagSet {
+	fs := flag.NewFlagSet("settings", flag.ContinueOnError)
+	fs.SetOutput(io.Discard)
+
+	fs.StringVar(&s.Instance, "instance", s.Instance, "id of this instance")
+	fs.StringVar(&s.DataCentre, "dataCentre", s.DataCentre, "data centre of this instance")
+	bindCallers(fs, &s.Callers)
+	fs.StringVar(&s.Operators.Addr, "operators.addr", s.Operators.Addr, "IP:port for operators")
+	fs.StringVar(&s.Peers.Addr, "peers.addr", s.Peers.Addr, "IP:port for peers")
+	fs.Var((*list)(&s.Peers.Seeds), "peers.seeds", "IP:port of peers, separated by commas")
+	fs.StringVar(&s.Platform.Addr, "platform.addr", s.Platform.Addr, "IP:port of the platform")
+	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", s.Platform.Timeout, "time for a request to the platform")
+	bindLimits(fs, &s.Limits)
+	fs.DurationVar(&s.Stop.DrainDelay, "stop.drainDelay", s.Stop.DrainDelay, "time for the balancer to notice a stop")
+	fs.DurationVar(&s.Stop.Limit, "stop.limit", s.Stop.Limit, "longest time of a stop")
+	fs.StringVar(&s.Log.Level, "log.level", s.Log.Level, "debug, info, warn or error")
+	fs.StringVar((*string)(&s.Log.Format), "log.format", string(s.Log.Format), "json or console")
+	return fs
+}
+
+func bindCallers(fs *flag.FlagSet, c *Callers) {
+	fs.StringVar(&c.Addr, "callers.addr", c.Addr, "IP:port for callers")
+	fs.IntVar(&c.MaxBodyBytes, "callers.maxBodyBytes", c.MaxBodyBytes, "largest body of a request, in bytes")
+	fs.IntVar(&c.MaxHeaderBytes, "callers.maxHeaderBytes", c.MaxHeaderBytes, "largest header of a request, in bytes")
+	fs.DurationVar(&c.ReadTimeout, "callers.readTimeout", c.ReadTimeout, "time to read a request")
+	fs.DurationVar(&c.IdleTimeout, "callers.idleTimeout", c.IdleTimeout, "time until an idle connection is closed")
+	fs.IntVar(&c.MaxConnections, "callers.maxConnections", c.MaxConnections, "most connections at once")
+}
+
+func bindLimits(fs *flag.FlagSet, l *Limits) {
+	fs.IntVar(&l.OpenJobs, "limits.openJobs", l.OpenJobs, "most open jobs")
+	fs.IntVar(&l.QueuedTasks, "limits.queuedTasks", l.QueuedTasks, "most queued tasks")
+	fs.IntVar(&l.TicketsPerRequest, "limits.ticketsPerRequest", l.TicketsPerRequest, "most tickets in one request")
+}
+
+// Variable returns the name of the environment variable that sets a field.
+func Variable(field string) string {
+	name := strings.ReplaceAll(field, ".", "_")
+	return Prefix + strings.ToUpper(name)
+}
+
+// list is a flag of values separated by commas.
+type list []string
+
+// String joins the values.
+func (l *list) String() string {
+	return strings.Join(*l, ",")
+}
+
+// Set replaces the values; an empty text leaves none.
+func (l *list) Set(text string) error {
+	*l = list{}
+	if text == "" {
+		return nil
+	}
+
+	for value := range strings.SplitSeq(text, ",") {
+		*l = append(*l, strings.TrimSpace(value))
+	}
+	return nil
+}
