logger: add the log of one process

Console lines quote their values: a path with a line end can't forge a second line.

Lines of concurrent writers go through one lock, since phuslu's IOWriter leaves that to the writer beneath.

--- /dev/null
+++ b/logger/logger.go
@@ -0,0 +1,85 @@
+// Package logger writes the log of one process: a line each event, as JSON or
+// for a console, with the instance and the data centre on each line.
+package logger
+
+import (
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/setup"
+)
+
+// Logger writes lines of at least its level. It is safe for concurrent use.
+type Logger struct {
+	log.Logger
+}
+
+// New returns a logger that writes to w. It returns an *Error if the level or
+// the format of s is unknown.
+func New(s setup.Settings, w io.Writer) (*Logger, error) {
+	writer, err := newWriter(s.Log.Format, w)
+	if err != nil {
+		return nil, err
+	}
+
+	l := &Logger{log.Logger{
+		TimeLocation: time.UTC,
+		Context: log.NewContext(nil).
+			Str("instance", s.Instance).
+			Str("dataCentre", s.DataCentre).
+			Value(),
+		Writer: writer,
+	}}
+	if err := l.SetLevel(s.Log.Level); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// Discard returns a logger that writes nothing.
+func Discard() *Logger {
+	return &Logger{log.Logger{Writer: log.IOWriter{Writer: io.Discard}}}
+}
+
+// levels are the names that SetLevel takes, the one that logs most first.
+var levels = []string{"debug", "info", "warn", "error"}
+
+// SetLevel changes the level while the process runs. It returns an *Error and
+// changes nothing if the name is unknown.
+func (l *Logger) SetLevel(name string) error {
+	if !slices.Contains(levels, name) {
+		inner := eris.Errorf("level %q is none of %v", name, levels)
+		return &Error{Op: "set level", Kind: KindLevel, Err: inner}
+	}
+	l.Logger.SetLevel(log.ParseLevel(name))
+	return nil
+}
+
+func newWriter(format setup.Format, w io.Writer) (log.Writer, error) {
+	w = &lockedWriter{w: w}
+	switch format {
+	case setup.JSON:
+		return log.IOWriter{Writer: w}, nil
+	case setup.Console:
+		return &log.ConsoleWriter{Writer: w, QuoteString: true, EndWithMessage: true}, nil
+	}
+	return nil, &Error{Op: "new", Kind: KindFormat, Err: eris.Errorf("format %q is unknown", format)}
+}
+
+// lockedWriter keeps the lines of concurrent events apart.
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+// Write passes one line on.
+func (l *lockedWriter) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(line)
+}
