meter: add the metrics of one process

One registry for each process, so that several instances in one test process stay apart. Instance and data centre are labels of every metric; they are called instance_id and data_centre, since Prometheus itself sets "instance" at the scrape.

The ratio over the ideal is left out when the ideal is not known, rather than counted as 0 or 1.

--- /dev/null
+++ b/meter/count.go
@@ -0,0 +1,60 @@
+package meter
+
+import "time"
+
+// The purposes of a message. A needed one moves a job towards its answer; a
+// wasted one turns out to have been superfluous.
+const (
+	Needed = "needed"
+	Wasted = "wasted"
+)
+
+// The directions of control traffic.
+const (
+	Sent     = "sent"
+	Received = "received"
+)
+
+// TaskStarted counts an attempt sent to a worker.
+func (m *Meter) TaskStarted() { m.starts.Inc() }
+
+// Answered counts an answer to a caller.
+func (m *Meter) Answered(result, ran string) { m.answers.WithLabelValues(result, ran).Inc() }
+
+// Refused counts a job refused before a task ran.
+func (m *Meter) Refused(reason string) { m.refusals.WithLabelValues(reason).Inc() }
+
+// Retried counts an attempt after the first.
+func (m *Meter) Retried(reason string) { m.retries.WithLabelValues(reason).Inc() }
+
+// Forwarded counts a job forwarded to a peer.
+func (m *Meter) Forwarded(outcome string) { m.forwards.WithLabelValues(outcome).Inc() }
+
+// Message counts a message as Needed or Wasted.
+func (m *Meter) Message(purpose, kind string) { m.messages.WithLabelValues(purpose, kind).Inc() }
+
+// Unauthorized counts an operator's request without a valid key.
+func (m *Meter) Unauthorized() { m.unauthorized.Inc() }
+
+// ControlBytes counts n bytes Sent or Received for control.
+func (m *Meter) ControlBytes(direction string, n int) {
+	m.controlBytes.WithLabelValues(direction).Add(float64(n))
+}
+
+// QueueLength sets the number of tasks that wait for a slot.
+func (m *Meter) QueueLength(n int) { m.queue.Set(float64(n)) }
+
+// ConfigVersion sets the version of the configuration in force.
+func (m *Meter) ConfigVersion(n int64) { m.configVersion.Set(float64(n)) }
+
+// QueueWait records how long a task waited for a slot.
+func (m *Meter) QueueWait(d time.Duration) { m.queueWait.Observe(d.Seconds()) }
+
+// Response records how long a job took from its receipt to its answer. The
+// ratio is left out if the ideal is not known, that is not above 0.
+func (m *Meter) Response(d, ideal time.Duration) {
+	m.response.Observe(d.Seconds())
+	if ideal > 0 {
+		m.overIdeal.Observe(float64(d) / float64(ideal))
+	}
+}
--- /dev/null
+++ b/meter/meter.go
@@ -0,0 +1,96 @@
+// Package meter counts what one process does, for Prometheus.
+package meter
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// Meter holds the metrics of one process in a registry of its own. Its methods
+// are safe for concurrent use. Texts passed to them become labels, so they must
+// come from a fixed set and never from a request.
+type Meter struct {
+	registry *prometheus.Registry
+
+	starts       prometheus.Counter
+	answers      *prometheus.CounterVec
+	refusals     *prometheus.CounterVec
+	retries      *prometheus.CounterVec
+	forwards     *prometheus.CounterVec
+	messages     *prometheus.CounterVec
+	unauthorized prometheus.Counter
+	controlBytes *prometheus.CounterVec
+
+	queue         prometheus.Gauge
+	configVersion prometheus.Gauge
+
+	queueWait prometheus.Histogram
+	response  prometheus.Histogram
+	overIdeal prometheus.Histogram
+}
+
+// New returns the meter of an instance. Each metric carries the instance and
+// the data centre as labels.
+func New(instance, dataCentre string) *Meter {
+	m := &Meter{registry: prometheus.NewRegistry()}
+	m.makeCounters()
+	m.makeGauges()
+	m.makeHistograms()
+
+	labels := prometheus.Labels{"instance_id": instance, "data_centre": dataCentre}
+	prometheus.WrapRegistererWith(labels, m.registry).MustRegister(m.collectors()...)
+	return m
+}
+
+// Registry returns the registry of the process.
+func (m *Meter) Registry() *prometheus.Registry { return m.registry }
+
+// Handler serves the metrics in the Prometheus text format.
+func (m *Meter) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+func (m *Meter) makeCounters() {
+	m.starts = counter("task_starts_total", "Attempts at tasks sent to workers.")
+	m.answers = counters("answers_total", "Answers to callers, by result and by whether a task ran.", "result", "ran")
+	m.refusals = counters("refusals_total", "Jobs refused before a task ran, by reason.", "reason")
+	m.retries = counters("retries_total", "Attempts after the first, by reason.", "reason")
+	m.forwards = counters("forwards_total", "Jobs forwarded to a peer, by outcome.", "outcome")
+	m.messages = counters("messages_total", "Messages sent, by whether they were needed, and by kind.", "purpose", "kind")
+	m.unauthorized = counter("unauthorized_total", "Requests of operators without a valid key.")
+	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, by direction.", "direction")
+}
+
+func (m *Meter) makeGauges() {
+	m.queue = gauge("queue_tasks", "Tasks that wait for a slot.")
+	m.configVersion = gauge("config_version", "Version of the configuration in force.")
+}
+
+func (m *Meter) makeHistograms() {
+	m.queueWait = histogram("queue_wait_seconds", "Time a task waited for a slot.", waitBuckets)
+	m.response = histogram("response_seconds", "Time from the receipt of a job to its answer.", responseBuckets)
+	m.overIdeal = histogram("response_over_ideal_ratio", "Response time over the ideal of the job.", ratioBuckets)
+}
+
+func (m *Meter) collectors() []prometheus.Collector {
+	return []prometheus.Collector{
+		m.starts,
+		m.answers,
+		m.refusals,
+		m.retries,
+		m.forwards,
+		m.messages,
+		m.unauthorized,
+		m.controlBytes,
+		m.queue,
+		m.configVersion,
+		m.queueWait,
+		m.response,
+		m.overIdeal,
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		collectors.NewGoCollector(),
+	}
+}
