worker, roster: test what is known after a lost exchange

Cause: fasthttp wraps a read timeout in an error that hides it, so that the other idle connections of a silent address stayed in the pool. The pool is now emptied by the clock, not by the type of the error. Ruled out: unwrapping fasthttp's error, which embeds its cause without Unwrap.

--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,174 @@
+package roster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"foxtailmux/config"
+	"foxtailmux/model"
+	"foxtailmux/worker"
+)
+
+// maxProbes bounds the status requests that are open at once.
+const maxProbes = 16
+
+// Source reads the platform's list.
+type Source interface {
+	Instances(ctx context.Context) (model.InstanceList, error)
+}
+
+// Scheduler takes the workers and what is learnt of them.
+type Scheduler interface {
+	Update(list []model.Worker)
+	SetLeaving(workerID string)
+	Quiet(since time.Time) []Probe
+	CloseIdle()
+}
+
+// Probe is a worker that has not been heard of lately.
+type Probe struct {
+	ID     string
+	Client *worker.Client
+}
+
+// Options are what a roster needs. OnEntries takes the entry instances of
+// each list that is believed.
+type Options struct {
+	Source    Source
+	Scheduler Scheduler
+	Intervals func() config.Intervals
+	OnEntries func([]model.Entry)
+}
+
+// State is what a dump of the process shows of the roster.
+type State struct {
+	Workers     int       `json:"workers"`
+	LastSuccess time.Time `json:"lastSuccess"`
+	LastError   string    `json:"lastError,omitempty"`
+}
+
+// Roster polls the list and the workers until it is stopped.
+type Roster struct {
+	options Options
+
+	mu    sync.Mutex
+	state State
+
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// New returns a roster that is not yet running.
+func New(o Options) *Roster {
+	return &Roster{options: o, done: make(chan struct{})}
+}
+
+// Start begins to poll. The first list is asked for at once; a platform that
+// does not answer is no failure.
+func (r *Roster) Start(context.Context) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	r.cancel = cancel
+
+	var loops conc.WaitGroup
+	loops.Go(func() { r.pollList(ctx) })
+	loops.Go(func() { r.pollWorkers(ctx) })
+
+	go func() {
+		defer close(r.done)
+		loops.Wait()
+	}()
+	return nil
+}
+
+// Stop ends the polling.
+func (r *Roster) Stop(context.Context) error {
+	r.cancel()
+	return nil
+}
+
+// Done is closed when the polling has ended.
+func (r *Roster) Done() <-chan struct{} { return r.done }
+
+// State returns when the list was last read and why it was not.
+func (r *Roster) State() State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return r.state
+}
+
+func (r *Roster) pollList(ctx context.Context) {
+	for {
+		r.refresh(ctx)
+
+		select {
+		case <-time.After(r.options.Intervals().ListPoll):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *Roster) refresh(ctx context.Context) {
+	list, err := r.options.Source.Instances(ctx)
+	if err == nil {
+		err = r.accept(list)
+	}
+
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if err != nil {
+		r.state.LastError = err.Error()
+		return
+	}
+	r.state = State{Workers: len(list.Workers), LastSuccess: time.Now()}
+}
+
+// accept hands a list on unless it is suddenly empty.
+func (r *Roster) accept(list model.InstanceList) error {
+	if len(list.Workers) == 0 && r.State().Workers > 0 {
+		err := eris.New("the list has no workers, the last one is kept")
+		return &Error{Op: "read list", Kind: KindEmpty, Err: err}
+	}
+
+	r.options.Scheduler.Update(list.Workers)
+	r.options.OnEntries(list.Entries)
+	return nil
+}
+
+// pollWorkers asks the workers that were quiet whether they are leaving, so
+// that this is known without the list.
+func (r *Roster) pollWorkers(ctx context.Context) {
+	for {
+		period := r.options.Intervals().StatusPoll
+		select {
+		case <-time.After(period):
+		case <-ctx.Done():
+			return
+		}
+
+		r.probe(ctx, time.Now().Add(-period))
+		r.options.Scheduler.CloseIdle()
+	}
+}
+
+func (r *Roster) probe(ctx context.Context, since time.Time) {
+	probes := pool.New().WithMaxGoroutines(maxProbes)
+	for _, p := range r.options.Scheduler.Quiet(since) {
+		probes.Go(func() { r.probeOne(ctx, p) })
+	}
+	probes.Wait()
+}
+
+func (r *Roster) probeOne(ctx context.Context, p Probe) {
+	status, err := p.Client.Status(ctx)
+	if err == nil && status.Leaving {
+		r.options.Scheduler.SetLeaving(p.ID)
+	}
+}
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -43,6 +43,9 @@
 func (s *Scheduler) settle(w *worker.Worker, j *queue.Job, it *queue.Item, reply model.TaskReply, err error) {
 	s.mu.Lock()
 	w.Release(it.Request.Needs)
+	if err == nil {
+		w.Heard = time.Now()
+	}
 	if reply.Leaving {
 		w.Leaving = true
 	}
--- a/sched/update.go
+++ b/sched/update.go
@@ -3,8 +3,10 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/roster"
 	"foxtailmux/worker"
 )
 
@@ -52,6 +54,30 @@
 	}
 }
 
+// Quiet returns the owned workers that have not answered since then.
+func (s *Scheduler) Quiet(since time.Time) []roster.Probe {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var quiet []roster.Probe
+	for _, w := range s.owned {
+		if !w.Leaving && w.Heard.Before(since) {
+			quiet = append(quiet, roster.Probe{ID: w.Info.ID, Client: w.Client})
+		}
+	}
+	return quiet
+}
+
+// CloseIdle closes the connections that were idle for too long.
+func (s *Scheduler) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for _, w := range s.workers {
+		w.Client.CloseIdle(s.document.Intervals.IdleConn)
+	}
+}
+
 // SetLeaving marks a worker that said itself that it leaves.
 func (s *Scheduler) SetLeaving(id string) {
 	s.mu.Lock()
--- a/worker/client.go
+++ b/worker/client.go
@@ -115,7 +115,7 @@
 
 	c.fill(req, method, path, body)
 	if err := k.exchange(req, resp, deadline); err != nil {
-		c.drop(k, err)
+		c.drop(k, deadline)
 		return err
 	}
 
@@ -218,9 +218,9 @@
 
 // drop closes a connection that failed. After a timeout the other idle ones
 // are suspect too, since something between may have lost track of them all.
-func (c *Client) drop(k *conn, cause error) {
+func (c *Client) drop(k *conn, deadline time.Time) {
 	c.discard(k)
-	if isTimeout(cause) {
+	if !time.Now().Before(deadline) {
 		c.CloseIdle(0)
 	}
 }
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -16,6 +16,9 @@
 	Running int
 	Used    model.Needs
 
+	// Heard is when the worker last answered.
+	Heard time.Time
+
 	// Leaving is set by the platform's list or by the worker itself and is
 	// taken back by neither.
 	Leaving bool
