--- a/relay/plan.go
+++ b/relay/plan.go
@@ -8,7 +8,7 @@
 )
 
 // peerMargin is how much fuller, in tasks for each slot, this instance must
-// be than a peer before a task is forwarded.
+// be than a peer without a free slot before a task is forwarded.
 const peerMargin = 0.25
 
 // Member is a peer that tasks may be forwarded to.
@@ -41,6 +41,8 @@
 	return float64(s.busy+1) / float64(s.slots)
 }
 
+func (s *share) free() bool { return s.busy < s.slots }
+
 func (s *share) take(it *queue.Item) {
 	s.items = append(s.items, it)
 	s.busy++
@@ -55,7 +57,7 @@
 }
 
 func pick(here *share, peers []*share) *share {
-	if here.slots > 0 && here.busy < here.slots {
+	if here.free() {
 		return here
 	}
 
@@ -63,10 +65,10 @@
 	if best == nil {
 		return here
 	}
-	if here.slots > 0 && here.fullness() <= best.fullness()+peerMargin {
-		return here
+	if best.free() || here.slots == 0 || here.fullness() > best.fullness()+peerMargin {
+		return best
 	}
-	return best
+	return here
 }
 
 func emptiest(peers []*share) *share {
--- /dev/null
+++ b/relay/relay_test.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/model"
+	"foxtailmux/queue"
+)
+
+// fakeLocal answers every task at once, or refuses all.
+type fakeLocal struct {
+	load    model.Load
+	refuses bool
+
+	mu  sync.Mutex
+	ran []string
+}
+
+func (l *fakeLocal) Load() model.Load                   { return l.load }
+func (l *fakeLocal) NeverFits(string, model.Needs) bool { return false }
+
+func (l *fakeLocal) Submit(j *queue.Job) error {
+	if l.refuses {
+		return eris.New("full")
+	}
+	for _, it := range j.Items {
+		l.mu.Lock()
+		l.ran = append(l.ran, it.Request.TaskID)
+		l.mu.Unlock()
+		it.Deliver(done())
+	}
+	return nil
+}
+
+func done() queue.Outcome {
+	return queue.Outcome{Reply: model.TaskReply{Outcome: model.OutcomeDone}}
+}
+
+// fakePeers routes calls to other relays, or fails them.
+type fakePeers struct {
+	members []Member
+	relays  map[string]*Relay
+	fail    error
+
+	mu    sync.Mutex
+	calls []string
+}
+
+func (p *fakePeers) Members() []Member { return p.members }
+
+func (p *fakePeers) Call(ctx context.Context, peerID, method string, params, result any) error {
+	p.mu.Lock()
+	p.calls = append(p.calls, method)
+	p.mu.Unlock()
+	if p.fail != nil {
+		return p.fail
+	}
+
+	body, err := json.Marshal(params)
+	if err != nil {
+		return err
+	}
+	reply, err := p.relays[peerID].ServeRun(ctx, body)
+	if err != nil {
+		return err
+	}
+	body, err = json.Marshal(reply)
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, result)
+}
+
+type callFailure struct{ sent bool }
+
+func (f callFailure) Error() string { return fmt.Sprintf("call failed, sent %v", f.sent) }
+func (f callFailure) Sent() bool    { return f.sent }
+
+type nothing struct{}
+
+func (nothing) Forwarded(string)       {}
+func (nothing) Message(string, string) {}
+
+func newPair(here, there *fakeLocal) (*Relay, *fakePeers) {
+	far := &Relay{DataCentre: "dc1", Local: there, Peers: &fakePeers{}, Observer: nothing{}}
+	peers := &fakePeers{
+		members: []Member{{ID: "e2", DataCentre: "dc1", Load: there.load}},
+		relays:  map[string]*Relay{"e2": far},
+	}
+	near := &Relay{
+		DataCentre: "dc1", Local: here, Peers: peers, Observer: nothing{},
+		SpillOver: func() bool { return true },
+	}
+	return near, peers
+}
+
+func submit(t *testing.T, r *Relay, tasks int) []queue.Outcome {
+	t.Helper()
+
+	outcomes := make([]queue.Outcome, tasks)
+	var waiting sync.WaitGroup
+	waiting.Add(tasks)
+	j := &queue.Job{Context: t.Context(), ID: "j", Pool: "p", Deadline: time.Now().Add(time.Minute)}
+	for i := range tasks {
+		j.Items = append(j.Items, &queue.Item{
+			Request: model.StartRequest{TaskID: fmt.Sprint(i)},
+			Deliver: func(o queue.Outcome) {
+				outcomes[i] = o
+				waiting.Done()
+			},
+		})
+	}
+	if err := r.Submit(j); err != nil {
+		t.Fatal(err)
+	}
+	waiting.Wait()
+	return outcomes
+}
+
+func TestJobStaysHereWhileASlotIsFree(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 3}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+
+	submit(t, r, 3)
+	if diff := cmp.Diff([]string(nil), peers.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+}
+
+func TestWideJobSpreadsInOneCallToEachPeer(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+
+	for i, o := range submit(t, r, 16) {
+		if o.Reply.Outcome != model.OutcomeDone {
+			t.Errorf("task %d: %+v", i, o)
+		}
+	}
+	if diff := cmp.Diff([]string{MethodRun}, peers.calls); diff != "" {
+		t.Errorf("calls (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(8, len(there.ran)); diff != "" {
+		t.Errorf("tasks on the peer (-want +got):\n%s", diff)
+	}
+}
+
+func TestForwardThatWasNotSentRunsHere(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+	peers.fail = callFailure{sent: false}
+
+	for i, o := range submit(t, r, 4) {
+		if o.Reply.Outcome != model.OutcomeDone {
+			t.Errorf("task %d: %+v", i, o)
+		}
+	}
+	if diff := cmp.Diff(4, len(here.ran)); diff != "" {
+		t.Errorf("tasks here (-want +got):\n%s", diff)
+	}
+}
+
+func TestForwardWithoutAnAnswerIsUnknownAndRunsNowhereElse(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+	peers.fail = callFailure{sent: true}
+
+	for i, o := range submit(t, r, 4) {
+		if o.Err == nil || o.NotRun {
+			t.Errorf("task %d: %+v, want an unknown outcome", i, o)
+		}
+	}
+	if diff := cmp.Diff([]string(nil), here.ran); diff != "" {
+		t.Errorf("tasks here (-want +got):\n%s", diff)
+	}
+}
+
+func TestTasksThatThePeerRefusesRunHere(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}, refuses: true}
+	r, _ := newPair(here, there)
+
+	submit(t, r, 4)
+	if diff := cmp.Diff(4, len(here.ran)); diff != "" {
+		t.Errorf("tasks here (-want +got):\n%s", diff)
+	}
+}
+
+func TestExpiredBatchIsNotRun(t *testing.T) {
+	local := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r := &Relay{Local: local, Peers: &fakePeers{}, Observer: nothing{}}
+
+	got, err := r.ServeRun(t.Context(), json.RawMessage(`{"jobId":"j","leftMillis":0,"tasks":[{},{}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := BatchReply{Outcomes: []TaskOutcome{{NotRun: true}, {NotRun: true}}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("reply (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string(nil), local.ran); diff != "" {
+		t.Errorf("tasks here (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusedJobSpillsToADataCentreWithRoom(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 8}, refuses: true}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+	peers.members[0].DataCentre = "dc2"
+
+	submit(t, r, 4)
+	if diff := cmp.Diff(4, len(there.ran)); diff != "" {
+		t.Errorf("tasks elsewhere (-want +got):\n%s", diff)
+	}
+}
