--- /dev/null
+++ b/load/malabar.go
@@ -0,0 +1,54 @@
+package load
+
+import (
+	"time"
+
+	"foxtailmux/model"
+)
+
+func init() {
+	RegisterPreset("malabar", malabar)
+}
+
+// malabar is a quoting service whose callers wait for each answer.
+func malabar() Preset {
+	return Preset{
+		Name:        "malabar",
+		Pool:        "quoting",
+		Workers:     50,
+		Slots:       8,
+		RackSize:    6,
+		DataCentres: []string{"kochi", "thiruvananthapuram", "kozhikode", "thrissur"},
+		Capacity:    model.Needs{Cores: 64, MemoryMB: 128 << 10},
+		OneWay:      time.Millisecond,
+		Services: []Service{{
+			Name:        "quote",
+			Weight:      1,
+			MedianTasks: 5,
+			SpreadTasks: 0.9,
+			MaxTasks:    120,
+			Run: RunTime{
+				Median: 180 * time.Millisecond, Sigma: 0.8,
+				Min: 50 * time.Millisecond, Max: time.Second,
+				LongShare: 0.01, Longest: 4 * time.Second,
+			},
+			Deadline:    10 * time.Second,
+			TicketShare: 0.6,
+			KeyShare:    0.05,
+			Needs:       model.Needs{Cores: 4, MemoryMB: 4 << 10},
+			EchoBytes:   256,
+		}},
+		Teams: []Team{
+			{Name: "counter", Weight: 0.5},
+			{Name: "gyms", Weight: 0.25},
+			{Name: "schools", Weight: 0.15},
+			{Name: "wellness", Weight: 0.1},
+		},
+		Burst:           Burst{Every: 10 * time.Second, Length: time.Second, Factor: 4, TeamShare: 0.7},
+		Waves:           Waves{Every: 8 * time.Second, Window: time.Second, Share: 0.3},
+		NeverFitsShare:  0.005,
+		WrongShare:      0.2,
+		ResubmitShare:   0.03,
+		MaxResubmitWait: 500 * time.Millisecond,
+	}
+}
