--- /dev/null
+++ b/config/canonical.go
@@ -0,0 +1,67 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+
+	"github.com/rotisserie/eris"
+)
+
+// sorted returns a copy whose lists are in the order of their names and
+// never nil.
+func (d Document) sorted() Document {
+	d.Services = sortedBy(d.Services, func(s Service) string { return s.Name })
+	d.Pools = sortedBy(d.Pools, func(p Pool) string { return p.Name })
+	d.Teams = sortedBy(d.Teams, func(t Team) string { return t.Name })
+	d.Access = sortedBy(d.Access, func(k Key) string { return k.Name })
+	return d
+}
+
+func sortedBy[T any](items []T, name func(T) string) []T {
+	result := append([]T{}, items...)
+	slices.SortStableFunc(result, func(a, b T) int {
+		return cmp.Compare(name(a), name(b))
+	})
+	return result
+}
+
+// Canonical returns the JSON form that the digest covers: lists in the order
+// of their names, durations in nanoseconds.
+func (d Document) Canonical() []byte {
+	data, err := json.Marshal(d.sorted())
+	if err != nil {
+		panic(err) // only NaN or infinity, which no rule admits
+	}
+	return data
+}
+
+// Digest returns the hex SHA-256 of the canonical form.
+func (d Document) Digest() string {
+	return digestOf(d.Canonical())
+}
+
+func digestOf(data []byte) string {
+	sum := sha256.Sum256(data)
+	return hex.EncodeToString(sum[:])
+}
+
+// Decode reads a canonical form and holds it against its digest. Unknown
+// fields are an error, since what they ask for would not be in force.
+func Decode(data []byte, digest string) (Document, error) {
+	if got := digestOf(data); got != digest {
+		err := eris.Errorf("%d bytes have the digest %s, want %s", len(data), got, digest)
+		return Document{}, &Error{Op: "decode", Kind: KindCorrupt, Err: err}
+	}
+
+	var d Document
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&d); err != nil {
+		return Document{}, &Error{Op: "decode", Kind: KindCorrupt, Err: eris.Wrap(err, "decode")}
+	}
+	return d, nil
+}
--- a/config/default.go
+++ b/config/default.go
@@ -39,12 +39,14 @@
 	}
 }
 
-// Defaults that a service takes for the fields it leaves out.
+// Defaults that a service or a team takes for the fields it leaves out.
 const (
 	defaultMaxTasks    = 230
 	defaultDeadline    = 10 * time.Second
 	defaultMaxDeadline = 60 * time.Second
 	defaultExpectedRun = 200 * time.Millisecond
+
+	defaultWeight = 1
 )
 
 // WithDefaults fills the fields that a service leaves out.
