--- a/config/error.go
+++ b/config/error.go
@@ -21,9 +21,10 @@
 )
 
 type Error struct {
-	Op   string
-	Kind Kind
-	Err  error
+	Op     string
+	Kind   Kind
+	Winner *Entry
+	Err    error
 }
 
 // Error implements error.
--- a/config/merge.go
+++ b/config/merge.go
@@ -125,10 +125,8 @@
 // itemNamed returns the item of that name and appends one with default
 // values if there is none.
 func itemNamed(v reflect.Value, name string) reflect.Value {
-	for i := range v.Len() {
-		if nameOf(v.Index(i)) == name {
-			return v.Index(i)
-		}
+	if item, ok := findItem(v, name); ok {
+		return item
 	}
 
 	item := reflect.New(v.Type().Elem()).Elem()
--- /dev/null
+++ b/config/offer.go
@@ -0,0 +1,78 @@
+package config
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+)
+
+const (
+	maxOffers        = 8
+	maxOfferFailures = 20
+)
+
+// offer is a version that a peer named and that is not in force here yet.
+type offer struct {
+	number int64
+	digest string
+}
+
+// offers holds a bounded number of offers. An offer that can't be had is
+// dropped after some tries; a peer that still has it will repeat it.
+type offers struct {
+	mu       sync.Mutex
+	failures map[offer]int
+}
+
+// add returns false if the offer is known or there are too many.
+func (o *offers) add(number int64, digest string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	key := offer{number: number, digest: digest}
+	_, known := o.failures[key]
+	if known || len(o.failures) >= maxOffers {
+		return false
+	}
+	if o.failures == nil {
+		o.failures = map[offer]int{}
+	}
+	o.failures[key] = 0
+	return true
+}
+
+func (o *offers) pending() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.failures) > 0
+}
+
+func (o *offers) highestFirst() []offer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	all := make([]offer, 0, len(o.failures))
+	for key := range o.failures {
+		all = append(all, key)
+	}
+	slices.SortFunc(all, func(a, b offer) int {
+		return cmp.Compare(b.number, a.number)
+	})
+	return all
+}
+
+func (o *offers) drop(key offer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.failures, key)
+}
+
+func (o *offers) failed(key offer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+
+	o.failures[key]++
+	if o.failures[key] >= maxOfferFailures {
+		delete(o.failures, key)
+	}
+}
--- /dev/null
+++ b/config/report.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+)
+
+// shortDigest is how many digits of a digest a table shows.
+const shortDigest = 12
+
+// CheckReport is the outcome of a check. Digest is empty if there are
+// problems.
+type CheckReport struct {
+	Folder   string   `json:"folder"`
+	Digest   string   `json:"digest,omitempty"`
+	Problems Problems `json:"problems"`
+}
+
+// Check loads a folder and returns every rule that it breaks. The error is
+// set only if the folder could not be read.
+func Check(folder string, o Options) (CheckReport, error) {
+	r := CheckReport{Folder: folder, Problems: Problems{}}
+	doc, err := Load(folder, o)
+	if err == nil {
+		r.Digest = doc.Digest()
+		return r, nil
+	}
+
+	if !errors.As(err, &r.Problems) {
+		return CheckReport{}, err
+	}
+	return r, nil
+}
+
+// WriteTable writes the report for people.
+func (r CheckReport) WriteTable(w io.Writer) error {
+	for _, p := range r.Problems {
+		if _, err := fmt.Fprintln(w, p); err != nil {
+			return err
+		}
+	}
+	if len(r.Problems) > 0 {
+		_, err := fmt.Fprintf(w, "%d rules broken\n", len(r.Problems))
+		return err
+	}
+	_, err := fmt.Fprintf(w, "%s is valid, digest %s\n", r.Folder, r.Digest)
+	return err
+}
+
+// DiffReport is what applying a folder would change against the version in
+// force. Number is 0 if there is none yet.
+type DiffReport struct {
+	Number     int64    `json:"number"`
+	FromDigest string   `json:"fromDigest,omitempty"`
+	ToDigest   string   `json:"toDigest"`
+	Changes    []Change `json:"changes"`
+}
+
+// DiffFolder compares a folder with the version in force.
+func DiffFolder(ctx context.Context, store Reader, folder string, o Options) (DiffReport, error) {
+	doc, err := Load(folder, o)
+	if err != nil {
+		return DiffReport{}, err
+	}
+	current, err := InForce(ctx, store)
+	if err != nil && KindOf(err) != KindNone {
+		return DiffReport{}, err
+	}
+	return DiffReport{
+		Number:     current.Number,
+		FromDigest: current.Digest,
+		ToDigest:   doc.Digest(),
+		Changes:    Diff(current.Document, doc),
+	}, nil
+}
+
+// WriteTable writes the report for people.
+func (r DiffReport) WriteTable(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "in force: version %d %s\nfolder:   %s\n", r.Number, short(r.FromDigest), short(r.ToDigest)); err != nil {
+		return err
+	}
+	for _, c := range r.Changes {
+		if _, err := fmt.Fprintln(w, c); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "%d changes\n", len(r.Changes))
+	return err
+}
+
+// WriteTable writes the outcome for people.
+func (a Applied) WriteTable(w io.Writer) error {
+	outcome := "applied"
+	if a.Unchanged {
+		outcome = "already in force, nothing changed"
+	}
+	_, err := fmt.Fprintf(w, "%s: %s, digest %s, change %s\n", outcome, a.Entry, short(a.Entry.Digest), a.Entry.ChangeID)
+	return err
+}
+
+// WriteTable writes the history for people.
+func (r HistoryReport) WriteTable(w io.Writer) error {
+	t := newTable(w)
+	_, _ = fmt.Fprintln(t, "VERSION\tWHEN\tWHO\tDIGEST\tCHANGE\tWHY")
+	for _, e := range r.Entries {
+		_, _ = fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\t%s\n", e.Number, e.When.Format(time.RFC3339), e.Who, short(e.Digest), e.ChangeID, e.Why)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+
+	for _, p := range r.Problems {
+		if _, err := fmt.Fprintf(w, "broken: %s\n", p); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "hash chain verified: %t\n", r.Verified)
+	return err
+}
+
+// WriteTable writes the evidence for people.
+func (r StatusReport) WriteTable(w io.Writer) error {
+	t := newTable(w)
+	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tADDRESS\tVERSION\tDIGEST\tIN FORCE FOR\tERROR")
+	for _, s := range r.Instances {
+		if s.Status == nil {
+			_, _ = fmt.Fprintf(t, "-\t-\t%s\t-\t-\t-\t%s\n", s.Addr, s.Error)
+			continue
+		}
+		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Status.Instance, s.Status.DataCentre, s.Addr,
+			s.Status.Version, short(s.Status.Digest), sinceText(s.Status.SinceMillis), s.Status.Error)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "same version everywhere: %t\n", r.Same)
+	return err
+}
+
+func newTable(w io.Writer) *tabwriter.Writer {
+	const minWidth, tabWidth, padding = 0, 8, 2
+	return tabwriter.NewWriter(w, minWidth, tabWidth, padding, ' ', 0)
+}
+
+func sinceText(millis int64) string {
+	if millis < 0 {
+		return "-"
+	}
+	return (time.Duration(millis) * time.Millisecond).String()
+}
+
+func short(digest string) string {
+	return digest[:min(len(digest), shortDigest)]
+}
--- /dev/null
+++ b/config/status.go
@@ -0,0 +1,53 @@
+package config
+
+import "time"
+
+// Status is what one instance says of its configuration. SinceMillis is how
+// long the version has been in force, PolledMillis how long ago the store
+// last answered; both are -1 if that never happened.
+type Status struct {
+	Instance     string `json:"instance"`
+	DataCentre   string `json:"dataCentre"`
+	Version      int64  `json:"version"`
+	Digest       string `json:"digest"`
+	SinceMillis  int64  `json:"sinceMillis"`
+	PolledMillis int64  `json:"polledMillis"`
+	Error        string `json:"error,omitempty"`
+}
+
+// Status returns the state of the watcher under the name of its instance.
+func (w *Watcher) Status(instance, dataCentre string) Status {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	s := Status{
+		Instance:     instance,
+		DataCentre:   dataCentre,
+		SinceMillis:  millisSince(w.since),
+		PolledMillis: millisSince(w.lastPoll),
+		Error:        w.lastError(),
+	}
+	if v := w.Current(); v != nil {
+		s.Version = v.Number
+		s.Digest = v.Digest
+	}
+	return s
+}
+
+func (w *Watcher) lastError() string {
+	switch {
+	case w.takeErr != nil:
+		return w.takeErr.Error()
+	case w.pollErr != nil:
+		return w.pollErr.Error()
+	default:
+		return ""
+	}
+}
+
+func millisSince(t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return time.Since(t).Milliseconds()
+}
--- /dev/null
+++ b/config/watch.go
@@ -0,0 +1,295 @@
+package config
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// pollJitter is the share by which a poll comes earlier or later.
+	pollJitter = 0.2
+
+	// attemptTimeout bounds one try at one source.
+	attemptTimeout = time.Second
+
+	// retryDelay separates tries at a version that could not be had.
+	retryDelay = 500 * time.Millisecond
+)
+
+// FetchFunc gets the canonical document of a version from a peer.
+type FetchFunc func(ctx context.Context, number int64, digest string) ([]byte, error)
+
+// WatcherOptions configure a watcher. Fetch may be nil; Options hold the
+// plug-ins of this process.
+type WatcherOptions struct {
+	Store   Reader
+	Fetch   FetchFunc
+	Options Options
+}
+
+// Watcher brings new versions into force. It only ever takes a higher number
+// than the one in force and keeps what it has when sources fail. It is safe
+// for concurrent use.
+type Watcher struct {
+	options WatcherOptions
+	current atomic.Pointer[Version]
+	offers  offers
+	wake    chan struct{}
+	cancel  context.CancelFunc
+	done    chan struct{}
+	started sync.Once
+
+	mu          sync.Mutex
+	subscribers []func(*Version)
+	since       time.Time
+	lastPoll    time.Time
+	pollErr     error
+	takeErr     error
+}
+
+// NewWatcher returns a watcher that has not started.
+func NewWatcher(o WatcherOptions) *Watcher {
+	return &Watcher{
+		options: o,
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+	}
+}
+
+// Start begins to poll the store. It does not wait for a first version.
+func (w *Watcher) Start(ctx context.Context) error {
+	err := error(&Error{Op: "start the watcher", Kind: KindInvalid, Err: eris.New("it was started before")})
+	w.started.Do(func() {
+		ctx, w.cancel = context.WithCancel(context.WithoutCancel(ctx))
+		go w.run(ctx)
+		err = nil
+	})
+	return err
+}
+
+// Stop ends the watcher and waits for that until the context ends. The
+// version in force stays readable.
+func (w *Watcher) Stop(ctx context.Context) error {
+	w.started.Do(func() {
+		w.cancel = func() {}
+		close(w.done)
+	})
+	w.cancel()
+
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "stop the watcher", Kind: KindStore, Err: eris.Wrap(ctx.Err(), "a call has not ended")}
+	}
+}
+
+// Done is closed when the watcher has ended.
+func (w *Watcher) Done() <-chan struct{} {
+	return w.done
+}
+
+// Current returns the version in force, nil before the first. It must not be
+// changed.
+func (w *Watcher) Current() *Version {
+	return w.current.Load()
+}
+
+// Ready tells whether a version is in force.
+func (w *Watcher) Ready() bool {
+	return w.Current() != nil
+}
+
+// Subscribe calls f with the version in force, if there is one, and with
+// each one after it, in order and one at a time. f must not block and must
+// not subscribe.
+func (w *Watcher) Subscribe(f func(*Version)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.subscribers = append(w.subscribers, f)
+	if v := w.Current(); v != nil {
+		f(v)
+	}
+}
+
+// Offer tells of a version that a peer has in force. A higher number than
+// the one in force is fetched at once; every other is ignored.
+func (w *Watcher) Offer(number int64, digest string) {
+	if !digestPattern.MatchString(digest) || !w.isNewer(number) {
+		return
+	}
+	if w.offers.add(number, digest) {
+		w.signal()
+	}
+}
+
+func (w *Watcher) signal() {
+	select {
+	case w.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Watcher) isNewer(number int64) bool {
+	v := w.Current()
+	return number > 0 && (v == nil || number > v.Number)
+}
+
+func (w *Watcher) run(ctx context.Context) {
+	defer close(w.done)
+
+	nextPoll := time.Now()
+	for ctx.Err() == nil {
+		// Offers go first: a store that is silent must not hold them up.
+		w.takeOffers(ctx)
+		if !time.Now().Before(nextPoll) {
+			w.poll(ctx)
+			nextPoll = time.Now().Add(w.pollDelay())
+		}
+		w.sleep(ctx, w.delay(nextPoll))
+	}
+}
+
+func (w *Watcher) delay(nextPoll time.Time) time.Duration {
+	delay := time.Until(nextPoll)
+	if w.offers.pending() {
+		delay = min(delay, retryDelay)
+	}
+	return max(delay, 0)
+}
+
+func (w *Watcher) sleep(ctx context.Context, delay time.Duration) {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+
+	select {
+	case <-timer.C:
+	case <-w.wake:
+	case <-ctx.Done():
+	}
+}
+
+func (w *Watcher) pollDelay() time.Duration {
+	interval := Default().Intervals.ConfigPoll
+	if v := w.Current(); v != nil {
+		interval = v.Document.Intervals.ConfigPoll
+	}
+	jitter := 1 + pollJitter*(2*rand.Float64()-1)
+	return time.Duration(float64(interval) * jitter)
+}
+
+func (w *Watcher) poll(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+
+	h, err := readHead(call, w.options.Store)
+	w.polled(err)
+	if err != nil || !w.isNewer(h.Number) {
+		return
+	}
+	w.take(ctx, h.Number, h.Digest)
+}
+
+func (w *Watcher) polled(err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	w.pollErr = err
+	if err == nil {
+		w.lastPoll = time.Now()
+	}
+}
+
+func (w *Watcher) takeOffers(ctx context.Context) {
+	for _, o := range w.offers.highestFirst() {
+		if !w.isNewer(o.number) {
+			w.offers.drop(o)
+			continue
+		}
+		if w.take(ctx, o.number, o.digest) {
+			w.offers.drop(o)
+			continue
+		}
+		w.offers.failed(o)
+	}
+}
+
+// take brings a version into force if its document can be had from the store
+// or a peer, matches its digest and breaks no rule here.
+func (w *Watcher) take(ctx context.Context, number int64, digest string) bool {
+	doc, err := w.document(ctx, number, digest)
+	if err == nil {
+		err = w.check(doc)
+	}
+	if err != nil {
+		w.refuse(number, err)
+		return false
+	}
+
+	w.install(&Version{Number: number, Digest: digest, Document: doc})
+	return true
+}
+
+func (w *Watcher) document(ctx context.Context, number int64, digest string) (Document, error) {
+	doc, err := w.fromStore(ctx, digest)
+	if err == nil || w.options.Fetch == nil {
+		return doc, err
+	}
+
+	doc, peerErr := w.fromPeer(ctx, number, digest)
+	if peerErr == nil {
+		return doc, nil
+	}
+	return Document{}, eris.Errorf("%v; from a peer: %v", err, peerErr)
+}
+
+func (w *Watcher) fromStore(ctx context.Context, digest string) (Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return readDocument(ctx, w.options.Store, digest)
+}
+
+func (w *Watcher) fromPeer(ctx context.Context, number int64, digest string) (Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+
+	data, err := w.options.Fetch(ctx, number, digest)
+	if err != nil {
+		return Document{}, err
+	}
+	return Decode(data, digest)
+}
+
+func (w *Watcher) check(doc Document) error {
+	if problems := Validate(doc, w.options.Options); len(problems) > 0 {
+		return problems
+	}
+	return nil
+}
+
+func (w *Watcher) refuse(number int64, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.takeErr = eris.Wrapf(err, "version %d is not in force", number)
+}
+
+func (w *Watcher) install(v *Version) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+
+	if !w.isNewer(v.Number) {
+		return
+	}
+	w.current.Store(v)
+	w.since = time.Now()
+	w.takeErr = nil
+	for _, f := range w.subscribers {
+		f(v)
+	}
+}
