subcmd: add version, submit, state and the frames of serve and demo

Each command is a file that adds itself to a table; Run takes args and streams and returns the exit code, 0 done, 1 failed, 2 bad usage or input, with one line on stderr. serve and demo call the hooks Serve and Demo and fail while these are not set.

submit sends a job once. The client has one attempt and no retry; the next entry is tried only after a refused connection. An answer that is neither failed nor whole is an error.

setup: CheckDial is exported for the addresses that commands take.

--- a/main.go
+++ b/main.go
@@ -1,4 +1,13 @@
 // Command foxtailmux dispatches sub-second tasks from callers to endpoints.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"foxtailmux/subcmd"
+)
+
+func main() {
+	os.Exit(subcmd.Run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- a/setup/check.go
+++ b/setup/check.go
@@ -59,10 +59,10 @@
 		{"callers.addr", checkListen(s.Callers.Addr)},
 		{"operators.addr", checkListen(s.Operators.Addr)},
 		{"peers.addr", checkAnnounced(s.Peers.Addr)},
-		{"platform.addr", checkDial(s.Platform.Addr)},
+		{"platform.addr", CheckDial(s.Platform.Addr)},
 	}
 	for _, seed := range s.Peers.Seeds {
-		rules = append(rules, rule{"peers.seeds", checkDial(seed)})
+		rules = append(rules, rule{"peers.seeds", CheckDial(seed)})
 	}
 	return append(rules, s.checkShared()...)
 }
@@ -152,7 +152,9 @@
 	return err
 }
 
-func checkDial(addr string) error {
+// CheckDial returns an error unless addr is an IP:port that can be reached: no
+// host name, no port 0 and no unspecified address.
+func CheckDial(addr string) error {
 	a, err := parseAddr(addr)
 	if err != nil {
 		return err
