--- a/setup/load_test.go
+++ b/setup/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -75,6 +76,24 @@
 	}
 }
 
+func TestPageListsEveryDefault(t *testing.T) {
+	text, err := os.ReadFile("../doc/foxtailmux-settings.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	s := setup.Default()
+	setup.Flags(&s).VisitAll(func(f *flag.Flag) {
+		row := "| `" + f.Name + "` | "
+		if f.DefValue != "" {
+			row += f.DefValue + " |"
+		}
+		if !strings.Contains(string(text), row) {
+			t.Errorf("the page lacks %q", row)
+		}
+	})
+}
+
 func TestFlagsGoAboveEnvironmentAboveFile(t *testing.T) {
 	path := write(t, "instance: a\ndataCentre: kochi\ncallers: {addr: '127.0.0.1:1'}\nstop: {limit: 20s}\n")
 	environ := []string{
