peer: add the transport between entry instances

Calls by JSON-RPC over TCP, each written at most once. An error tells whether a byte of the request was written. Idle connections are probed before use, so that they cost no traffic.

--- /dev/null
+++ b/peer/call.go
@@ -0,0 +1,57 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/rotisserie/eris"
+)
+
+// maxSendAttempts bounds the connections that a call tries. Only a call of
+// which no byte was written goes to a second one.
+const maxSendAttempts = 2
+
+// Call sends a request to a peer and decodes the answer into result, which
+// may be nil. Every error is an *Error. The request is written at most once.
+func (g *Group) Call(ctx context.Context, peerID, method string, params, result any) error {
+	raw, err := encode(params)
+	if err != nil {
+		return &Error{Op: method, Kind: NotSent, Err: eris.Wrap(err, "encode parameters")}
+	}
+
+	l := g.link(peerID)
+	if l == nil {
+		return &Error{Op: method, Kind: NoPeer, Err: eris.Errorf("peer %q is unknown", peerID)}
+	}
+
+	select {
+	case l.slots <- struct{}{}:
+	default:
+		return &Error{Op: method, Kind: NotSent, Err: errTooManyCalls}
+	}
+	defer func() { <-l.slots }()
+
+	failure := l.call(ctx, method, raw, result)
+	if failure == nil {
+		return nil
+	}
+	failure.Op = fmt.Sprintf("%s to %s", method, peerID)
+	return failure
+}
+
+func (l *link) call(ctx context.Context, method string, params json.RawMessage, result any) *Error {
+	var failure *Error
+	for range maxSendAttempts {
+		c, err := l.get(ctx)
+		if err != nil {
+			return &Error{Kind: NotSent, Err: err}
+		}
+
+		failure = c.call(ctx, method, params, result)
+		if failure == nil || failure.Sent() || !c.closed() {
+			return failure
+		}
+	}
+	return failure
+}
--- /dev/null
+++ b/peer/group.go
@@ -0,0 +1,182 @@
+// Package peer carries JSON-RPC 2.0 calls between entry instances over TCP.
+// Each instance dials every peer that it calls and answers on the connections
+// that it accepts. A call is written at most once, and its error tells whether
+// it may have reached the peer.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+// Group is the transport of one entry instance.
+type Group struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+	done    chan struct{}
+
+	mu       sync.Mutex
+	listener net.Listener
+	handlers map[string]Handler
+	links    map[string]*link
+	closed   bool
+}
+
+// New returns a Group that does nothing until Start.
+func New(o Options) *Group {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Group{
+		options:  o.withDefaults(),
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		handlers: map[string]Handler{},
+		links:    map[string]*link{},
+	}
+}
+
+// Handle registers the handler of a method, in place of an earlier one.
+func (g *Group) Handle(method string, handler func(ctx context.Context, params json.RawMessage) (any, error)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.handlers[method] = handler
+}
+
+// Start listens and accepts connections.
+func (g *Group) Start() error {
+	listener, err := g.options.Listen(g.options.ListenAddr)
+	if err != nil {
+		return &Error{Op: "listen", Kind: NotSent, Err: eris.Wrapf(err, "listen on %s", g.options.ListenAddr)}
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		_ = listener.Close()
+		return &Error{Op: "start", Kind: NotSent, Err: errClosed}
+	}
+	g.listener = listener
+	g.tasks.Go(func() { g.accept(listener) })
+	return nil
+}
+
+// Addr returns the address that the group listens on, once it was started.
+func (g *Group) Addr() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listener == nil {
+		return ""
+	}
+	return g.listener.Addr().String()
+}
+
+// acceptPause keeps a listener that fails from spinning.
+const acceptPause = 10 * time.Millisecond
+
+func (g *Group) accept(listener net.Listener) {
+	for {
+		c, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) || g.ctx.Err() != nil {
+			closeIfOpen(c)
+			return
+		}
+		if err != nil {
+			time.Sleep(acceptPause)
+			continue
+		}
+		g.tasks.Go(func() { g.serve(g.ctx, c) })
+	}
+}
+
+func closeIfOpen(c net.Conn) {
+	if c != nil {
+		_ = c.Close()
+	}
+}
+
+// SetPeer makes a peer known under an address. A changed address ends the
+// connection to the old one. An id that equals the address accepts whichever
+// peer answers there; any other id is checked.
+func (g *Group) SetPeer(id, addr string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	old := g.links[id]
+	if g.closed || old != nil && old.addr == addr {
+		return
+	}
+	if old != nil {
+		old.cancel()
+	}
+
+	ctx, cancel := context.WithCancel(g.ctx)
+	l := newLink(id, addr, &g.options, cancel)
+	g.links[id] = l
+	g.tasks.Go(func() { l.run(ctx) })
+}
+
+// RemovePeer forgets a peer and closes the connection to it.
+func (g *Group) RemovePeer(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if l := g.links[id]; l != nil {
+		l.cancel()
+		delete(g.links, id)
+	}
+}
+
+// Close ends all connections; calls in flight end as Unknown. It waits for
+// the handlers in progress until ctx ends.
+func (g *Group) Close(ctx context.Context) error {
+	g.mu.Lock()
+	first := !g.closed
+	g.closed = true
+	listener := g.listener
+	g.mu.Unlock()
+
+	if first {
+		g.cancel()
+		if listener != nil {
+			_ = listener.Close()
+		}
+		go g.finish()
+	}
+
+	select {
+	case <-g.done:
+		return nil
+	case <-ctx.Done():
+		return &Error{Op: "close", Kind: Unknown, Err: ctx.Err()}
+	}
+}
+
+func (g *Group) finish() {
+	defer close(g.done)
+	g.tasks.Wait()
+}
+
+// Done is closed when every goroutine of the group has ended.
+func (g *Group) Done() <-chan struct{} {
+	return g.done
+}
+
+func (g *Group) handler(method string) Handler {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.handlers[method]
+}
+
+func (g *Group) link(id string) *link {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.links[id]
+}
--- /dev/null
+++ b/peer/options.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// Directions that OnBytes reports.
+const (
+	Sent     = "sent"
+	Received = "received"
+)
+
+// Options configure a Group. Fields left zero take their defaults.
+type Options struct {
+	Self       model.Entry
+	ListenAddr string
+
+	Listen func(addr string) (net.Listener, error)
+	Dial   func(ctx context.Context, addr string) (net.Conn, error)
+
+	// OnBytes is called with the bytes of every read and write.
+	OnBytes func(direction string, n int)
+
+	MaxFrame  int // bytes of one message
+	MaxCalls  int // open calls to one peer
+	MaxServed int // requests in progress of one incoming connection
+
+	// A connection that was silent for HeartbeatInterval is probed before a
+	// call uses it, and while calls wait on it. It is closed when the probe is
+	// not answered within HeartbeatTimeout.
+	HeartbeatInterval time.Duration
+	HeartbeatTimeout  time.Duration
+
+	DialTimeout  time.Duration
+	WriteTimeout time.Duration
+	IdleTimeout  time.Duration
+
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+const (
+	defaultMaxFrame          = 32 << 20 // bytes
+	defaultMaxCalls          = 1024
+	defaultMaxServed         = 1024
+	defaultHeartbeatInterval = 500 * time.Millisecond
+	defaultHeartbeatTimeout  = 500 * time.Millisecond
+	defaultDialTimeout       = time.Second
+	defaultWriteTimeout      = time.Second
+	defaultIdleTimeout       = 30 * time.Second
+	defaultMinBackoff        = 20 * time.Millisecond
+	defaultMaxBackoff        = time.Second
+)
+
+func (o Options) withDefaults() Options {
+	if o.Listen == nil {
+		o.Listen = listenTCP
+	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
+	if o.OnBytes == nil {
+		o.OnBytes = func(string, int) {}
+	}
+
+	setDefault(&o.MaxFrame, defaultMaxFrame)
+	setDefault(&o.MaxCalls, defaultMaxCalls)
+	setDefault(&o.MaxServed, defaultMaxServed)
+	setDefault(&o.HeartbeatInterval, defaultHeartbeatInterval)
+	setDefault(&o.HeartbeatTimeout, defaultHeartbeatTimeout)
+	setDefault(&o.DialTimeout, defaultDialTimeout)
+	setDefault(&o.WriteTimeout, defaultWriteTimeout)
+	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.MinBackoff, defaultMinBackoff)
+	setDefault(&o.MaxBackoff, defaultMaxBackoff)
+	return o
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+func listenTCP(addr string) (net.Listener, error) {
+	return net.Listen("tcp", addr)
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
