--- /dev/null
+++ b/ticket/entry.go
@@ -0,0 +1,114 @@
+package ticket
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// Entry is a job in progress or answered.
+type Entry struct {
+	store     *Store
+	id        ID
+	digest    string // empty accepts every job
+	transient bool   // forgotten with its answer
+
+	mu       sync.Mutex
+	answer   *model.Answer
+	expires  time.Time     // zero while the job is open
+	done     chan struct{} // made by the first waiter
+	cancel   func()
+	canceled bool
+}
+
+// ID returns the id of the entry's job.
+func (e *Entry) ID() string { return e.id.String() }
+
+// Finish stores the answer and gives it to all who wait. It reports false,
+// and changes nothing, if the entry had an answer before.
+func (e *Entry) Finish(answer model.Answer) bool {
+	e.mu.Lock()
+	if e.answer != nil {
+		e.mu.Unlock()
+		return false
+	}
+
+	e.answer = &answer
+	e.cancel = nil
+	if e.done != nil {
+		close(e.done)
+	}
+	e.mu.Unlock()
+
+	e.store.finished(e)
+	return true
+}
+
+// Wait returns the answer when there is one, or the context's error.
+func (e *Entry) Wait(ctx context.Context) (model.Answer, error) {
+	e.mu.Lock()
+	if e.answer != nil {
+		defer e.mu.Unlock()
+		return *e.answer, nil
+	}
+	if e.done == nil {
+		e.done = make(chan struct{})
+	}
+	done := e.done
+	e.mu.Unlock()
+
+	select {
+	case <-done:
+		return *e.status().Answer, nil
+	case <-ctx.Done():
+		return model.Answer{}, ctx.Err()
+	}
+}
+
+// OnCancel sets what stops the job. It is called at once if the job was
+// cancelled already.
+func (e *Entry) OnCancel(cancel func()) {
+	e.mu.Lock()
+	canceled := e.canceled
+	if e.answer == nil {
+		e.cancel = cancel
+	}
+	e.mu.Unlock()
+
+	if canceled {
+		cancel()
+	}
+}
+
+func (e *Entry) stop() {
+	e.mu.Lock()
+	e.canceled = true
+	cancel := e.cancel
+	e.mu.Unlock()
+
+	if cancel != nil {
+		cancel()
+	}
+}
+
+func (e *Entry) status() model.JobStatus {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return model.JobStatus{JobID: e.ID(), Open: e.answer == nil, Answer: e.answer}
+}
+
+// expiresAt returns the zero time while the entry is open.
+func (e *Entry) expiresAt() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.expires
+}
+
+func (e *Entry) expired(now time.Time) bool {
+	expires := e.expiresAt()
+	return !expires.IsZero() && !now.Before(expires)
+}
--- /dev/null
+++ b/ticket/handover.go
@@ -0,0 +1,301 @@
+package ticket
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/model"
+)
+
+// maxAdoptedShare bounds what imports may bring the store to, as a multiple
+// of Limits.MaxOpen.
+const maxAdoptedShare = 2
+
+// maxSequences bounds the incarnations that a store answers for. An adopted
+// one stays known for the life of the process, so that a late copy of its
+// hand-over is recognised.
+const maxSequences = 4096
+
+// Handover is what a stopping instance passes on. Times travel as what is
+// left of them, since the clocks of two instances need not agree.
+type Handover struct {
+	Part   int        `json:"part"`
+	Parts  int        `json:"parts"`
+	Spaces []Sequence `json:"spaces"`
+}
+
+// Sequence is the state of one incarnation's ids. Ids below Next that are
+// neither in Unused nor in Answered are expired.
+type Sequence struct {
+	Incarnation string     `json:"incarnation"`
+	Next        uint64     `json:"next"`
+	Unused      []Span     `json:"unused,omitempty"`
+	Answered    []Answered `json:"answered,omitempty"`
+}
+
+// Span is a run of unused ids, End excluded.
+type Span struct {
+	First      uint64 `json:"first"`
+	End        uint64 `json:"end"`
+	LeftMillis int64  `json:"leftMillis"`
+}
+
+// Answered is an id whose job has its answer.
+type Answered struct {
+	Counter    uint64       `json:"counter"`
+	Digest     string       `json:"digest"`
+	LeftMillis int64        `json:"leftMillis"`
+	Answer     model.Answer `json:"answer"`
+}
+
+// Export closes the store to new jobs, waits for the open ones and returns
+// what is left. From the first moment on, Begin on an unused id returns
+// KindHandedOver; after the return, so does every call. When the context ends
+// early, cut counts the jobs that were still open; they are left out.
+func (s *Store) Export(ctx context.Context) (handover Handover, cut int) {
+	s.mu.Lock()
+	s.sealed = true
+	idle := s.idle
+	if s.open > 0 && idle == nil {
+		idle = make(chan struct{})
+		s.idle = idle
+	}
+	s.mu.Unlock()
+
+	if idle != nil {
+		select {
+		case <-idle:
+		case <-ctx.Done():
+		}
+	}
+
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.exported = true
+	now := time.Now()
+	handover = Handover{Parts: 1}
+	for incarnation, sp := range s.spaces {
+		handover.Spaces = append(handover.Spaces, sp.export(incarnation, now))
+	}
+	return handover, s.open
+}
+
+func (s *space) export(incarnation string, now time.Time) Sequence {
+	q := Sequence{Incarnation: incarnation, Next: s.next}
+	for _, b := range s.batches {
+		q.Unused = append(q.Unused, s.unused(b, now)...)
+	}
+	for counter, e := range s.entries {
+		expires := e.expiresAt()
+		if e.transient || expires.IsZero() {
+			continue
+		}
+		left := expires.Sub(now).Milliseconds()
+		q.Answered = append(q.Answered, Answered{Counter: counter, Digest: e.digest, LeftMillis: left, Answer: *e.status().Answer})
+	}
+	slices.SortFunc(q.Answered, func(a, b Answered) int { return int(int64(a.Counter) - int64(b.Counter)) })
+	return q
+}
+
+// unused returns the runs of a batch that no job was begun on.
+func (s *space) unused(b batch, now time.Time) []Span {
+	left := b.expires.Sub(now).Milliseconds()
+	if left <= 0 {
+		return nil
+	}
+
+	var spans []Span
+	first := b.first
+	for counter := b.first; counter <= b.end; counter++ {
+		if counter < b.end && s.entries[counter] == nil {
+			continue
+		}
+		if first < counter {
+			spans = append(spans, Span{First: first, End: counter, LeftMillis: left})
+		}
+		first = counter + 1
+	}
+	return spans
+}
+
+// Import adopts a part of what another instance held. The same part again
+// changes nothing. KindFull and KindHandedOver tell that nothing of it was
+// adopted, KindMalformed that it contradicts itself.
+func (s *Store) Import(h Handover) error {
+	limit := maxAdoptedShare * s.limits().MaxOpen
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.sealed {
+		return handedOver("import", s.incarnation)
+	}
+	if err := h.check(); err != nil {
+		return err
+	}
+	if ids := h.ids(); ids > limit-s.held {
+		return &Error{Op: "import", Kind: KindFull, Err: eris.Errorf("%d ids offered, %d of %d held", ids, s.held, limit)}
+	}
+
+	if len(s.spaces)+len(h.Spaces) > maxSequences {
+		return &Error{Op: "import", Kind: KindFull, Err: eris.Errorf("%d sequences held", len(s.spaces))}
+	}
+
+	now := time.Now()
+	for _, q := range h.Spaces {
+		s.adopt(q, h.Part, now)
+	}
+	return nil
+}
+
+func (s *Store) adopt(q Sequence, part int, now time.Time) {
+	if q.Incarnation == s.incarnation {
+		return
+	}
+	sp := s.spaces[q.Incarnation]
+	if sp == nil {
+		sp = newSpace()
+		sp.parts = make(map[int]bool)
+		s.spaces[q.Incarnation] = sp
+	}
+	if sp.parts == nil || sp.parts[part] {
+		return
+	}
+
+	before := sp.held()
+	sp.parts[part] = true
+	sp.next = max(sp.next, q.Next)
+	for _, u := range q.Unused {
+		sp.batches = append(sp.batches, batch{first: u.First, end: u.End, expires: now.Add(millis(u.LeftMillis))})
+	}
+	slices.SortFunc(sp.batches, func(a, b batch) int { return int(int64(a.first) - int64(b.first)) })
+	for _, a := range q.Answered {
+		e := s.adopted(q.Incarnation, a, now)
+		sp.entries[a.Counter] = e
+		s.answered = append(s.answered, e)
+	}
+	s.held += int(sp.held() - before)
+}
+
+func (s *Store) adopted(incarnation string, a Answered, now time.Time) *Entry {
+	return &Entry{
+		store:   s,
+		id:      ID{Incarnation: incarnation, Counter: a.Counter},
+		digest:  a.Digest,
+		answer:  &a.Answer,
+		expires: now.Add(millis(a.LeftMillis)),
+	}
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// check refuses sequences whose ids are out of order or out of range.
+func (h Handover) check() error {
+	for _, q := range h.Spaces {
+		if _, err := Parse(ID{Incarnation: q.Incarnation}.String()); err != nil {
+			return err
+		}
+		var end uint64
+		for _, u := range q.Unused {
+			if u.First < end || u.End <= u.First || u.End > q.Next {
+				return &Error{Op: "import", Kind: KindMalformed, Err: eris.Errorf("span %d to %d of %d is out of order", u.First, u.End, q.Next)}
+			}
+			end = u.End
+		}
+		for _, a := range q.Answered {
+			if a.Counter >= q.Next {
+				return &Error{Op: "import", Kind: KindMalformed, Err: eris.Errorf("counter %d was never minted", a.Counter)}
+			}
+		}
+	}
+	return nil
+}
+
+func (h Handover) ids() int {
+	total := 0
+	for _, q := range h.Spaces {
+		total += len(q.Answered)
+		for _, u := range q.Unused {
+			total += int(u.End - u.First)
+		}
+	}
+	return total
+}
+
+// Split divides the hand-over into parts whose JSON form has at most maxBytes
+// each. An answer that exceeds them alone is left out, and expires by that.
+func (h Handover) Split(maxBytes int) []Handover {
+	s := splitter{maxBytes: maxBytes}
+	for _, q := range h.Spaces {
+		s.begin(q)
+		for _, u := range q.Unused {
+			if sequence := s.room(u); sequence != nil {
+				sequence.Unused = append(sequence.Unused, u)
+			}
+		}
+		for _, a := range q.Answered {
+			if sequence := s.room(a); sequence != nil {
+				sequence.Answered = append(sequence.Answered, a)
+			}
+		}
+	}
+
+	for i := range s.parts {
+		s.parts[i].Part, s.parts[i].Parts = i, len(s.parts)
+	}
+	return s.parts
+}
+
+// The JSON form of a Handover and a Sequence without their elements.
+const (
+	partOverhead     = 128
+	sequenceOverhead = 128
+)
+
+// splitter fills one part after the other.
+type splitter struct {
+	maxBytes int
+	parts    []Handover
+	size     int
+	current  Sequence // without elements
+}
+
+func (s *splitter) begin(q Sequence) {
+	s.current = Sequence{Incarnation: q.Incarnation, Next: q.Next}
+	if len(s.parts) == 0 || s.size+sequenceOverhead > s.maxBytes {
+		s.grow()
+		return
+	}
+	s.append()
+}
+
+func (s *splitter) grow() {
+	s.parts = append(s.parts, Handover{})
+	s.size = partOverhead
+	s.append()
+}
+
+func (s *splitter) append() {
+	last := &s.parts[len(s.parts)-1]
+	last.Spaces = append(last.Spaces, s.current)
+	s.size += sequenceOverhead
+}
+
+// room returns the sequence that the element goes into, or nil if no part
+// can hold it.
+func (s *splitter) room(element any) *Sequence {
+	text, err := json.Marshal(element)
+	if err != nil || partOverhead+sequenceOverhead+len(text)+1 > s.maxBytes {
+		return nil
+	}
+
+	if s.size+len(text)+1 > s.maxBytes {
+		s.grow()
+	}
+	s.size += len(text) + 1
+	last := &s.parts[len(s.parts)-1]
+	return &last.Spaces[len(last.Spaces)-1]
+}
--- /dev/null
+++ b/ticket/space.go
@@ -0,0 +1,65 @@
+package ticket
+
+import (
+	"slices"
+	"time"
+)
+
+// space is the id sequence of one incarnation. An id below next is unused if
+// a batch covers it and it has no entry; with neither, it is expired.
+type space struct {
+	next    uint64
+	batches []batch // in the order of their counters
+	entries map[uint64]*Entry
+	parts   map[int]bool // parts of a hand-over taken in so far
+}
+
+// batch is a run of ids, minted together, that a job may still be begun on.
+type batch struct {
+	first, end uint64
+	begun      uint64
+	expires    time.Time
+}
+
+func newSpace() *space {
+	return &space{entries: make(map[uint64]*Entry)}
+}
+
+// batchOf returns the batch that covers the counter, or nil.
+func (s *space) batchOf(counter uint64) *batch {
+	i, found := slices.BinarySearchFunc(s.batches, counter, func(b batch, c uint64) int {
+		switch {
+		case b.end <= c:
+			return -1
+		case b.first > c:
+			return 1
+		}
+		return 0
+	})
+	if !found {
+		return nil
+	}
+	return &s.batches[i]
+}
+
+// held counts the ids that take up memory.
+func (s *space) held() uint64 {
+	total := uint64(len(s.entries))
+	for _, b := range s.batches {
+		total += b.end - b.first - b.begun
+	}
+	return total
+}
+
+// expire drops the batches past their time and returns how many ids went.
+func (s *space) expire(now time.Time) int {
+	gone := 0
+	s.batches = slices.DeleteFunc(s.batches, func(b batch) bool {
+		if now.Before(b.expires) {
+			return false
+		}
+		gone += int(b.end - b.first - b.begun)
+		return true
+	})
+	return gone
+}
--- /dev/null
+++ b/ticket/ticket_test.go
@@ -0,0 +1,453 @@
+package ticket
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"foxtailmux/model"
+)
+
+const (
+	minter  = "00000000000000aa"
+	adopter = "00000000000000bb"
+)
+
+func fixed(l Limits) func() Limits { return func() Limits { return l } }
+
+func newStore(t testing.TB, incarnation string) *Store {
+	s := NewStore(incarnation, fixed(Limits{MaxOpen: 100, Retention: time.Minute}))
+	t.Cleanup(func() {
+		s.Close()
+		<-s.Done()
+	})
+	return s
+}
+
+func mint(t testing.TB, s *Store) string {
+	t.Helper()
+	ids, err := s.Mint(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ids[0]
+}
+
+func complete(id, text string) model.Answer {
+	return model.Answer{JobID: id, Result: model.Complete, Ran: model.RanYes, Tasks: []json.RawMessage{json.RawMessage(text)}}
+}
+
+func kindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ""
+}
+
+func wantKind(t testing.TB, err error, want Kind) {
+	t.Helper()
+	if diff := cmp.Diff(want, kindOf(err)); diff != "" {
+		t.Fatalf("kind of %v (-want +got):\n%s", err, diff)
+	}
+}
+
+func begin(t testing.TB, s *Store, id string, wantFirst bool) *Entry {
+	t.Helper()
+	e, first, err := s.Begin(id, "d")
+	if err != nil || first != wantFirst {
+		t.Fatalf("begin %s: first %v, error %v", id, first, err)
+	}
+	return e
+}
+
+func FuzzParseAcceptsOnlyItsOwnText(f *testing.F) {
+	for _, seed := range []string{"", minter, minter + "-0000000000000001", minter + "-000000000000000G", minter + "_0000000000000001", "00000000000000AA-0000000000000001", minter + "-00000000000000010", minter + "-+000000000000001"} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		id, err := Parse(text)
+		if err != nil {
+			wantKind(t, err, KindMalformed)
+			return
+		}
+		if diff := cmp.Diff(text, id.String()); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
+
+func TestParseReadsWhatStringWrites(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := ID{Incarnation: rapid.StringMatching("[0-9a-f]{16}").Draw(t, "incarnation"), Counter: rapid.Uint64().Draw(t, "counter")}
+		got, err := Parse(want.String())
+		if diff := cmp.Diff(want, got); err != nil || diff != "" {
+			t.Fatal(err, diff)
+		}
+	})
+}
+
+func TestResubmissionJoinsBeforeAndAfterTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(t, minter)
+		id := mint(t, s)
+		e := begin(t, s, id, true)
+
+		var during model.Answer
+		go func() { during, _ = begin(t, s, id, false).Wait(t.Context()) }()
+		synctest.Wait()
+		want := complete(id, "1")
+		if !e.Finish(want) || e.Finish(complete(id, "2")) {
+			t.Fatal("an entry takes exactly one answer")
+		}
+		synctest.Wait()
+
+		after, err := begin(t, s, id, false).Wait(t.Context())
+		if diff := cmp.Diff([]model.Answer{want, want}, []model.Answer{during, after}); diff != "" || err != nil {
+			t.Fatal(err, diff)
+		}
+		_, _, err = s.Begin(id, "other")
+		wantKind(t, err, KindConflict)
+	})
+}
+
+func TestIDsExpireButNeverBecomeUnusedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limits := Limits{MaxOpen: 3, Retention: time.Minute}
+		s := NewStore(minter, func() Limits { return limits })
+		defer s.Close()
+		ids, err := s.Mint(3)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = s.Mint(1)
+		wantKind(t, err, KindFull)
+		_, _, err = s.Begin(ID{Incarnation: minter, Counter: 3}.String(), "d")
+		wantKind(t, err, KindUnknown)
+
+		// The answer's retention ends long before the batch's.
+		open := begin(t, s, ids[0], true)
+		limits.Retention = time.Second
+		begin(t, s, ids[1], true).Finish(complete(ids[1], "1"))
+		time.Sleep(10 * time.Second)
+		begin(t, s, ids[1], false)
+
+		time.Sleep(time.Minute)
+		for _, id := range ids[1:] {
+			_, _, err = s.Begin(id, "d")
+			wantKind(t, err, KindExpired)
+		}
+		begin(t, s, ids[0], false)
+		open.Finish(complete(ids[0], "1"))
+		time.Sleep(5 * time.Second)
+		_, _, err = s.Begin(ids[0], "d")
+		wantKind(t, err, KindExpired)
+		if _, err = s.Mint(3); err != nil {
+			t.Fatalf("expired ids still count: %v", err)
+		}
+	})
+}
+
+func TestCancelStopsTheJobOrBurnsTheUnusedID(t *testing.T) {
+	s := newStore(t, minter)
+	open, unused := mint(t, s), mint(t, s)
+	e := begin(t, s, open, true)
+	var stops int
+	e.OnCancel(func() { stops++ })
+	for _, id := range []string{open, unused} {
+		if err := s.Cancel(id); err != nil {
+			t.Fatal(err)
+		}
+	}
+	e.OnCancel(func() { stops++ })
+	if diff := cmp.Diff(2, stops); diff != "" {
+		t.Fatal(diff)
+	}
+
+	answer, err := begin(t, s, unused, false).Wait(t.Context())
+	if err != nil || answer.Ran != model.RanNo || answer.Error.Kind != model.FailCancelled {
+		t.Fatal(answer, err)
+	}
+}
+
+func TestStartedJobIsForgottenWithItsAnswer(t *testing.T) {
+	s := newStore(t, minter)
+	e := s.Start()
+	_, _, err := s.Begin(e.ID(), "")
+	wantKind(t, err, KindConflict)
+	if status, err := s.Lookup(e.ID()); err != nil || !status.Open {
+		t.Fatal(status, err)
+	}
+	e.Finish(complete(e.ID(), "1"))
+	_, err = s.Lookup(e.ID())
+	wantKind(t, err, KindExpired)
+	if s.held != 0 {
+		t.Fatalf("%d ids held", s.held)
+	}
+}
+
+func TestHandoverWaitsForOpenJobsAndMovesTheRest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newStore(t, minter), newStore(t, adopter)
+		ids, _ := a.Mint(5)
+		lone := mint(t, a)
+		begin(t, a, ids[1], true).Finish(complete(ids[1], "1"))
+		open := begin(t, a, ids[3], true)
+
+		exported := make(chan Handover, 1)
+		go func() {
+			h, cut := a.Export(t.Context())
+			if cut != 0 {
+				t.Errorf("%d jobs cut", cut)
+			}
+			exported <- h
+		}()
+		synctest.Wait()
+		begin(t, a, ids[3], false)
+		_, _, err := a.Begin(ids[0], "d")
+		wantKind(t, err, KindHandedOver)
+		wantKind(t, a.Cancel(ids[0]), KindHandedOver)
+		_, err = a.Mint(1)
+		wantKind(t, err, KindHandedOver)
+		if len(exported) != 0 {
+			t.Fatal("exported with an open job")
+		}
+		open.Finish(complete(ids[3], "3"))
+
+		text, err := json.Marshal(<-exported)
+		var wire Handover
+		if err != nil || json.Unmarshal(text, &wire) != nil {
+			t.Fatal(err)
+		}
+		parts := wire.Split(600)
+		if len(parts) < 2 {
+			t.Fatalf("%d parts", len(parts))
+		}
+		for _, p := range parts {
+			if text, _ := json.Marshal(p); len(text) > 600 {
+				t.Fatalf("part of %d bytes", len(text))
+			}
+			if err := b.Import(p); err != nil {
+				t.Fatal(err)
+			}
+		}
+
+		for i, wantFirst := range []bool{true, false, true, false, true} {
+			begin(t, b, ids[i], wantFirst)
+		}
+		for _, p := range parts { // a late copy must not revive what was begun
+			if err := b.Import(p); err != nil {
+				t.Fatal(err)
+			}
+		}
+		begin(t, b, ids[0], false)
+		begin(t, b, lone, true)
+		if answer, err := begin(t, b, ids[3], false).Wait(t.Context()); err != nil || string(answer.Tasks[0]) != "3" {
+			t.Fatal(answer, err)
+		}
+		wantKind(t, a.Import(parts[0]), KindHandedOver)
+	})
+}
+
+func TestLateCopyOfAnExpiredHandoverRevivesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newStore(t, minter), newStore(t, adopter)
+		id := mint(t, a)
+		h, _ := a.Export(t.Context())
+		if err := b.Import(h); err != nil {
+			t.Fatal(err)
+		}
+		begin(t, b, id, true).Finish(complete(id, "1"))
+		time.Sleep(time.Hour)
+		if err := b.Import(h); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := b.Begin(id, "d")
+		wantKind(t, err, KindExpired)
+	})
+}
+
+func TestExportCutsJobsThatOutliveTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newStore(t, minter), newStore(t, adopter)
+		id := mint(t, a)
+		begin(t, a, id, true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		h, cut := a.Export(ctx)
+		if cut != 1 {
+			t.Fatalf("%d jobs cut", cut)
+		}
+		if err := b.Import(h); err != nil {
+			t.Fatal(err)
+		}
+		_, _, err := b.Begin(id, "d")
+		wantKind(t, err, KindExpired)
+	})
+}
+
+func TestImportRefusesWhatContradictsItself(t *testing.T) {
+	s := newStore(t, adopter)
+	for _, q := range []Sequence{
+		{Incarnation: "short"},
+		{Incarnation: minter, Next: 1, Unused: []Span{{First: 0, End: 2}}},
+		{Incarnation: minter, Next: 9, Unused: []Span{{First: 3, End: 5}, {First: 4, End: 6}}},
+		{Incarnation: minter, Next: 1, Answered: []Answered{{Counter: 1}}},
+	} {
+		wantKind(t, s.Import(Handover{Spaces: []Sequence{q}}), KindMalformed)
+	}
+	wantKind(t, s.Import(Handover{Spaces: []Sequence{{Incarnation: minter, Next: 500, Unused: []Span{{End: 500}}}}}), KindFull)
+}
+
+// seed returns the seed of a random test and prints it.
+func seed(t testing.TB) uint64 {
+	n := uint64(time.Now().UnixNano())
+	if text := os.Getenv("FOXTAILMUX_SEED"); text != "" {
+		n, _ = strconv.ParseUint(text, 10, 64)
+	}
+	t.Logf("FOXTAILMUX_SEED=%d", n)
+	return n
+}
+
+// beginModel holds when all who got an answer for an id got the same one.
+var beginModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byID := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			byID[op.Input.(string)] = append(byID[op.Input.(string)], op)
+		}
+		var parts [][]porcupine.Operation
+		for _, ops := range byID {
+			parts = append(parts, ops)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		answer := output.(string)
+		switch {
+		case answer == "":
+			return true, state
+		case state == "":
+			return true, answer
+		}
+		return state == answer, state
+	},
+}
+
+func TestConcurrentSubmissionsOfAnIDSeeOneRun(t *testing.T) {
+	random := rand.New(rand.NewPCG(seed(t), 1))
+	a, b := newStore(t, minter), newStore(t, adopter)
+	ids, err := a.Mint(40)
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	runs := make(map[string]int)
+	submit := func(client int, id string, s *Store) {
+		call := time.Now().UnixNano()
+		output := ""
+		if e, first, err := s.Begin(id, "d"); err == nil {
+			if first {
+				mu.Lock()
+				runs[id]++
+				mu.Unlock()
+				runtime.Gosched()
+				e.Finish(complete(id, strconv.Itoa(client)))
+			}
+			answer, _ := e.Wait(t.Context())
+			output = string(answer.Tasks[0])
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		history = append(history, porcupine.Operation{ClientId: client, Input: id, Call: call, Output: output, Return: time.Now().UnixNano()})
+	}
+
+	var wg sync.WaitGroup
+	for client := range 8 {
+		picks := random.Perm(len(ids))
+		wg.Go(func() {
+			for i, pick := range picks {
+				s := a
+				if i%2 == client%2 {
+					s = b
+				}
+				submit(client, ids[pick], s)
+			}
+		})
+	}
+	wg.Go(func() {
+		h, _ := a.Export(t.Context())
+		for _, p := range h.Split(1000) {
+			if err := b.Import(p); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	wg.Wait()
+
+	if !porcupine.CheckOperations(beginModel, history) {
+		t.Error("an id has two answers")
+	}
+	for id, n := range runs {
+		if n > 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+func BenchmarkBytesPerTicket(b *testing.B) {
+	const tickets = 100_000
+	for name, use := range map[string]bool{"unused": false, "open": true} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				s := NewStore(minter, fixed(Limits{MaxOpen: tickets, Retention: time.Hour}))
+				for range tickets / 100 {
+					ids, _ := s.Mint(100)
+					for i := 0; use && i < len(ids); i++ {
+						begin(b, s, ids[i], true)
+					}
+				}
+				b.ReportMetric(float64(heap()-before)/tickets, "B/ticket")
+				s.Close()
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+func ExampleStore_Begin() {
+	store := NewStore("00000000000000aa", func() Limits { return Limits{MaxOpen: 10, Retention: time.Minute} })
+	defer store.Close()
+	ids, _ := store.Mint(1)
+
+	entry, first, _ := store.Begin(ids[0], "digest of the job")
+	if first {
+		entry.Finish(model.Answer{JobID: entry.ID(), Result: model.Complete, Ran: model.RanYes})
+	}
+	answer, _ := entry.Wait(context.Background())
+	fmt.Println(first, answer.Result)
+	// Output: true complete
+}
