--- a/entry/status.go
+++ b/entry/status.go
@@ -18,6 +18,7 @@
 	model.FailQuota:        http.StatusTooManyRequests,
 	model.FailOverloaded:   http.StatusServiceUnavailable,
 	model.FailStopping:     http.StatusServiceUnavailable,
+	model.FailNotReady:     http.StatusServiceUnavailable,
 	model.FailStoreDown:    http.StatusServiceUnavailable,
 	model.FailNoWorker:     http.StatusServiceUnavailable,
 	model.FailWorkerError:  http.StatusBadGateway,
--- a/main.go
+++ b/main.go
@@ -5,9 +5,11 @@
 	"context"
 	"os"
 
+	"foxtailmux/daemon"
 	"foxtailmux/subcmd"
 )
 
 func main() {
+	subcmd.Serve = daemon.Run
 	os.Exit(subcmd.Run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
 }
--- a/model/job.go
+++ b/model/job.go
@@ -76,6 +76,7 @@
 	FailUnknownID    FailureKind = "unknownId"
 	FailStoreDown    FailureKind = "storeDown"
 	FailStopping     FailureKind = "stopping"
+	FailNotReady     FailureKind = "notReady"
 	FailNoWorker     FailureKind = "noWorker"
 	FailUnauthorized FailureKind = "unauthorized"
 	FailInternal     FailureKind = "internal"
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -48,7 +48,11 @@
 // done.
 func (r *Runner) Run(ctx context.Context, id string, job model.Job) model.Answer {
 	arrived := time.Now()
-	document := &r.Configuration().Document
+	version := r.Configuration()
+	if version == nil {
+		return refusal(id, model.Failure{Kind: model.FailNotReady, Reason: "no configuration is in force yet"})
+	}
+	document := &version.Document
 
 	plan, failure := r.check(document, job)
 	if failure != nil {
