--- /dev/null
+++ b/load/clust.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"fmt"
+
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/fakes"
+)
+
+// Instance is an entry instance that a Cluster has started.
+type Instance interface {
+	CallerAddr() string
+	AdminAddr() string
+	Close()
+}
+
+// InstanceOptions tell an entry instance who it is and where the platform
+// is, as IP and port.
+type InstanceOptions struct {
+	ID           string
+	DataCentre   string
+	PlatformAddr string
+}
+
+// ClusterOptions are the settings of a Cluster.
+type ClusterOptions struct {
+	Preset   Preset
+	Entries  int // they go round the data centres
+	Platform fakes.PlatformOptions
+	Start    func(InstanceOptions) (Instance, error)
+
+	// Prepare is called when the platform lists the workers and before the
+	// first entry instance starts. It may be nil.
+	Prepare func(*fakes.Platform) error
+}
+
+// Cluster is a platform, its workers and entry instances in this process.
+type Cluster struct {
+	Platform  *fakes.Platform
+	Fleet     *fakes.Fleet
+	Instances []Instance
+}
+
+// StartCluster starts a cluster. When a part fails it closes the others and
+// returns an Error with KindCluster.
+func StartCluster(options ClusterOptions) (*Cluster, error) {
+	c := &Cluster{}
+	if err := c.start(options); err != nil {
+		c.Close()
+		return nil, &Error{Op: "start cluster", Kind: KindCluster, Err: err}
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(options ClusterOptions) error {
+	if options.Start == nil || len(options.Preset.DataCentres) == 0 {
+		return eris.New("no constructor of instances or no data centres")
+	}
+	var err error
+	if c.Platform, err = fakes.StartPlatform(options.Platform); err != nil {
+		return err
+	}
+	if c.Fleet, err = fakes.StartFleet(options.Preset.Fleet()); err != nil {
+		return err
+	}
+	for _, w := range c.Fleet.Workers {
+		c.Platform.PutWorker(w.Describe())
+	}
+	if options.Prepare != nil {
+		if err := options.Prepare(c.Platform); err != nil {
+			return err
+		}
+	}
+	return c.startInstances(options)
+}
+
+func (c *Cluster) startInstances(options ClusterOptions) error {
+	for i := range options.Entries {
+		instance, err := options.Start(InstanceOptions{
+			ID:           fmt.Sprintf("entry-%d", i+1),
+			DataCentre:   options.Preset.DataCentres[i%len(options.Preset.DataCentres)],
+			PlatformAddr: c.Platform.Addr(),
+		})
+		if err != nil {
+			return err
+		}
+		c.Instances = append(c.Instances, instance)
+	}
+	return nil
+}
+
+// Targets returns the addresses of the entry instances.
+func (c *Cluster) Targets() Targets {
+	var targets Targets
+	for _, i := range c.Instances {
+		targets.Entries = append(targets.Entries, i.CallerAddr())
+		targets.Admins = append(targets.Admins, i.AdminAddr())
+	}
+	return targets
+}
+
+// DoubleStarts returns the ids of tasks with more than one start event, and
+// how many events are no longer held and so could not be looked at.
+func (c *Cluster) DoubleStarts() (ids []string, dropped int64) {
+	starts := map[string]int{}
+	for _, w := range c.Fleet.Workers {
+		page := w.Events()
+		dropped += page.Dropped
+		for _, e := range page.Events {
+			if e.Event != fakes.EventStart {
+				continue
+			}
+			starts[e.TaskID]++
+			if starts[e.TaskID] == 2 {
+				ids = append(ids, e.TaskID)
+			}
+		}
+	}
+	return ids, dropped
+}
+
+// Close stops the entry instances, then the workers and the platform.
+func (c *Cluster) Close() {
+	for _, i := range c.Instances {
+		i.Close()
+	}
+	if c.Fleet != nil {
+		c.Fleet.Close()
+	}
+	if c.Platform != nil {
+		c.Platform.Close()
+	}
+}
--- a/load/errors.go
+++ b/load/errors.go
@@ -13,6 +13,9 @@
 	KindMetrics Kind = "metrics"
 	KindCluster Kind = "cluster"
 	KindOutput  Kind = "output"
+
+	// KindViolation is an answer that broke its contract.
+	KindViolation Kind = "violation"
 )
 
 // Error is the error type of this package.
