--- /dev/null
+++ b/member/candidate.go
@@ -0,0 +1,59 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// probeInterval is the shortest time between two probes of an address.
+const probeInterval = 2 * time.Second
+
+// candidates are addresses at which a member may be found: the seeds and the
+// platform's last list.
+type candidates struct {
+	self     map[string]bool
+	seeds    []string
+	listed   []string
+	probedAt map[string]time.Time
+}
+
+func newCandidates(self string, seeds []string) candidates {
+	return candidates{
+		self:     map[string]bool{self: true},
+		seeds:    slices.Clone(seeds),
+		probedAt: map[string]time.Time{},
+	}
+}
+
+// replace sets the addresses of the platform's list.
+func (c *candidates) replace(listed []string) {
+	c.listed = listed
+	for addr := range c.probedAt {
+		if !slices.Contains(listed, addr) && !slices.Contains(c.seeds, addr) {
+			delete(c.probedAt, addr)
+		}
+	}
+}
+
+// exclude marks an address as the own one.
+func (c *candidates) exclude(addr string) {
+	c.self[addr] = true
+}
+
+// next returns the addresses to probe, those probed longest ago first.
+func (c *candidates) next(now time.Time, reached func(addr string) bool) []string {
+	all := slices.Concat(c.seeds, c.listed)
+	slices.Sort(all)
+	due := slices.DeleteFunc(slices.Compact(all), func(addr string) bool {
+		return c.self[addr] || now.Sub(c.probedAt[addr]) < probeInterval || reached(addr)
+	})
+	slices.SortStableFunc(due, func(a, b string) int {
+		return c.probedAt[a].Compare(c.probedAt[b])
+	})
+
+	due = due[:min(len(due), probesPerRound)]
+	for _, addr := range due {
+		c.probedAt[addr] = now
+	}
+	return due
+}
--- /dev/null
+++ b/member/error.go
@@ -0,0 +1,32 @@
+package member
+
+import "fmt"
+
+// Kind classifies why an operation failed.
+type Kind string
+
+// The kinds of failure. Invalid is a message or an option that can't be used.
+// Unreached means that a peer was not told. Timeout means that the context
+// ended first.
+const (
+	Invalid   Kind = "invalid"
+	Unreached Kind = "unreached"
+	Timeout   Kind = "timeout"
+)
+
+// Error is the error type of the package.
+type Error struct {
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error describes the failure.
+func (e *Error) Error() string {
+	return fmt.Sprintf("member: %s: %s: %v", e.Op, e.Kind, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
--- /dev/null
+++ b/member/exchange.go
@@ -0,0 +1,208 @@
+package member
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rotisserie/eris"
+)
+
+// exchange sends a heartbeat and takes in the answer.
+func (g *Group) exchange(t target) {
+	ctx, cancel := context.WithTimeout(g.ctx, exchangeTimeout)
+	defer cancel()
+
+	err := g.send(ctx, t)
+	if err != nil {
+		log.Debug().Err(err).Str("peer", t.id).Str("addr", t.addr).Msg("heartbeat was not answered")
+	}
+
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.records[t.id]
+	if r == nil {
+		return
+	}
+	r.busy = false
+	if err != nil {
+		r.told = false
+	}
+}
+
+func (g *Group) send(ctx context.Context, t target) error {
+	raw, err := json.Marshal(g.compose(t.id))
+	if err != nil {
+		return &Error{Op: "encode heartbeat", Kind: Invalid, Err: err}
+	}
+
+	answer, sentAt, err := g.ask(ctx, t, raw)
+	if err != nil {
+		return &Error{Op: "send heartbeat", Kind: Unreached, Err: err}
+	}
+	h, err := decodeHeartbeat(answer)
+	if err != nil {
+		return err
+	}
+	if h.ID == g.options.Self.ID {
+		return g.metSelf(t, &h)
+	}
+	g.receive(&h, sentAt, true)
+	return nil
+}
+
+func (g *Group) ask(ctx context.Context, t target, raw json.RawMessage) (json.RawMessage, time.Time, error) {
+	peerID := t.id
+	if peerID == "" {
+		peerID = t.addr
+		g.options.Transport.SetPeer(t.addr, t.addr)
+		defer g.options.Transport.RemovePeer(t.addr)
+	}
+
+	sentAt := time.Now()
+	var answer json.RawMessage
+	err := g.options.Transport.Ask(ctx, peerID, heartbeatMethod, raw, &answer)
+	g.budget.spend(len(raw) + len(answer) + requestOverhead + answerOverhead + packetOverhead)
+	return answer, sentAt, err
+}
+
+// metSelf handles an answer under the own id: from the own address, or from
+// another process that was given the same id.
+func (g *Group) metSelf(t target, h *heartbeat) error {
+	if h.Incarnation != g.options.Self.Incarnation {
+		return &Error{Op: "send heartbeat", Kind: Invalid, Err: eris.Errorf("%s has the own id %q", t.addr, h.ID)}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.candidates.exclude(t.addr)
+	return nil
+}
+
+// handle answers a heartbeat.
+func (g *Group) handle(_ context.Context, params json.RawMessage) (any, error) {
+	h, err := decodeHeartbeat(params)
+	if err != nil {
+		return nil, err
+	}
+
+	now := time.Now()
+	g.receive(&h, now, !g.overslept(now))
+	answer, err := json.Marshal(g.compose(h.ID))
+	if err != nil {
+		return nil, &Error{Op: "encode heartbeat", Kind: Invalid, Err: err}
+	}
+	g.budget.spend(len(params) + len(answer) + requestOverhead + answerOverhead + packetOverhead)
+	return json.RawMessage(answer), nil
+}
+
+// overslept reports whether the own process was paused just now, so that the
+// ages in a message that waited meanwhile are too small.
+func (g *Group) overslept(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.tickedAt) > g.options.MinPeriod+pauseThreshold
+}
+
+// receive takes in a heartbeat, and its hints when their ages can be trusted.
+func (g *Group) receive(h *heartbeat, heardAt time.Time, withHints bool) {
+	g.mu.Lock()
+	changed := g.hear(h, heardAt)
+	if withHints {
+		for i := range h.Hints {
+			changed = g.hearsay(&h.Hints[i], heardAt) || changed
+		}
+	}
+	g.mu.Unlock()
+	g.notify(changed)
+}
+
+// compose builds the heartbeat to a member; an unknown one gets the full form.
+func (g *Group) compose(id string) *heartbeat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	h := &heartbeat{
+		ID:           g.self.Entry.ID,
+		Incarnation:  g.self.Entry.Incarnation,
+		Leaving:      g.self.State == StateLeaving,
+		PeriodMillis: g.period.Milliseconds(),
+		Load:         g.self.Load,
+		ConfigNumber: g.self.ConfigNumber,
+		ConfigCheck:  configCheck(g.self.ConfigDigest),
+	}
+	r := g.records[id]
+	if r != nil {
+		h.WantEntry = r.wantEntry
+		h.Hints = g.hints(r)
+	}
+	if r == nil || !r.told || r.toldDigest != g.self.ConfigDigest {
+		entry := g.self.Entry
+		h.Entry = &entry
+		h.ConfigDigest = g.self.ConfigDigest
+	}
+	if r != nil {
+		r.told = true
+		r.toldDigest = g.self.ConfigDigest
+	}
+	return h
+}
+
+// hints picks the members of which the receiver was told longest ago: those
+// of other data centres than its own, and new ones.
+func (g *Group) hints(to *record) []hint {
+	now := time.Now()
+	var news []*record
+	for _, r := range g.records {
+		if r != to && g.worthTelling(r, to, now) {
+			news = append(news, r)
+		}
+	}
+
+	gain := func(r *record) time.Duration {
+		return r.member.LastHeard.Sub(to.hinted[r.member.Entry.ID])
+	}
+	slices.SortFunc(news, func(a, b *record) int {
+		return cmp.Or(cmp.Compare(gain(b), gain(a)), cmp.Compare(a.member.Entry.ID, b.member.Entry.ID))
+	})
+
+	list := make([]hint, 0, maxHints)
+	for _, r := range news[:min(len(news), hintCount(to, now))] {
+		to.hinted[r.member.Entry.ID] = r.member.LastHeard
+		list = append(list, hintOf(r, now))
+	}
+	return list
+}
+
+// hintCount lets a new member hear of the others sooner.
+func hintCount(to *record, now time.Time) int {
+	if now.Sub(to.firstHeard) < announceFor {
+		return hintsToNew
+	}
+	return hintsPerMessage
+}
+
+func (g *Group) worthTelling(r, to *record, now time.Time) bool {
+	if !r.known() || now.Sub(r.member.LastHeard) > remoteSuspectAfter {
+		return false
+	}
+	if !r.member.LastHeard.After(to.hinted[r.member.Entry.ID]) {
+		return false
+	}
+	foreign := r.member.Entry.DataCentre != to.member.Entry.DataCentre
+	return foreign || now.Sub(r.firstHeard) < announceFor
+}
+
+func hintOf(r *record, now time.Time) hint {
+	return hint{
+		ID:          r.member.Entry.ID,
+		Incarnation: r.member.Entry.Incarnation,
+		DataCentre:  r.member.Entry.DataCentre,
+		PeerAddr:    r.member.Entry.PeerAddr,
+		Leaving:     r.leaving,
+		AgeMillis:   max(0, now.Sub(r.member.LastHeard).Milliseconds()),
+		FreeSlots:   r.member.Load.FreeSlots,
+	}
+}
--- /dev/null
+++ b/member/group_test.go
@@ -0,0 +1,325 @@
+package member
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailmux/model"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Times by which small groups have noticed a change.
+const (
+	joinTime  = 10 * time.Second
+	deathTime = 20 * time.Second
+)
+
+func wantStates(t *testing.T, n *node, want map[string]State) {
+	t.Helper()
+	if diff := cmp.Diff(want, n.states()); diff != "" {
+		t.Errorf("%s sees (-want +got)\n%s", n.entry.ID, diff)
+	}
+}
+
+func TestMembersJoinThroughOneSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(6, "kochi", "thrissur")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		for _, n := range nodes {
+			wantStates(t, n, statesOf(StateAlive, nodes...))
+		}
+		var ids []string
+		for _, m := range nodes[5].Alive("kochi") {
+			ids = append(ids, m.Entry.ID)
+		}
+		if diff := cmp.Diff([]string{"entry00", "entry02", "entry04"}, ids); diff != "" {
+			t.Errorf("alive in kochi (-want +got)\n%s", diff)
+		}
+	})
+}
+
+func TestHeartbeatsCarryEntryLoadAndConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(3, "kochi")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		for step := range 3 {
+			n := nodes[1]
+			n.mu.Lock()
+			n.load = model.Load{FreeSlots: step + 1, Slots: 8, QueuedTasks: 5}
+			n.number, n.digest = int64(step+2), "fedcba9876543210-"+string(rune('a'+step))
+			n.mu.Unlock()
+			settle(5 * time.Second)
+
+			want := n.Members()[1]
+			got := nodes[2].Members()[1]
+			want.LastHeard, got.LastHeard = time.Time{}, time.Time{}
+			if diff := cmp.Diff(want, got); diff != "" {
+				t.Errorf("step %d (-want +got)\n%s", step, diff)
+			}
+			if diff := cmp.Diff(n.digest, got.ConfigDigest); diff != "" {
+				t.Errorf("digest (-want +got)\n%s", diff)
+			}
+		}
+	})
+}
+
+func TestDigestOfAnEqualNumberIsCorrected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(2, "kochi")
+		defer killAll(nodes)
+		settle(joinTime)
+		nodes[1].mu.Lock()
+		nodes[1].digest = "another digest of the same number"
+		nodes[1].mu.Unlock()
+		settle(5 * time.Second)
+		if diff := cmp.Diff("another digest of the same number", nodes[0].Members()[1].ConfigDigest); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestDeathIsNoticedAndForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(4, "kochi")
+		defer killAll(nodes[:3])
+		settle(joinTime)
+
+		nodes[3].kill()
+		settle(deathTime)
+		want := statesOf(StateAlive, nodes...)
+		want["entry03"] = StateDead
+		for _, n := range nodes[:3] {
+			wantStates(t, n, want)
+		}
+
+		settle(forgetAfter)
+		for _, n := range nodes[:3] {
+			wantStates(t, n, statesOf(StateAlive, nodes[:3]...))
+		}
+	})
+}
+
+func TestLeavingIsToldAtOnceAndNotRevoked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(5, "kochi", "thrissur")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		if err := nodes[4].Leave(context.Background()); err != nil {
+			t.Error(err)
+		}
+		want := statesOf(StateAlive, nodes...)
+		want["entry04"] = StateLeaving
+		for _, n := range nodes {
+			wantStates(t, n, want)
+		}
+
+		live := nodes[4].entry
+		live.State = model.Live
+		nodes[0].Feed([]model.Entry{live})
+		settle(3 * time.Second)
+		wantStates(t, nodes[0], want)
+	})
+}
+
+func TestLeaveIsBoundedWhenAMemberIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		nodes := w.startMany(3, "kochi")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		w.setCut(func(a, b *node) bool { return a == nodes[2] || b == nodes[2] })
+		before := time.Now()
+		if err := nodes[0].Leave(context.Background()); err == nil {
+			t.Error("a member that was not told is not reported")
+		}
+		if took := time.Since(before); took > leaveTimeout {
+			t.Errorf("leave took %v", took)
+		}
+		if diff := cmp.Diff(StateLeaving, nodes[1].states()["entry00"]); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestPausedMemberDoesNotDeclareTheOthersDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(5, "kochi")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		var seen []State
+		nodes[0].Subscribe(func() {
+			seen = append(seen, slices.Collect(maps.Values(nodes[0].states()))...)
+		})
+		nodes[0].pause()
+		settle(2 * time.Minute)
+		want := statesOf(StateAlive, nodes...)
+		want["entry00"] = StateDead
+		wantStates(t, nodes[1], want)
+
+		nodes[0].resume()
+		settle(joinTime)
+		for _, n := range nodes {
+			wantStates(t, n, statesOf(StateAlive, nodes...))
+		}
+		if slices.Contains(seen, StateDead) || slices.Contains(seen, StateSuspect) {
+			t.Errorf("the paused member suspected others: %v", seen)
+		}
+	})
+}
+
+func TestPauseDoesNotHideADeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := newNetwork(t).startMany(3, "kochi")
+		defer killAll(nodes[:2])
+		settle(joinTime)
+		nodes[0].pause()
+		settle(time.Second)
+		nodes[2].kill()
+		settle(time.Minute)
+		nodes[0].resume()
+		settle(deathTime)
+		if diff := cmp.Diff(StateDead, nodes[0].states()["entry02"]); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestTwoPartitionsHealOneAfterTheOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		nodes := w.startMany(6, "kochi", "thrissur", "kozhikode")
+		defer killAll(nodes)
+		settle(joinTime)
+
+		apart := func(centres ...string) func(a, b *node) bool {
+			return func(a, b *node) bool {
+				from, to := a.entry.DataCentre, b.entry.DataCentre
+				return from != to && (slices.Contains(centres, from) || slices.Contains(centres, to))
+			}
+		}
+		expect := func(hidden ...string) {
+			t.Helper()
+			for _, n := range nodes {
+				want := statesOf(StateAlive, nodes...)
+				for _, other := range nodes {
+					own := n.entry.DataCentre == other.entry.DataCentre
+					cut := slices.Contains(hidden, other.entry.DataCentre) || slices.Contains(hidden, n.entry.DataCentre)
+					if !own && cut {
+						want[other.entry.ID] = StateDead
+					}
+				}
+				wantStates(t, n, want)
+			}
+		}
+
+		w.setCut(apart("kochi", "thrissur"))
+		settle(remoteDeadAfter + time.Minute)
+		expect("kochi", "thrissur")
+		w.setCut(apart("kochi"))
+		settle(time.Minute)
+		expect("kochi")
+		w.setCut(nil)
+		settle(time.Minute)
+		expect()
+	})
+}
+
+func TestMemberSeenThroughOthersStaysAlive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		nodes := w.startMany(4, "kochi")
+		defer killAll(nodes)
+		settle(joinTime)
+		w.setCut(func(a, b *node) bool {
+			pair := []*node{a, b}
+			return slices.Contains(pair, nodes[0]) && slices.Contains(pair, nodes[3])
+		})
+		settle(20 * time.Second)
+		wantStates(t, nodes[1], statesOf(StateAlive, nodes...))
+		wantStates(t, nodes[2], statesOf(StateAlive, nodes...))
+	})
+}
+
+func TestNewIncarnationReplacesTheOldForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		nodes := w.startMany(3, "kochi")
+		settle(joinTime)
+		old := nodes[2]
+		old.kill()
+		again := w.start(entry(2, "kochi", 1), nodes[0].entry.PeerAddr)
+		defer killAll([]*node{nodes[0], nodes[1], again})
+		settle(joinTime)
+
+		stale := []model.Entry{old.entry}
+		for _, n := range []*node{nodes[0], nodes[1], again} {
+			n.Feed(stale)
+			late := &heartbeat{ID: old.entry.ID, Incarnation: old.entry.Incarnation, Entry: &old.entry, Leaving: true}
+			n.receive(late, time.Now(), true)
+		}
+		settle(joinTime)
+		for _, n := range []*node{nodes[0], nodes[1], again} {
+			wantStates(t, n, statesOf(StateAlive, nodes...))
+			id, ok := n.Find(again.entry.Incarnation)
+			_, oldFound := n.Find(old.entry.Incarnation)
+			if diff := cmp.Diff([]any{"entry02", true, false}, []any{id, ok, oldFound}); diff != "" {
+				t.Errorf("%s finds (-want +got)\n%s", n.entry.ID, diff)
+			}
+		}
+	})
+}
+
+func TestListThatIsEmptyOrStaleIsNotBelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		first, second := w.start(entry(0, "kochi", 0)), w.start(entry(1, "kochi", 0))
+		defer killAll([]*node{first, second})
+		settle(joinTime)
+		wantStates(t, first, statesOf(StateAlive, first))
+
+		first.Feed([]model.Entry{first.entry, second.entry})
+		first.Feed(nil)
+		settle(joinTime)
+		want := statesOf(StateAlive, first, second)
+		wantStates(t, first, want)
+		wantStates(t, second, want)
+
+		gone := entry(9, "kochi", 0)
+		first.Feed([]model.Entry{gone})
+		settle(deathTime)
+		wantStates(t, first, want)
+
+		leaving := second.entry
+		leaving.State = model.Leaving
+		first.Feed([]model.Entry{leaving})
+		if diff := cmp.Diff(StateLeaving, first.states()["entry01"]); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestCloseEndsEveryGoroutine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newNetwork(t)
+		n := w.start(entry(0, "kochi", 0), "10.0.0.9:7000")
+		settle(time.Second)
+		n.kill()
+		select {
+		case <-n.Done():
+		default:
+			t.Error("done is open after Close")
+		}
+	})
+}
--- /dev/null
+++ b/member/options.go
@@ -0,0 +1,85 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// Transport carries requests between instances; peer.Group is one.
+type Transport interface {
+	Ask(ctx context.Context, peerID, method string, params, result any) error
+	Handle(method string, handler func(ctx context.Context, params json.RawMessage) (any, error))
+	SetPeer(id, addr string)
+	RemovePeer(id string)
+}
+
+// Options configure a Group. Load and Config are called for each round of
+// heartbeats. MinPeriod is the shortest time between two rounds.
+type Options struct {
+	Self      model.Entry
+	Seeds     []string // peer addresses, IP:port
+	Transport Transport
+	Load      func() model.Load
+	Config    func() (number int64, digest string)
+	MinPeriod time.Duration
+	Seed      uint64 // of the jitter; 0 draws one
+}
+
+const (
+	defaultMinPeriod = 500 * time.Millisecond
+	maxPeriod        = 6 * time.Second
+
+	// The bytes a second that heartbeats may take, sent and received, with
+	// the headers of their packets.
+	trafficBudget = 2800
+
+	exchangeTimeout = 2 * time.Second
+	leaveTimeout    = time.Second
+
+	// A member of the own data centre is suspected after this number of
+	// periods without a sign of it, and dead after twice that time.
+	missedPeriods = 3
+
+	// Members of other data centres are mostly heard of through others.
+	remoteSuspectAfter = 30 * time.Second
+	remoteDeadAfter    = 2 * remoteSuspectAfter
+
+	// A dead member is probed and its incarnation kept for this time.
+	forgetAfter = 10 * time.Minute
+
+	// Members that were first heard within this time are told to all.
+	announceFor = 30 * time.Second
+
+	// The own loop was paused when it runs later than this.
+	pauseThreshold = time.Second
+
+	hintsPerMessage = 2
+	hintsToNew      = 8
+	linksBetween    = 2 // between two data centres
+	probesPerRound  = 4 // of addresses without a member
+	maxRecords      = 512
+	maxRetired      = 4096
+	requestOverhead = 60  // bytes of the JSON-RPC request around its parameters
+	answerOverhead  = 42  // bytes of the JSON-RPC answer around its result
+	packetOverhead  = 156 // bytes of TCP and IP headers of request, answer and acknowledgement
+	heartbeatMethod = "heartbeat"
+	ticksPerPeriod  = 2
+	jitterShare     = 0.1
+	skipWithinShare = 0.5 // of a period; the pair has just exchanged heartbeats
+)
+
+func (o Options) withDefaults() Options {
+	if o.MinPeriod == 0 {
+		o.MinPeriod = defaultMinPeriod
+	}
+	if o.Load == nil {
+		o.Load = func() model.Load { return model.Load{} }
+	}
+	if o.Config == nil {
+		o.Config = func() (int64, string) { return 0, "" }
+	}
+	return o
+}
--- a/peer/call.go
+++ b/peer/call.go
@@ -12,9 +12,22 @@
 // which no byte was written goes to a second one.
 const maxSendAttempts = 2
 
+// connSource picks the connection that a call is written to.
+type connSource func(l *link, ctx context.Context) (*conn, error)
+
 // Call sends a request to a peer and decodes the answer into result, which
 // may be nil. Every error is an *Error. The request is written at most once.
 func (g *Group) Call(ctx context.Context, peerID, method string, params, result any) error {
+	return g.call(ctx, (*link).get, peerID, method, params, result)
+}
+
+// Ask is Call without the probe of a connection that was silent. It suits
+// heartbeats, which are a probe themselves and may be lost.
+func (g *Group) Ask(ctx context.Context, peerID, method string, params, result any) error {
+	return g.call(ctx, (*link).getUnproven, peerID, method, params, result)
+}
+
+func (g *Group) call(ctx context.Context, source connSource, peerID, method string, params, result any) error {
 	raw, err := encode(params)
 	if err != nil {
 		return &Error{Op: method, Kind: NotSent, Err: eris.Wrap(err, "encode parameters")}
@@ -32,7 +45,7 @@
 	}
 	defer func() { <-l.slots }()
 
-	failure := l.call(ctx, method, raw, result)
+	failure := l.call(ctx, source, method, raw, result)
 	if failure == nil {
 		return nil
 	}
@@ -40,10 +53,10 @@
 	return failure
 }
 
-func (l *link) call(ctx context.Context, method string, params json.RawMessage, result any) *Error {
+func (l *link) call(ctx context.Context, source connSource, method string, params json.RawMessage, result any) *Error {
 	var failure *Error
 	for range maxSendAttempts {
-		c, err := l.get(ctx)
+		c, err := source(l, ctx)
 		if err != nil {
 			return &Error{Kind: NotSent, Err: err}
 		}
--- a/peer/link.go
+++ b/peer/link.go
@@ -90,6 +90,14 @@
 	}
 }
 
+// getUnproven returns the open connection, however long it was silent.
+func (l *link) getUnproven(ctx context.Context) (*conn, error) {
+	if c := l.present.Load(); c != nil && !c.closed() {
+		return c, nil
+	}
+	return l.get(ctx)
+}
+
 // fresh probes the present connection, and dials a new one if it is dead.
 func (l *link) fresh(ctx context.Context) (*conn, error) {
 	c := l.present.Load()
