--- a/logger/logger.go
+++ b/logger/logger.go
@@ -46,14 +46,11 @@
 	return &Logger{log.Logger{Writer: log.IOWriter{Writer: io.Discard}}}
 }
 
-// levels are the names that SetLevel takes, the one that logs most first.
-var levels = []string{"debug", "info", "warn", "error"}
-
 // SetLevel changes the level while the process runs. It returns an *Error and
 // changes nothing if the name is unknown.
 func (l *Logger) SetLevel(name string) error {
-	if !slices.Contains(levels, name) {
-		inner := eris.Errorf("level %q is none of %v", name, levels)
+	if !slices.Contains(setup.Levels, name) {
+		inner := eris.Errorf("level %q is none of %v", name, setup.Levels)
 		return &Error{Op: "set level", Kind: KindLevel, Err: inner}
 	}
 	l.Logger.SetLevel(log.ParseLevel(name))
--- a/setup/check.go
+++ b/setup/check.go
@@ -21,7 +21,8 @@
 	maxTimeout     = time.Hour
 )
 
-var levels = []string{"debug", "info", "warn", "error"}
+// Levels are the values of Log.Level, the one that logs most first.
+var Levels = []string{"debug", "info", "warn", "error"}
 
 // rule is a check of one field.
 type rule struct {
@@ -118,7 +119,7 @@
 
 func (s *Settings) checkLog() []rule {
 	return []rule{
-		{"log.level", checkOneOf(s.Log.Level, levels)},
+		{"log.level", checkOneOf(s.Log.Level, Levels)},
 		{"log.format", checkOneOf(string(s.Log.Format), []string{string(JSON), string(Console)})},
 	}
 }
