ticket: answer for used ids until the process ends

Cause: an exported store refused every call, also joins to jobs it still has the answer of, while Lookup told "unused" for an id that the new holder may be running. Now an unused id is refused from the seal on by every call, and a used one is answered as before.

Ruled out: a second state "exported"; breaking it showed that no promise hung on it.

--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -53,9 +53,10 @@
 }
 
 // Export closes the store to new jobs, waits for the open ones and returns
-// what is left. From the first moment on, Begin on an unused id returns
-// KindHandedOver; after the return, so does every call. When the context ends
-// early, cut counts the jobs that were still open; they are left out.
+// what is left. From the first moment on, every call on an unused id returns
+// KindHandedOver; a used one can still be joined and asked for. When the
+// context ends early, cut counts the jobs that were still open; they are left
+// out.
 func (s *Store) Export(ctx context.Context) (handover Handover, cut int) {
 	s.mu.Lock()
 	s.sealed = true
@@ -75,7 +76,6 @@
 
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.exported = true
 	now := time.Now()
 	handover = Handover{Parts: 1}
 	for incarnation, sp := range s.spaces {
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -32,8 +32,7 @@
 	held     int
 	open     int           // begun ids that wait for their answer
 	idle     chan struct{} // made by an export, closed when open is 0
-	sealed   bool
-	exported bool
+	sealed   bool          // unused ids belong to another instance
 }
 
 // NewStore returns the store of an instance and starts its expiry. The
@@ -137,9 +136,6 @@
 	if e != nil {
 		return joined(e, digest)
 	}
-	if s.sealed {
-		return nil, false, handedOver("begin", id)
-	}
 
 	s.open++
 	return s.use(sp, parsed, digest), true, nil
@@ -162,10 +158,6 @@
 
 // find returns the id's space and entry; the entry is nil if the id is unused.
 func (s *Store) find(op string, id ID) (*space, *Entry, error) {
-	if s.exported {
-		return nil, nil, handedOver(op, id.String())
-	}
-
 	sp := s.spaces[id.Incarnation]
 	if sp == nil || id.Counter >= sp.next {
 		return nil, nil, &Error{Op: op, Kind: KindUnknown, Err: eris.Errorf("id %s was never minted here", id)}
@@ -176,6 +168,9 @@
 	if sp.batchOf(id.Counter) == nil {
 		return nil, nil, &Error{Op: op, Kind: KindExpired, Err: eris.Errorf("id %s is past its retention", id)}
 	}
+	if s.sealed {
+		return nil, nil, handedOver(op, id.String())
+	}
 	return sp, nil, nil
 }
 
@@ -201,9 +196,6 @@
 	}
 	s.mu.Lock()
 	sp, e, err := s.find("cancel", parsed)
-	if err == nil && e == nil && s.sealed {
-		err = handedOver("cancel", id)
-	}
 	if err != nil {
 		s.mu.Unlock()
 		return err
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -220,6 +220,8 @@
 		_, _, err := a.Begin(ids[0], "d")
 		wantKind(t, err, KindHandedOver)
 		wantKind(t, a.Cancel(ids[0]), KindHandedOver)
+		_, err = a.Lookup(ids[0])
+		wantKind(t, err, KindHandedOver)
 		_, err = a.Mint(1)
 		wantKind(t, err, KindHandedOver)
 		if len(exported) != 0 {
