daemon: join entry instances as peers

Workers are divided over the live instances of a data centre by rendezvous hashing, a job wider than the free slots here is forwarded, and a newer configuration is passed on with the heartbeats. Ports are opened before the parts are built, because the peers are told their addresses.

--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,148 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"foxtailmux/config"
+	"foxtailmux/entry"
+	"foxtailmux/member"
+	"foxtailmux/model"
+	"foxtailmux/peer"
+	"foxtailmux/place"
+	"foxtailmux/queue"
+	"foxtailmux/relay"
+	"foxtailmux/roster"
+	"foxtailmux/runner"
+	"foxtailmux/sched"
+	"foxtailmux/worker"
+)
+
+func (d *Daemon) buildConfiguration() {
+	d.watcher = config.NewWatcher(config.WatcherOptions{
+		Store: d.table,
+		Options: config.Options{
+			Policies: place.Policies.Names(),
+			Orders:   queue.Orders.Names(),
+		},
+	})
+}
+
+func (d *Daemon) buildPeers() {
+	d.peers = peer.New(peer.Options{
+		Self:    d.self,
+		Listen:  func(string) (net.Listener, error) { return d.listeners.peers, nil },
+		OnBytes: d.meter.ControlBytes,
+	})
+	d.members = member.New(member.Options{
+		Self:      d.self,
+		Seeds:     d.settings.Peers.Seeds,
+		Transport: d.peers,
+		Load:      d.load,
+		Config:    d.configInForce,
+		MinPeriod: d.document().Intervals.Heartbeat,
+	})
+}
+
+func (d *Daemon) load() model.Load { return d.sched.Load() }
+
+func (d *Daemon) configInForce() (number int64, digest string) {
+	v := d.watcher.Current()
+	if v == nil {
+		return 0, ""
+	}
+	return v.Number, v.Digest
+}
+
+// onMembers passes on what the other instances tell of themselves.
+func (d *Daemon) onMembers() {
+	for _, m := range d.members.Members() {
+		if m.Entry.ID != d.self.ID {
+			d.watcher.Offer(m.ConfigNumber, m.ConfigDigest)
+		}
+	}
+
+	// An instance that leaves keeps its workers until its queue is empty.
+	if !d.leaving.Load() {
+		d.sched.SetOwner(d.owner())
+	}
+}
+
+// owner divides the workers of this data centre over its live instances.
+func (d *Daemon) owner() place.Owner {
+	var ids []string
+	for _, m := range d.members.Alive(d.self.DataCentre) {
+		ids = append(ids, m.Entry.ID)
+	}
+	return func(workerID string) string { return member.Home(workerID, ids) }
+}
+
+func (d *Daemon) buildDispatch() {
+	d.sched = sched.New(d.self.ID, d.self.DataCentre, worker.DialTCP, d.meter)
+	d.relay = &relay.Relay{
+		DataCentre: d.self.DataCentre,
+		Local:      d.sched,
+		Peers:      peers{self: d.self.ID, group: d.peers, members: d.members},
+		Observer:   d.meter,
+		SpillOver:  func() bool { return d.document().Placement.SpillOver },
+	}
+	d.peers.Handle(relay.MethodRun, d.relay.ServeRun)
+	d.peers.Handle(relay.MethodCancel, d.relay.ServeCancel)
+
+	d.runner = &runner.Runner{
+		Scheduler:     d.relay,
+		Gate:          d.gate,
+		Budget:        d.budget,
+		Observer:      d.meter,
+		Configuration: d.watcher.Current,
+	}
+	d.roster = roster.New(roster.Options{
+		Source:    d.table,
+		Scheduler: d.sched,
+		Intervals: func() config.Intervals { return d.document().Intervals },
+		OnEntries: d.members.Feed,
+	})
+}
+
+func (d *Daemon) buildFront() {
+	c := d.settings.Callers
+	limits := entry.Limits{
+		MaxBody:        c.MaxBodyBytes,
+		MaxHeader:      c.MaxHeaderBytes,
+		MaxConnections: c.MaxConnections,
+		MaxTickets:     d.settings.Limits.TicketsPerRequest,
+		ReadTimeout:    c.ReadTimeout,
+		IdleTimeout:    c.IdleTimeout,
+	}
+	d.entry = entry.NewServer(d.listeners.callers, limits, d.newIntake(), d.meter, d.maxOpenJobs)
+}
+
+func (d *Daemon) maxOpenJobs() int {
+	return min(d.settings.Limits.OpenJobs, d.document().Limits.MaxOpenJobs)
+}
+
+// peers shows the relay the members that it may forward to.
+type peers struct {
+	self    string
+	group   *peer.Group
+	members *member.Group
+}
+
+func (p peers) Members() []relay.Member {
+	var list []relay.Member
+	for _, m := range p.members.Members() {
+		if m.State == member.StateAlive && m.Entry.ID != p.self {
+			list = append(list, relay.Member{
+				ID:         m.Entry.ID,
+				DataCentre: m.Entry.DataCentre,
+				Load:       m.Load,
+				LastHeard:  m.LastHeard,
+			})
+		}
+	}
+	return list
+}
+
+func (p peers) Call(ctx context.Context, peerID, method string, params, result any) error {
+	return p.group.Call(ctx, peerID, method, params, result)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"foxtailmux/budget"
@@ -12,10 +13,10 @@
 	"foxtailmux/entry"
 	"foxtailmux/kernel"
 	"foxtailmux/logger"
+	"foxtailmux/member"
 	"foxtailmux/meter"
 	"foxtailmux/model"
-	"foxtailmux/place"
-	"foxtailmux/queue"
+	"foxtailmux/peer"
 	"foxtailmux/quota"
 	"foxtailmux/relay"
 	"foxtailmux/roster"
@@ -23,7 +24,6 @@
 	"foxtailmux/sched"
 	"foxtailmux/setup"
 	"foxtailmux/table"
-	"foxtailmux/worker"
 )
 
 // incarnationBytes is the length of the random part of an instance's identity
@@ -32,13 +32,16 @@
 
 // Daemon is one entry instance.
 type Daemon struct {
-	settings    setup.Settings
-	incarnation string
+	settings  setup.Settings
+	self      model.Entry
+	listeners *listeners
 
 	log     *logger.Logger
 	meter   *meter.Meter
 	table   *table.Client
 	watcher *config.Watcher
+	peers   *peer.Group
+	members *member.Group
 	sched   *sched.Scheduler
 	relay   *relay.Relay
 	gate    *quota.Gate
@@ -47,72 +50,58 @@
 	roster  *roster.Roster
 	entry   *entry.Server
 
-	kernel kernel.Kernel
+	leaving atomic.Bool
+	kernel  kernel.Kernel
 }
 
-// New assembles an instance that is not yet running. Its log goes to w.
+// New opens the ports of an instance and assembles its parts, which are not
+// yet running. Its log goes to w.
 func New(s setup.Settings, w io.Writer) (*Daemon, error) {
 	log, err := logger.New(s, w)
 	if err != nil {
 		return nil, &Error{Op: "open log", Kind: KindSettings, Err: err}
 	}
+	opened, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
 
 	d := &Daemon{
-		settings:    s,
-		incarnation: newIncarnation(),
-		log:         log,
-		meter:       meter.New(s.Instance, s.DataCentre),
-		table:       table.NewClient(s.Platform.Addr, s.Platform.Timeout),
-		gate:        quota.NewGate(),
-		budget:      budget.New(0),
+		settings:  s,
+		listeners: opened,
+		self:      selfEntry(s, opened),
+		log:       log,
+		meter:     meter.New(s.Instance, s.DataCentre),
+		table:     table.NewClient(s.Platform.Addr, s.Platform.Timeout),
+		gate:      quota.NewGate(),
+		budget:    budget.New(0),
 	}
 	d.buildConfiguration()
+	d.buildPeers()
 	d.buildDispatch()
 	d.buildFront()
 	d.addParts()
 	return d, nil
 }
 
+func selfEntry(s setup.Settings, l *listeners) model.Entry {
+	return model.Entry{
+		ID:          s.Instance,
+		Incarnation: newIncarnation(),
+		DataCentre:  s.DataCentre,
+		CallerAddr:  l.callers.Addr().String(),
+		PeerAddr:    l.peers.Addr().String(),
+		AdminAddr:   l.operators.Addr().String(),
+		State:       model.Live,
+	}
+}
+
 func newIncarnation() string {
 	var b [incarnationBytes]byte
 	_, _ = rand.Read(b[:]) // never fails, by its documentation
 	return hex.EncodeToString(b[:])
 }
 
-func (d *Daemon) buildConfiguration() {
-	d.watcher = config.NewWatcher(config.WatcherOptions{
-		Store: d.table,
-		Options: config.Options{
-			Policies: place.Policies.Names(),
-			Orders:   queue.Orders.Names(),
-		},
-	})
-}
-
-func (d *Daemon) buildDispatch() {
-	d.sched = sched.New(d.settings.Instance, d.settings.DataCentre, worker.DialTCP, d.meter)
-	d.relay = &relay.Relay{
-		DataCentre: d.settings.DataCentre,
-		Local:      d.sched,
-		Peers:      noPeers{},
-		Observer:   d.meter,
-		SpillOver:  func() bool { return d.document().Placement.SpillOver },
-	}
-	d.runner = &runner.Runner{
-		Scheduler:     d.relay,
-		Gate:          d.gate,
-		Budget:        d.budget,
-		Observer:      d.meter,
-		Configuration: d.watcher.Current,
-	}
-	d.roster = roster.New(roster.Options{
-		Source:    d.table,
-		Scheduler: d.sched,
-		Intervals: func() config.Intervals { return d.document().Intervals },
-		OnEntries: func([]model.Entry) {},
-	})
-}
-
 // document returns the configuration in force, or the defaults before the
 // first version.
 func (d *Daemon) document() config.Document {
@@ -122,23 +111,6 @@
 	return config.Default()
 }
 
-func (d *Daemon) buildFront() {
-	c := d.settings.Callers
-	limits := entry.Limits{
-		MaxBody:        c.MaxBodyBytes,
-		MaxHeader:      c.MaxHeaderBytes,
-		MaxConnections: c.MaxConnections,
-		MaxTickets:     d.settings.Limits.TicketsPerRequest,
-		ReadTimeout:    c.ReadTimeout,
-		IdleTimeout:    c.IdleTimeout,
-	}
-	d.entry = entry.NewServer(c.Addr, limits, d.newIntake(), d.meter, d.maxOpenJobs)
-}
-
-func (d *Daemon) maxOpenJobs() int {
-	return min(d.settings.Limits.OpenJobs, d.document().Limits.MaxOpenJobs)
-}
-
 // apply brings a version into force in the parts that keep a copy.
 func (d *Daemon) apply(v *config.Version) {
 	if err := d.sched.Apply(v.Document); err != nil {
@@ -152,7 +124,19 @@
 
 func (d *Daemon) addParts() {
 	d.watcher.Subscribe(d.apply)
+	d.members.Subscribe(d.onMembers)
+
 	d.kernel.Add("configuration", d.watcher)
+	d.kernel.Add("peers", kernel.Wrapped{
+		OnStart: func(context.Context) error { return d.peers.Start() },
+		OnStop:  d.peers.Close,
+		Ended:   d.peers.Done(),
+	})
+	d.kernel.Add("members", kernel.Wrapped{
+		OnStart: func(context.Context) error { d.members.Start(); return nil },
+		OnStop:  func(context.Context) error { d.members.Close(); return nil },
+		Ended:   d.members.Done(),
+	})
 	d.kernel.Add("roster", d.roster)
 	d.kernel.Add("attempts", kernel.Wrapped{OnStop: d.sched.Wait})
 	d.kernel.Add("forwards", kernel.Wrapped{OnStop: d.relay.Wait})
@@ -162,32 +146,45 @@
 // Start starts the parts and logs the addresses that they listen on.
 func (d *Daemon) Start(ctx context.Context) error {
 	if err := d.kernel.Start(ctx); err != nil {
+		d.listeners.close()
 		return &Error{Op: "start", Kind: KindStart, Err: err}
 	}
 	d.log.Info().
-		Str("callers", d.entry.Addr()).
-		Str("incarnation", d.incarnation).
+		Str("callers", d.self.CallerAddr).
+		Str("operators", d.self.AdminAddr).
+		Str("peers", d.self.PeerAddr).
+		Str("incarnation", d.self.Incarnation).
 		Msg("listening")
 	return nil
 }
 
 // CallerAddr returns the address that callers use.
-func (d *Daemon) CallerAddr() string { return d.entry.Addr() }
+func (d *Daemon) CallerAddr() string { return d.self.CallerAddr }
+
+// AdminAddr returns the address that operators use.
+func (d *Daemon) AdminAddr() string { return d.self.AdminAddr }
+
+// PeerAddr returns the address that other entry instances use.
+func (d *Daemon) PeerAddr() string { return d.self.PeerAddr }
 
 // Ready reports whether the instance takes new work.
 func (d *Daemon) Ready() bool { return d.watcher.Ready() }
 
-// Stop lets the balancer notice, ends what is in progress and stops the parts.
+// Stop tells the peers, lets the balancer notice, ends what is in progress and
+// stops the parts.
 func (d *Daemon) Stop(ctx context.Context) error {
+	d.leaving.Store(true)
 	d.entry.Drain()
+	if err := d.members.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("not every peer was told")
+	}
 	select {
 	case <-time.After(d.settings.Stop.DrainDelay):
 	case <-ctx.Done():
 	}
 
-	cut := d.entry.Open
 	err := d.kernel.Stop(ctx)
-	d.log.Info().Int("cutRequests", cut()).Msg("stopped")
+	d.log.Info().Int("cutRequests", d.entry.Open()).Msg("stopped")
 	if err != nil {
 		return &Error{Op: "stop", Kind: KindStop, Err: err}
 	}
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -3,23 +3,11 @@
 import (
 	"context"
 
-	"github.com/rotisserie/eris"
-
 	"foxtailmux/model"
-	"foxtailmux/relay"
 	"foxtailmux/runner"
 	"foxtailmux/ticket"
 )
 
-// noPeers is used while an instance serves alone.
-type noPeers struct{}
-
-func (noPeers) Members() []relay.Member { return nil }
-
-func (noPeers) Call(context.Context, string, string, any, any) error {
-	return eris.New("this instance has no peers")
-}
-
 // intake runs each submission on an id of its own.
 type intake struct {
 	store  *ticket.Store
@@ -31,7 +19,7 @@
 		l := d.document().Limits
 		return ticket.Limits{MaxOpen: l.MaxOpenTickets, Retention: l.TicketRetention}
 	}
-	return &intake{store: ticket.NewStore(d.incarnation, limits), runner: d.runner}
+	return &intake{store: ticket.NewStore(d.self.Incarnation, limits), runner: d.runner}
 }
 
 func (i *intake) Submit(ctx context.Context, job model.Job) model.Answer {
--- a/entry/error.go
+++ b/entry/error.go
@@ -8,8 +8,7 @@
 
 // The kinds of error.
 const (
-	KindListen Kind = "listen"
-	KindServe  Kind = "serve"
+	KindServe Kind = "serve"
 )
 
 // Error is the error type of this package.
--- a/entry/server.go
+++ b/entry/server.go
@@ -42,7 +42,6 @@
 
 // Server is the callers' HTTP server.
 type Server struct {
-	addr     string
 	limits   Limits
 	intake   Intake
 	observer Observer
@@ -55,11 +54,11 @@
 	done     chan struct{}
 }
 
-// NewServer returns a server that will listen on addr. MaxOpenJobs returns
-// how many jobs may be open at once.
-func NewServer(addr string, limits Limits, intake Intake, observer Observer, maxOpenJobs func() int) *Server {
+// NewServer returns a server that will serve the listener. MaxOpenJobs
+// returns how many jobs may be open at once.
+func NewServer(listener net.Listener, limits Limits, intake Intake, observer Observer, maxOpenJobs func() int) *Server {
 	s := &Server{
-		addr:     addr,
+		listener: listener,
 		limits:   limits,
 		intake:   intake,
 		observer: observer,
@@ -88,18 +87,11 @@
 	s.app.Delete("/v1/jobs/:id", s.deleteJob)
 }
 
-// Start listens and serves until Stop.
+// Start serves until Stop.
 func (s *Server) Start(context.Context) error {
-	listener, err := net.Listen("tcp", s.addr)
-	if err != nil {
-		close(s.done)
-		return &Error{Op: "start", Kind: KindListen, Err: err}
-	}
-	s.listener = listener
-
 	go func() {
 		defer close(s.done)
-		_ = s.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	return nil
 }
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -56,7 +56,7 @@
 		"--cores", "64", "--memoryMB", "128000", "--platform", platform).field("addr")
 
 	first := startEntry(t, "entry-1", platform)
-	second := startEntry(t, "entry-2", platform)
+	second := startEntry(t, "entry-2", platform, "--peers.seeds", first.field("peers"))
 	addrs := []string{first.field("callers"), second.field("callers")}
 	for _, addr := range addrs {
 		waitServing(t, addr)
