config: poll sooner after a failed poll and test the versions

It now waits 500 ms, doubling up to the interval. A shorter interval was ruled out, as it costs reads all the time.

--- a/config/merge.go
+++ b/config/merge.go
@@ -62,6 +62,11 @@
 		return
 	}
 
+	if node.Type() == ast.NullType {
+		m.add(m.start(key), child, "must have a value")
+		return
+	}
+
 	switch target.Kind() {
 	case reflect.Struct:
 		m.positions[child] = m.start(key)
--- a/config/offer.go
+++ b/config/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 )
@@ -47,18 +48,18 @@
 	return len(o.failures) > 0
 }
 
-func (o *offers) highestFirst() []offer {
+// next returns the offer with the fewest failures, the highest of those.
+func (o *offers) next() (offer, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 
-	all := make([]offer, 0, len(o.failures))
-	for key := range o.failures {
-		all = append(all, key)
+	all := slices.Collect(maps.Keys(o.failures))
+	if len(all) == 0 {
+		return offer{}, false
 	}
-	slices.SortFunc(all, func(a, b offer) int {
-		return cmp.Compare(b.number, a.number)
-	})
-	return all
+	return slices.MinFunc(all, func(a, b offer) int {
+		return cmp.Or(cmp.Compare(o.failures[a], o.failures[b]), cmp.Compare(b.number, a.number))
+	}), true
 }
 
 func (o *offers) drop(key offer) {
--- a/config/watch.go
+++ b/config/watch.go
@@ -19,6 +19,9 @@
 
 	// retryDelay separates tries at a version that could not be had.
 	retryDelay = 500 * time.Millisecond
+
+	// maxPollDoublings bounds the growth of the delay after failed polls.
+	maxPollDoublings = 4
 )
 
 // FetchFunc gets the canonical document of a version from a peer.
@@ -44,6 +47,9 @@
 	done    chan struct{}
 	started sync.Once
 
+	// failures counts the failed polls in a row; only run uses it.
+	failures int
+
 	mu          sync.Mutex
 	subscribers []func(*Version)
 	since       time.Time
@@ -147,10 +153,9 @@
 	nextPoll := time.Now()
 	for ctx.Err() == nil {
 		// Offers go first: a store that is silent must not hold them up.
-		w.takeOffers(ctx)
+		w.takeOffer(ctx)
 		if !time.Now().Before(nextPoll) {
-			w.poll(ctx)
-			nextPoll = time.Now().Add(w.pollDelay())
+			nextPoll = time.Now().Add(w.poll(ctx))
 		}
 		w.sleep(ctx, w.delay(nextPoll))
 	}
@@ -175,25 +180,41 @@
 	}
 }
 
-func (w *Watcher) pollDelay() time.Duration {
-	interval := Default().Intervals.ConfigPoll
-	if v := w.Current(); v != nil {
-		interval = v.Document.Intervals.ConfigPoll
+// poll returns the time to the next one. After a failure that is shorter
+// than the interval at first, so that some failures in a row still leave a
+// change in force in time.
+func (w *Watcher) poll(ctx context.Context) time.Duration {
+	if w.pollOnce(ctx) {
+		w.failures = 0
+		return jittered(w.interval())
 	}
-	jitter := 1 + pollJitter*(2*rand.Float64()-1)
-	return time.Duration(float64(interval) * jitter)
+
+	delay := min(retryDelay<<min(w.failures, maxPollDoublings), w.interval())
+	w.failures++
+	return jittered(delay)
 }
 
-func (w *Watcher) poll(ctx context.Context) {
+func (w *Watcher) pollOnce(ctx context.Context) bool {
 	call, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 
 	h, err := readHead(call, w.options.Store)
 	w.polled(err)
-	if err != nil || !w.isNewer(h.Number) {
-		return
+	if err != nil {
+		return false
 	}
-	w.take(ctx, h.Number, h.Digest)
+	return !w.isNewer(h.Number) || w.take(ctx, h.Number, h.Digest)
+}
+
+func (w *Watcher) interval() time.Duration {
+	if v := w.Current(); v != nil {
+		return v.Document.Intervals.ConfigPoll
+	}
+	return Default().Intervals.ConfigPoll
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + pollJitter*(2*rand.Float64()-1)))
 }
 
 func (w *Watcher) polled(err error) {
@@ -206,18 +227,19 @@
 	}
 }
 
-func (w *Watcher) takeOffers(ctx context.Context) {
-	for _, o := range w.offers.highestFirst() {
-		if !w.isNewer(o.number) {
-			w.offers.drop(o)
-			continue
-		}
-		if w.take(ctx, o.number, o.digest) {
-			w.offers.drop(o)
-			continue
-		}
-		w.offers.failed(o)
+// takeOffer tries one offer, so that offers that can't be had never hold up
+// the next poll for longer than one try.
+func (w *Watcher) takeOffer(ctx context.Context) {
+	o, ok := w.offers.next()
+	if !ok {
+		return
+	}
+
+	if !w.isNewer(o.number) || w.take(ctx, o.number, o.digest) {
+		w.offers.drop(o)
+		return
 	}
+	w.offers.failed(o)
 }
 
 // take brings a version into force if its document can be had from the store
--- /dev/null
+++ b/config/watch_test.go
@@ -0,0 +1,360 @@
+package config
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+)
+
+const inForceBound = 9 * time.Second
+
+func startWatcher(t *testing.T, o WatcherOptions) *Watcher {
+	t.Helper()
+	w := NewWatcher(o)
+	if err := w.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func stopWatcher(t *testing.T, w *Watcher) {
+	t.Helper()
+	if err := w.Stop(context.Background()); err != nil {
+		t.Error(err)
+	}
+	<-w.Done()
+}
+
+func number(w *Watcher) int64 {
+	if v := w.Current(); v != nil {
+		return v.Number
+	}
+	return 0
+}
+
+func mustHave(t *testing.T, w *Watcher, want int64) {
+	t.Helper()
+	if diff := cmp.Diff(want, number(w)); diff != "" {
+		t.Error(diff, w.Status("a", "b").Error)
+	}
+}
+
+func TestWatcherWaitsForAStoreThatIsDownAtStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		s.setFault(always(fault{down: true}))
+		w := startWatcher(t, WatcherOptions{Store: s})
+		defer stopWatcher(t, w)
+
+		time.Sleep(time.Minute)
+		if w.Ready() || w.Status("a", "b").Error == "" {
+			t.Errorf("ready: %t, status: %+v", w.Ready(), w.Status("a", "b"))
+		}
+		s.setFault(nil)
+		time.Sleep(inForceBound)
+		mustHave(t, w, 1)
+	})
+}
+
+func TestWatcherKeepsItsVersionWhileTheStoreIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		w := startWatcher(t, WatcherOptions{Store: s})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+
+		for _, f := range []fault{{down: true}, {delay: time.Hour}} {
+			s.setFault(always(f))
+			time.Sleep(time.Hour)
+			mustHave(t, w, 1)
+			if status := w.Status("a", "b"); status.Error == "" || status.PolledMillis < (50*time.Minute).Milliseconds() {
+				t.Errorf("an outage of an hour is not told: %+v", status)
+			}
+		}
+		s.setFault(nil)
+		mustApply(t, s, 2)
+		time.Sleep(inForceBound)
+		mustHave(t, w, 2)
+	})
+}
+
+func TestWatcherNeverTakesALowerOrEqualNumber(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		first := mustApply(t, s, 1)
+		second := mustApply(t, s, 2)
+		w := startWatcher(t, WatcherOptions{Store: s})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+		mustHave(t, w, 2)
+
+		w.Offer(1, first.Digest)
+		w.Offer(2, first.Digest)
+		w.Offer(0, first.Digest)
+		s.edit(func() { s.rows[HeadKey] = s.rows[historyKey(1)] })
+		time.Sleep(time.Minute)
+		mustHave(t, w, 2)
+		if diff := cmp.Diff(second.Digest, w.Current().Digest); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestOfferIsTakenFromAPeerWhileTheStoreIsDown(t *testing.T) {
+	for _, f := range []fault{{down: true}, {delay: time.Hour}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			s.setFault(always(f))
+			doc := document(7)
+			fetch := func(context.Context, int64, string) ([]byte, error) { return doc.Canonical(), nil }
+			w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+			defer stopWatcher(t, w)
+			time.Sleep(time.Minute)
+
+			w.Offer(7, doc.Digest())
+			time.Sleep(2*attemptTimeout + pollTimeAllowance)
+			mustHave(t, w, 7)
+		})
+	}
+}
+
+// A poll that is under way when an offer arrives ends within its timeout.
+const pollTimeAllowance = attemptTimeout
+
+func TestOfferIsTakenBeforeTheNextPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		w := startWatcher(t, WatcherOptions{Store: s})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+
+		second := mustApply(t, s, 2)
+		w.Offer(2, second.Digest)
+		synctest.Wait()
+		mustHave(t, w, 2)
+	})
+}
+
+func TestCorruptObjectsAreRefusedReportedAndRetried(t *testing.T) {
+	for _, corrupt := range [][]byte{nil, []byte("{}"), document(2).Canonical()[:100]} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			mustApply(t, s, 1)
+			fetch := func(context.Context, int64, string) ([]byte, error) { return corrupt, nil }
+			w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+			defer stopWatcher(t, w)
+			synctest.Wait()
+
+			entry := mustApply(t, s, 2)
+			s.edit(func() { s.objects[objectName(entry.Digest)] = corrupt })
+			w.Offer(2, entry.Digest)
+			time.Sleep(time.Minute)
+			mustHave(t, w, 1)
+			if w.Status("a", "b").Error == "" {
+				t.Error("a corrupt object is not reported")
+			}
+
+			s.edit(func() { s.objects[objectName(entry.Digest)] = document(2).Canonical() })
+			time.Sleep(inForceBound)
+			mustHave(t, w, 2)
+			if diff := cmp.Diff("", w.Status("a", "b").Error); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestDocumentThatThisProcessCannotServeIsRefusedAndReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		w := startWatcher(t, WatcherOptions{Store: s, Options: Options{Policies: []string{"other"}}})
+		defer stopWatcher(t, w)
+		time.Sleep(time.Minute)
+		mustHave(t, w, 0)
+		if w.Status("a", "b").Error == "" {
+			t.Error("not reported")
+		}
+	})
+}
+
+func TestOffersThatCannotBeHadDoNotHoldUpPolls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		fetch := func(ctx context.Context, _ int64, _ string) ([]byte, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+
+		for n := range int64(2 * maxOffers) {
+			w.Offer(1000+n, document(1000+int(n)).Digest())
+		}
+		mustApply(t, s, 2)
+		time.Sleep(inForceBound)
+		mustHave(t, w, 2)
+	})
+}
+
+func TestStopEndsASilentCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.setFault(always(fault{delay: time.Hour}))
+		w := startWatcher(t, WatcherOptions{Store: s})
+		synctest.Wait()
+		stopWatcher(t, w)
+		stopWatcher(t, NewWatcher(WatcherOptions{Store: s}))
+	})
+}
+
+// recorder keeps the versions of a watcher in the order of their coming.
+type recorder struct {
+	mu      sync.Mutex
+	numbers []int64
+	times   []time.Time
+}
+
+func (r *recorder) add(v *Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.numbers = append(r.numbers, v.Number)
+	r.times = append(r.times, time.Now())
+}
+
+func (r *recorder) mustRise(t *testing.T) {
+	t.Helper()
+	for i := 1; i < len(r.numbers); i++ {
+		if r.numbers[i] <= r.numbers[i-1] {
+			t.Fatalf("version %d after %d", r.numbers[i], r.numbers[i-1])
+		}
+	}
+}
+
+// inForce returns when the watcher first had the version or a later one.
+func (r *recorder) inForce(t *testing.T, number int64) time.Time {
+	t.Helper()
+	for i, n := range r.numbers {
+		if n >= number {
+			return r.times[i]
+		}
+	}
+	t.Fatalf("version %d never came into force", number)
+	return time.Time{}
+}
+
+func TestVersionsNeverFallUnderRacesFaultsAndOffers(t *testing.T) {
+	seed, r := seeded(t)
+	faults := randomOf(seed, 1)
+	synctest.Test(t, func(t *testing.T) {
+		const changes, watchers = 200, 4
+		s := newFakeStore()
+		entries := []Entry{mustApply(t, s, 0)}
+		fetch := func(_ context.Context, number int64, digest string) ([]byte, error) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			data, ok := s.objects[objectName(digest)]
+			if !ok || number%3 == 0 {
+				return nil, eris.New("not here")
+			}
+			return data, nil
+		}
+		all := make([]*Watcher, watchers)
+		records := make([]recorder, watchers)
+		for i := range all {
+			all[i] = startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+			all[i].Subscribe(records[i].add)
+		}
+
+		for n := 1; n <= changes; n++ {
+			s.setFault(nil)
+			entries = append(entries, mustApply(t, s, n))
+			s.setFault(func(string) fault {
+				return fault{down: faults.IntN(3) == 0, delay: time.Duration(faults.IntN(3000)) * time.Millisecond, lost: faults.IntN(5) == 0}
+			})
+			var group conc.WaitGroup
+			for range 5 {
+				e := entries[r.IntN(len(entries))]
+				w := all[r.IntN(watchers)]
+				group.Go(func() { w.Offer(e.Number, e.Digest) })
+			}
+			group.Wait()
+			time.Sleep(time.Duration(r.IntN(2000)) * time.Millisecond)
+		}
+		s.setFault(nil)
+		time.Sleep(inForceBound)
+		for i, w := range all {
+			mustHave(t, w, changes+1)
+			stopWatcher(t, w)
+			records[i].mustRise(t)
+		}
+	})
+}
+
+func TestADayOfChangesIsInForceEverywhereInTime(t *testing.T) {
+	seed, r := seeded(t)
+	faults := randomOf(seed, 1)
+	synctest.Test(t, func(t *testing.T) {
+		const changes, watchers = 1100, 7
+		s := newFakeStore()
+		s.setFault(func(op string) fault {
+			f := fault{delay: time.Duration(faults.IntN(200)) * time.Millisecond}
+			f.lost = faults.IntN(50) == 0
+			f.down = op == "get" && faults.IntN(50) == 0
+			return f
+		})
+		all := make([]*Watcher, watchers)
+		records := make([]recorder, watchers)
+		for i := range all {
+			all[i] = startWatcher(t, WatcherOptions{Store: s})
+			all[i].Subscribe(records[i].add)
+		}
+
+		accepted := make([]time.Time, 0, changes)
+		for n := range changes {
+			applyUntilAccepted(t, s, n)
+			accepted = append(accepted, time.Now())
+			time.Sleep(time.Duration(r.IntN(4000)) * time.Millisecond)
+		}
+		time.Sleep(inForceBound)
+
+		var longest time.Duration
+		for i, w := range all {
+			stopWatcher(t, w)
+			records[i].mustRise(t)
+			for n, since := range accepted {
+				took := records[i].inForce(t, int64(n+1)).Sub(since)
+				longest = max(longest, took)
+			}
+		}
+		t.Logf("%d changes at %d watchers, longest %v", changes, watchers, longest)
+		if longest > inForceBound {
+			t.Errorf("a change took %v", longest)
+		}
+	})
+}
+
+// applyUntilAccepted repeats a change that the store refused as a whole.
+func applyUntilAccepted(t *testing.T, s Store, n int) {
+	t.Helper()
+	for {
+		_, err := Apply(t.Context(), s, document(n), "ana", "day")
+		if err == nil {
+			return
+		}
+		if KindOf(err) != KindStore {
+			t.Fatal(err)
+		}
+	}
+}
