--- a/daemon/build.go
+++ b/daemon/build.go
@@ -6,6 +6,7 @@
 
 	"foxtailmux/config"
 	"foxtailmux/entry"
+	"foxtailmux/learn"
 	"foxtailmux/member"
 	"foxtailmux/model"
 	"foxtailmux/peer"
@@ -78,7 +79,7 @@
 }
 
 func (d *Daemon) buildDispatch() {
-	d.sched = sched.New(d.self.ID, d.self.DataCentre, worker.DialTCP, d.meter)
+	d.sched = sched.New(d.self.ID, d.self.DataCentre, worker.DialTCP, d.meter, &learn.Estimator{})
 	d.relay = &relay.Relay{
 		DataCentre: d.self.DataCentre,
 		Local:      d.sched,
--- /dev/null
+++ b/queue/deadline.go
@@ -0,0 +1,12 @@
+package queue
+
+import "time"
+
+func init() { Orders.Add("deadline", earliestDeadline{}) }
+
+// earliestDeadline serves the job whose deadline comes first.
+type earliestDeadline struct{}
+
+func (earliestDeadline) Before(a, b *Job, _ time.Time) bool {
+	return a.Deadline.Before(b.Deadline)
+}
--- a/queue/item.go
+++ b/queue/item.go
@@ -25,7 +25,7 @@
 }
 
 // Job is a job with waiting tasks. Its context ends when the job's deadline
-// has passed or nobody wants its answer any more.
+// has passed or nobody wants its answer any more. A job is pushed once.
 type Job struct {
 	Context  context.Context
 	ID       string
@@ -35,13 +35,10 @@
 	Arrived  time.Time
 	Deadline time.Time
 	Items    []*Item
+
+	remaining time.Duration
+	team      *teamUsage
 }
 
 // Remaining returns the expected run time of the tasks that wait.
-func (j *Job) Remaining() time.Duration {
-	var sum time.Duration
-	for _, it := range j.Items {
-		sum += it.Expected
-	}
-	return sum
-}
+func (j *Job) Remaining() time.Duration { return j.remaining }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -7,17 +7,29 @@
 	"time"
 )
 
-// Queue is a set of waiting tasks. It is not safe for concurrent use;
-// the scheduler that owns it guards it.
+// maxTeams is the number of teams above which idle ones are forgotten.
+const maxTeams = 1024
+
+// Queue is a set of waiting tasks. It is not safe for concurrent use; the
+// scheduler that owns it guards it.
 type Queue struct {
 	order Order
 	jobs  []*Job
+	teams map[string]*teamUsage
+	pools map[string]Waiting
 	size  int
 }
 
+// Waiting sums up the tasks that wait for a pool. Work is their expected run
+// time.
+type Waiting struct {
+	Tasks int
+	Work  time.Duration
+}
+
 // New returns an empty queue.
 func New(order Order) *Queue {
-	return &Queue{order: order}
+	return &Queue{order: order, teams: map[string]*teamUsage{}, pools: map[string]Waiting{}}
 }
 
 // SetOrder changes the order of the jobs that wait.
@@ -29,27 +41,59 @@
 // Jobs returns the number of jobs with waiting tasks.
 func (q *Queue) Jobs() int { return len(q.jobs) }
 
+// Waiting returns what waits for a pool.
+func (q *Queue) Waiting(pool string) Waiting { return q.pools[pool] }
+
 // Push adds a job with its items.
 func (q *Queue) Push(j *Job) {
-	q.jobs = append(q.jobs, j)
-	q.size += len(j.Items)
+	q.enter(j)
+	for _, it := range j.Items {
+		q.count(j, it)
+	}
 }
 
 // PushFront puts an item back that was popped but not started.
 func (q *Queue) PushFront(j *Job, it *Item) {
-	q.size++
-	j.Items = append([]*Item{it}, j.Items...)
-
 	if !slices.Contains(q.jobs, j) {
-		q.jobs = append([]*Job{j}, q.jobs...)
+		q.enter(j)
+	}
+	j.Items = slices.Insert(j.Items, 0, it)
+	j.team.add(-it.Expected, j.Weight)
+	q.count(j, it)
+}
+
+func (q *Queue) enter(j *Job) {
+	q.forgetIdle()
+	j.team = q.join(j.Team)
+	q.jobs = append(q.jobs, j)
+}
+
+func (q *Queue) count(j *Job, it *Item) {
+	q.adjust(j, 1, it.Expected)
+}
+
+func (q *Queue) discount(j *Job, it *Item) {
+	q.adjust(j, -1, -it.Expected)
+}
+
+func (q *Queue) adjust(j *Job, tasks int, work time.Duration) {
+	q.size += tasks
+	j.remaining += work
+
+	w := q.pools[j.Pool]
+	w.Tasks += tasks
+	w.Work += work
+	if w.Tasks == 0 {
+		delete(q.pools, j.Pool)
+		return
 	}
+	q.pools[j.Pool] = w
 }
 
 // Pop removes the first item, in the order of the jobs, for which fits is
 // true. It returns nil when there is none.
 func (q *Queue) Pop(now time.Time, fits func(*Job, *Item) bool) (*Job, *Item) {
-	best := -1
-	bestItem := -1
+	best, bestItem := -1, -1
 	for i, j := range q.jobs {
 		if best >= 0 && !q.order.Before(j, q.jobs[best], now) {
 			continue
@@ -65,18 +109,18 @@
 
 	j := q.jobs[best]
 	it := j.Items[bestItem]
-	q.removeItem(best, bestItem)
+	j.Items = slices.Delete(j.Items, bestItem, bestItem+1)
+	q.discount(j, it)
+	j.team.add(it.Expected, j.Weight)
+	if len(j.Items) == 0 {
+		q.leave(best)
+	}
 	return j, it
 }
 
-func (q *Queue) removeItem(job, item int) {
-	j := q.jobs[job]
-	j.Items = slices.Delete(j.Items, item, item+1)
-	q.size--
-
-	if len(j.Items) == 0 {
-		q.jobs = slices.Delete(q.jobs, job, job+1)
-	}
+func (q *Queue) leave(index int) {
+	q.jobs[index].team.jobs--
+	q.jobs = slices.Delete(q.jobs, index, index+1)
 }
 
 // Remove takes out all waiting items of a job and returns them.
@@ -86,9 +130,11 @@
 		return nil
 	}
 
-	q.jobs = slices.Delete(q.jobs, i, i+1)
+	q.leave(i)
 	items := j.Items
 	j.Items = nil
-	q.size -= len(items)
+	for _, it := range items {
+		q.discount(j, it)
+	}
 	return items
 }
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -30,11 +30,22 @@
 	s.settle(w, j, it, reply, err)
 }
 
+// claim takes a slot for an item. The lock is held, as it is for unclaim.
+func (s *Scheduler) claim(w *worker.Worker, it *queue.Item) {
+	w.Claim(it.Request.Needs)
+	s.running[w.Info.Pool] += it.Expected
+}
+
+func (s *Scheduler) unclaim(w *worker.Worker, it *queue.Item) {
+	w.Release(it.Request.Needs)
+	s.running[w.Info.Pool] -= it.Expected
+}
+
 func (s *Scheduler) release(w *worker.Worker, it *queue.Item) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	w.Release(it.Request.Needs)
+	s.unclaim(w, it)
 	s.pump()
 }
 
@@ -42,10 +53,14 @@
 // that was proven not started or delivers its outcome.
 func (s *Scheduler) settle(w *worker.Worker, j *queue.Job, it *queue.Item, reply model.TaskReply, err error) {
 	s.mu.Lock()
-	w.Release(it.Request.Needs)
+	s.unclaim(w, it)
 	if err == nil {
 		w.Heard = time.Now()
 	}
+	if err == nil && reply.Outcome == model.OutcomeDone {
+		run := time.Duration(reply.RunMillis) * time.Millisecond
+		s.estimator.Observe(it.Request.Service, run)
+	}
 	if reply.Leaving {
 		w.Leaving = true
 	}
--- a/sched/error.go
+++ b/sched/error.go
@@ -10,6 +10,7 @@
 // The kinds of error.
 const (
 	KindQueueFull Kind = "queueFull"
+	KindTooLate   Kind = "tooLate"
 	KindNoWorker  Kind = "noWorker"
 	KindEnded     Kind = "ended"
 	KindPlugin    Kind = "plugin"
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
 	"foxtailmux/config"
@@ -24,6 +23,12 @@
 	QueueWait(d time.Duration)
 }
 
+// Estimator learns how long tasks run.
+type Estimator interface {
+	Observe(service string, run time.Duration)
+	Expect(service string, declared time.Duration) time.Duration
+}
+
 // Scheduler owns the run queue of an instance and the slots of the workers
 // that it may start tasks on.
 type Scheduler struct {
@@ -31,6 +36,7 @@
 	dataCentre string
 	dial       worker.Dialer
 	observer   Observer
+	estimator  Estimator
 
 	mu        sync.Mutex
 	document  config.Document
@@ -39,6 +45,7 @@
 	queue     *queue.Queue
 	workers   map[string]*worker.Worker
 	owned     []*worker.Worker
+	running   map[string]time.Duration // expected run time of the attempts of each pool
 	elsewhere []model.Worker
 
 	attempts conc.WaitGroup
@@ -46,14 +53,16 @@
 
 // New returns a scheduler of the instance self without workers. Apply must be
 // called before the first job is submitted.
-func New(self, dataCentre string, dial worker.Dialer, observer Observer) *Scheduler {
+func New(self, dataCentre string, dial worker.Dialer, observer Observer, estimator Estimator) *Scheduler {
 	return &Scheduler{
 		self:       self,
 		dataCentre: dataCentre,
 		dial:       dial,
 		observer:   observer,
+		estimator:  estimator,
 		owner:      func(string) string { return self },
 		workers:    map[string]*worker.Worker{},
+		running:    map[string]time.Duration{},
 	}
 }
 
@@ -95,6 +104,10 @@
 // Submit queues the items of a job. Until it returns an error every item's
 // Deliver is called exactly once, after an error none is.
 func (s *Scheduler) Submit(j *queue.Job) error {
+	for _, it := range j.Items {
+		it.Expected = s.estimator.Expect(it.Request.Service, it.Expected)
+	}
+
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -108,21 +121,6 @@
 	return nil
 }
 
-func (s *Scheduler) admit(j *queue.Job) error {
-	slots := s.slots(j.Pool)
-	if slots == 0 {
-		err := eris.Errorf("no worker of pool %q", j.Pool)
-		return &Error{Op: "submit", Kind: KindNoWorker, Err: err}
-	}
-
-	limit := slots * s.document.Placement.MaxQueuePerSlot
-	if s.queue.Len()+len(j.Items) > limit+slots {
-		err := eris.Errorf("%d tasks wait, the limit is %d", s.queue.Len(), limit)
-		return &Error{Op: "submit", Kind: KindQueueFull, Err: err}
-	}
-	return nil
-}
-
 // slots counts the slots of the workers of a pool that take new work.
 func (s *Scheduler) slots(pool string) int {
 	var sum int
@@ -178,7 +176,7 @@
 	}
 
 	w := candidates[s.policy.Choose(candidates)].Worker
-	w.Claim(it.Request.Needs)
+	s.claim(w, it)
 	s.observer.QueueWait(now.Sub(j.Arrived))
 	s.attempts.Go(func() { s.attempt(w, j, it) })
 	return true
