--- /dev/null
+++ b/intake/serve.go
@@ -0,0 +1,141 @@
+package intake
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/model"
+	"foxtailmux/ticket"
+)
+
+// Methods that peers call.
+const (
+	methodSubmit = "job.submit"
+	methodStatus = "job.status"
+	methodCancel = "job.cancel"
+	methodAdopt  = "ticket.adopt"
+	methodHolder = "ticket.holder"
+)
+
+// submitParams is a forwarded submission. Without an id, the receiver claims
+// the job's key.
+type submitParams struct {
+	ID         string    `json:"id,omitempty"`
+	Job        model.Job `json:"job"`
+	LeftMillis int64     `json:"leftMillis"`
+	Hops       int       `json:"hops"`
+}
+
+type queryParams struct {
+	ID   string `json:"id"`
+	Hops int    `json:"hops"`
+}
+
+type queryResult struct {
+	Status  model.JobStatus `json:"status"`
+	Failure *model.Failure  `json:"failure,omitempty"`
+}
+
+// adoptParams names the incarnation that shall adopt: a successor at the same
+// address does not know what its predecessor adopted.
+type adoptParams struct {
+	Target   string          `json:"target"`
+	Handover ticket.Handover `json:"handover"`
+}
+
+type adoptResult struct {
+	Adopted bool   `json:"adopted"`
+	Reason  string `json:"reason,omitempty"`
+}
+
+// holderParams announces a holder, or asks for it when Holder is empty.
+type holderParams struct {
+	Incarnations []string `json:"incarnations"`
+	Holder       string   `json:"holder,omitempty"`
+}
+
+type holderResult struct {
+	Holder string `json:"holder,omitempty"`
+}
+
+func (i *Intake) register() {
+	handle(i.peers, methodSubmit, i.serveSubmit)
+	handle(i.peers, methodStatus, i.serveQuery(methodStatus))
+	handle(i.peers, methodCancel, i.serveQuery(methodCancel))
+	handle(i.peers, methodAdopt, i.serveAdopt)
+	handle(i.peers, methodHolder, i.serveHolder)
+}
+
+func handle[P, R any](peers Peers, method string, f func(ctx context.Context, p P) (R, error)) {
+	peers.Handle(method, func(ctx context.Context, text json.RawMessage) (any, error) {
+		var params P
+		if err := json.Unmarshal(text, &params); err != nil {
+			return nil, &Error{Op: method, Kind: model.FailBadRequest, Err: eris.Wrap(err, "decode the parameters")}
+		}
+		return f(ctx, params)
+	})
+}
+
+func (i *Intake) serveSubmit(ctx context.Context, p submitParams) (model.Answer, error) {
+	if p.ID == "" && p.Job.IdempotencyKey == "" {
+		return model.Answer{}, &Error{Op: methodSubmit, Kind: model.FailBadRequest, Err: eris.New("neither an id nor a key")}
+	}
+	sum, err := digest(p.Job)
+	if err != nil {
+		return model.Answer{}, &Error{Op: methodSubmit, Kind: model.FailBadRequest, Err: err}
+	}
+
+	s := submission{
+		id:       p.ID,
+		job:      p.Job,
+		digest:   sum,
+		deadline: newDeadline(i.options.Clock, time.Duration(p.LeftMillis)*time.Millisecond),
+		hops:     p.Hops,
+		keyed:    p.Job.IdempotencyKey != "",
+	}
+	return i.keep(ctx, s), nil
+}
+
+func (i *Intake) serveQuery(method string) func(context.Context, queryParams) (queryResult, error) {
+	return func(ctx context.Context, p queryParams) (queryResult, error) {
+		status, err := i.query(ctx, method, p)
+		if err != nil {
+			failure := err.Failure()
+			return queryResult{Failure: &failure}, nil
+		}
+		return queryResult{Status: status}, nil
+	}
+}
+
+func (i *Intake) serveAdopt(_ context.Context, p adoptParams) (adoptResult, error) {
+	if p.Target != i.options.Incarnation {
+		return adoptResult{Reason: "the hand-over is meant for another incarnation"}, nil
+	}
+	if err := i.store.Import(p.Handover); err != nil {
+		return adoptResult{Reason: err.Error()}, nil
+	}
+	return adoptResult{Adopted: true}, nil
+}
+
+func (i *Intake) serveHolder(_ context.Context, p holderParams) (holderResult, error) {
+	if p.Holder != "" {
+		for _, incarnation := range p.Incarnations {
+			i.holders.set(incarnation, p.Holder)
+		}
+		return holderResult{Holder: p.Holder}, nil
+	}
+
+	if len(p.Incarnations) != 1 {
+		return holderResult{}, &Error{Op: methodHolder, Kind: model.FailBadRequest, Err: eris.New("one incarnation is asked for at a time")}
+	}
+	if holder, ok := i.holders.of(p.Incarnations[0]); ok {
+		return holderResult{Holder: holder}, nil
+	}
+	if i.store.Holds(p.Incarnations[0]) {
+		return holderResult{Holder: i.options.Incarnation}, nil
+	}
+	return holderResult{}, nil
+}
