--- a/fakes/events.go
+++ b/fakes/events.go
@@ -16,13 +16,14 @@
 )
 
 // Event is one start or end of an attempt at a task. AtMillis is wall-clock
-// time in milliseconds since 1970.
+// time in milliseconds since 1970. Nonce is that of the payload, if it has one.
 type Event struct {
 	Event    string            `json:"event"`
 	TaskID   string            `json:"taskId"`
 	Attempt  int               `json:"attempt"`
 	Worker   string            `json:"worker"`
 	AtMillis int64             `json:"atMillis"`
+	Nonce    string            `json:"nonce,omitempty"`
 	Outcome  model.TaskOutcome `json:"outcome,omitempty"`
 }
 
--- a/fakes/task.go
+++ b/fakes/task.go
@@ -44,9 +44,31 @@
 // attempt is one attempt at a task that occupies a slot.
 type attempt struct {
 	request model.StartRequest
+	payload Payload
+	invalid bool // the payload can't be decoded
 	cancel  chan struct{}
 }
 
+func newAttempt(request model.StartRequest) *attempt {
+	a := &attempt{request: request, cancel: make(chan struct{})}
+	if len(request.Payload) > 0 {
+		a.invalid = json.Unmarshal(request.Payload, &a.payload) != nil
+	}
+	return a
+}
+
+// event returns an event of the attempt without its time.
+func (a *attempt) event(name, worker string, outcome model.TaskOutcome) Event {
+	return Event{
+		Event:   name,
+		TaskID:  a.request.TaskID,
+		Attempt: a.request.Attempt,
+		Worker:  worker,
+		Nonce:   a.payload.Nonce,
+		Outcome: outcome,
+	}
+}
+
 func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request, first bool) {
 	faults := w.Faults()
 	if faults.CloseBeforeStart && !first {
@@ -63,8 +85,8 @@
 		return
 	}
 
-	a, reason := w.begin(request)
-	if a == nil {
+	a := newAttempt(request)
+	if reason := w.begin(a); reason != "" {
 		w.reply(rw, model.TaskReply{TaskID: request.TaskID, Outcome: model.OutcomeNotRun, Reason: reason})
 		return
 	}
@@ -76,25 +98,25 @@
 }
 
 // begin takes a slot and records the start, or returns why it can't.
-func (w *Worker) begin(request model.StartRequest) (*attempt, string) {
+func (w *Worker) begin(a *attempt) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case w.faults.Leaving:
-		return nil, reasonLeaving
+		return reasonLeaving
 	case w.busy >= w.options.Slots:
-		return nil, reasonSlots
-	case exceeds(request.Needs, w.options.Capacity):
-		return nil, reasonNeeds
+		return reasonSlots
+	case exceeds(a.request.Needs, w.options.Capacity):
+		return reasonNeeds
 	case !w.server.enter():
-		return nil, reasonStopped
+		return reasonStopped
 	}
 
-	w.events.Add(Event{Event: EventStart, TaskID: request.TaskID, Attempt: request.Attempt, Worker: w.options.ID})
-	a := &attempt{request: request, cancel: make(chan struct{})}
+	w.events.Add(a.event(EventStart, w.options.ID, ""))
 	w.busy++
-	w.running[request.TaskID] = append(w.running[request.TaskID], a)
-	return a, ""
+	id := a.request.TaskID
+	w.running[id] = append(w.running[id], a)
+	return ""
 }
 
 // exceeds tells whether a need is larger than a capacity that is set.
@@ -114,13 +136,7 @@
 	reply.RunMillis = time.Since(started).Milliseconds()
 
 	w.finish(a)
-	w.events.Add(Event{
-		Event:   EventEnd,
-		TaskID:  a.request.TaskID,
-		Attempt: a.request.Attempt,
-		Worker:  w.options.ID,
-		Outcome: reply.Outcome,
-	})
+	w.events.Add(a.event(EventEnd, w.options.ID, reply.Outcome))
 	return reply
 }
 
@@ -129,20 +145,17 @@
 	if faults.FailEverything {
 		return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonFault}
 	}
-	var payload Payload
-	if len(a.request.Payload) > 0 {
-		if err := json.Unmarshal(a.request.Payload, &payload); err != nil {
-			return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonPayload}
-		}
+	if a.invalid {
+		return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonPayload}
 	}
 
-	if reason := w.wait(a, runTime(payload, faults)); reason != "" {
+	if reason := w.wait(a, runTime(a.payload, faults)); reason != "" {
 		return model.TaskReply{Outcome: model.OutcomeCancelled, Reason: reason}
 	}
-	if payload.Fail {
+	if a.payload.Fail {
 		return model.TaskReply{Outcome: model.OutcomeFailed, Reason: reasonTask}
 	}
-	return model.TaskReply{Outcome: model.OutcomeDone, Result: w.result(payload)}
+	return model.TaskReply{Outcome: model.OutcomeDone, Result: w.result(a.payload)}
 }
 
 func runTime(payload Payload, faults WorkerFaults) time.Duration {
--- a/fakes/worker_test.go
+++ b/fakes/worker_test.go
@@ -35,8 +35,8 @@
 		page.Events[i].AtMillis = 0
 	}
 	wantEvents := []fakes.Event{
-		{Event: fakes.EventStart, TaskID: "t/1", Attempt: 1, Worker: "w"},
-		{Event: fakes.EventEnd, TaskID: "t/1", Attempt: 1, Worker: "w", Outcome: model.OutcomeDone},
+		{Event: fakes.EventStart, TaskID: "t/1", Attempt: 1, Worker: "w", Nonce: "n"},
+		{Event: fakes.EventEnd, TaskID: "t/1", Attempt: 1, Worker: "w", Nonce: "n", Outcome: model.OutcomeDone},
 	}
 	if diff := cmp.Diff(wantEvents, page.Events); diff != "" {
 		t.Errorf("events (-want +got):\n%s", diff)
