daemon: take submissions through tickets, keys and hand-over

Four submissions of one ticket through two instances get one answer and each task starts once, also after the end (proof, separate processes).

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 
 	"foxtailmux/config"
@@ -47,6 +46,10 @@
 
 func (d *Daemon) load() model.Load { return d.sched.Load() }
 
+func (d *Daemon) peerView() peers {
+	return peers{self: d, group: d.peers, members: d.members}
+}
+
 func (d *Daemon) configInForce() (number int64, digest string) {
 	v := d.watcher.Current()
 	if v == nil {
@@ -83,7 +86,7 @@
 	d.relay = &relay.Relay{
 		DataCentre: d.self.DataCentre,
 		Local:      d.sched,
-		Peers:      peers{self: d.self.ID, group: d.peers, members: d.members},
+		Peers:      d.peerView(),
 		Observer:   d.meter,
 		SpillOver:  func() bool { return d.document().Placement.SpillOver },
 	}
@@ -115,35 +118,9 @@
 		ReadTimeout:    c.ReadTimeout,
 		IdleTimeout:    c.IdleTimeout,
 	}
-	d.entry = entry.NewServer(d.listeners.callers, limits, d.newIntake(), d.meter, d.maxOpenJobs)
+	d.entry = entry.NewServer(d.listeners.callers, limits, d.intake, d.meter, d.maxOpenJobs)
 }
 
 func (d *Daemon) maxOpenJobs() int {
 	return min(d.settings.Limits.OpenJobs, d.document().Limits.MaxOpenJobs)
 }
-
-// peers shows the relay the members that it may forward to.
-type peers struct {
-	self    string
-	group   *peer.Group
-	members *member.Group
-}
-
-func (p peers) Members() []relay.Member {
-	var list []relay.Member
-	for _, m := range p.members.Members() {
-		if m.State == member.StateAlive && m.Entry.ID != p.self {
-			list = append(list, relay.Member{
-				ID:         m.Entry.ID,
-				DataCentre: m.Entry.DataCentre,
-				Load:       m.Load,
-				LastHeard:  m.LastHeard,
-			})
-		}
-	}
-	return list
-}
-
-func (p peers) Call(ctx context.Context, peerID, method string, params, result any) error {
-	return p.group.Call(ctx, peerID, method, params, result)
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"foxtailmux/budget"
+	"foxtailmux/claim"
 	"foxtailmux/config"
 	"foxtailmux/entry"
+	"foxtailmux/intake"
 	"foxtailmux/kernel"
 	"foxtailmux/logger"
 	"foxtailmux/member"
@@ -24,6 +26,7 @@
 	"foxtailmux/sched"
 	"foxtailmux/setup"
 	"foxtailmux/table"
+	"foxtailmux/ticket"
 )
 
 // incarnationBytes is the length of the random part of an instance's identity
@@ -48,6 +51,10 @@
 	budget  *budget.Budget
 	runner  *runner.Runner
 	roster  *roster.Roster
+	tickets *ticket.Store
+	claimer *claim.Claimer
+	sweeper *claim.Sweeper
+	intake  *intake.Intake
 	entry   *entry.Server
 
 	leaving atomic.Bool
@@ -79,6 +86,7 @@
 	d.buildConfiguration()
 	d.buildPeers()
 	d.buildDispatch()
+	d.buildIntake()
 	d.buildFront()
 	d.addParts()
 	return d, nil
@@ -140,6 +148,7 @@
 	d.kernel.Add("roster", d.roster)
 	d.kernel.Add("attempts", kernel.Wrapped{OnStop: d.sched.Wait})
 	d.kernel.Add("forwards", kernel.Wrapped{OnStop: d.relay.Wait})
+	d.kernel.Add("intake", kernel.Wrapped{OnStop: d.closeIntake})
 	d.kernel.Add("callers", d.entry)
 }
 
@@ -170,8 +179,8 @@
 // Ready reports whether the instance takes new work.
 func (d *Daemon) Ready() bool { return d.watcher.Ready() }
 
-// Stop tells the peers, lets the balancer notice, ends what is in progress and
-// stops the parts.
+// Stop tells the peers, lets the balancer notice, hands over the tickets, ends
+// what is in progress and stops the parts.
 func (d *Daemon) Stop(ctx context.Context) error {
 	d.leaving.Store(true)
 	d.entry.Drain()
@@ -183,6 +192,9 @@
 	case <-ctx.Done():
 	}
 
+	if err := d.intake.HandOver(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("tickets not handed over")
+	}
 	err := d.kernel.Stop(ctx)
 	d.log.Info().Int("cutRequests", d.entry.Open()).Msg("stopped")
 	if err != nil {
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -2,40 +2,61 @@
 
 import (
 	"context"
+	"time"
 
+	"foxtailmux/claim"
+	"foxtailmux/intake"
 	"foxtailmux/model"
-	"foxtailmux/runner"
 	"foxtailmux/ticket"
 )
 
-// intake runs each submission on an id of its own.
-type intake struct {
-	store  *ticket.Store
-	runner *runner.Runner
-}
+// sweepInterval is the time between two pages of the removal of old claims.
+const sweepInterval = time.Minute
 
-func (d *Daemon) newIntake() *intake {
-	limits := func() ticket.Limits {
+func (d *Daemon) buildIntake() {
+	d.tickets = ticket.NewStore(d.self.Incarnation, func() ticket.Limits {
 		l := d.document().Limits
 		return ticket.Limits{MaxOpen: l.MaxOpenTickets, Retention: l.TicketRetention}
+	})
+	d.claimer = claim.New(d.table, claim.Options{
+		Interval: func() time.Duration { return d.document().Intervals.ClaimGroup },
+	})
+	d.sweeper = claim.NewSweeper(d.table,
+		func() time.Duration { return sweepInterval },
+		func() time.Duration { return d.document().Limits.KeyRetention },
+	)
+
+	options := intake.Options{
+		Incarnation: d.self.Incarnation,
+		Deadline:    d.deadlineOf,
+		Retention:   func() time.Duration { return d.document().Limits.TicketRetention },
 	}
-	return &intake{store: ticket.NewStore(d.self.Incarnation, limits), runner: d.runner}
-}
-
-func (i *intake) Submit(ctx context.Context, job model.Job) model.Answer {
-	e := i.store.Start()
-	answer := i.runner.Run(ctx, e.ID(), job)
-	e.Finish(answer)
-	return answer
+	d.intake = intake.New(options, d.tickets, d.claimer, d.runner, d.peerView())
 }
 
-func (i *intake) Tickets(n int) (model.TicketBatch, error) {
-	ids, err := i.store.Mint(n)
-	return model.TicketBatch{Tickets: ids}, err
+// deadlineOf returns how long a job may take by its declaration or else by its
+// service.
+func (d *Daemon) deadlineOf(job model.Job) time.Duration {
+	document := d.document()
+	service, ok := document.Service(job.Service)
+	if !ok {
+		service = service.WithDefaults()
+	}
+	if job.DeadlineMillis <= 0 {
+		return service.DefaultDeadline
+	}
+	return min(time.Duration(job.DeadlineMillis)*time.Millisecond, service.MaxDeadline)
 }
 
-func (i *intake) Status(_ context.Context, id string) (model.JobStatus, error) {
-	return i.store.Lookup(id)
+// closeIntake ends the parts that take submissions, the first one first.
+func (d *Daemon) closeIntake(ctx context.Context) error {
+	d.intake.Close(ctx)
+	d.claimer.Close()
+	d.sweeper.Close()
+	d.tickets.Close()
+
+	<-d.claimer.Done()
+	<-d.sweeper.Done()
+	<-d.tickets.Done()
+	return nil
 }
-
-func (i *intake) Cancel(_ context.Context, id string) error { return i.store.Cancel(id) }
--- /dev/null
+++ b/proof/ticket_test.go
@@ -0,0 +1,133 @@
+package proof
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/fakes"
+	"foxtailmux/model"
+)
+
+// cell is a data centre with a platform and workers in the test's process and
+// entry instances in their own.
+type cell struct {
+	platform *fakes.Platform
+	fleet    *fakes.Fleet
+	entries  []*process
+	addrs    []string
+}
+
+func startCell(t *testing.T, entries, workers int) *cell {
+	t.Helper()
+
+	platform, err := fakes.StartPlatform(fakes.PlatformOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	fleet, err := fakes.StartFleet(fakes.FleetOptions{
+		Count: workers, Name: "w", Pool: "quoting", DataCentres: []string{"kochi"},
+		Capacity: model.Needs{Cores: 64, MemoryMB: 128_000},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Close)
+	for _, w := range fleet.Workers {
+		platform.PutWorker(w.Describe())
+	}
+
+	applyExample(t, platform.Addr())
+	c := &cell{platform: platform, fleet: fleet}
+	for i := range entries {
+		c.add(t, i)
+	}
+	for _, addr := range c.addrs {
+		waitServing(t, addr)
+	}
+	return c
+}
+
+func (c *cell) add(t *testing.T, index int) {
+	t.Helper()
+
+	var flags []string
+	if index > 0 {
+		flags = []string{"--peers.seeds", c.entries[0].field("peers")}
+	}
+	p := startEntry(t, "entry-"+string(rune('1'+index)), c.platform.Addr(), flags...)
+	c.entries = append(c.entries, p)
+	c.addrs = append(c.addrs, p.field("callers"))
+}
+
+// starts counts the starts of each nonce on all workers.
+func (c *cell) starts(t *testing.T) map[string]int {
+	t.Helper()
+
+	counts := map[string]int{}
+	for _, w := range c.fleet.Workers {
+		page := w.Events()
+		if page.Dropped > 0 {
+			t.Fatalf("%d events were dropped", page.Dropped)
+		}
+		for _, e := range page.Events {
+			if e.Event == fakes.EventStart {
+				counts[e.Nonce]++
+			}
+		}
+	}
+	return counts
+}
+
+func (c *cell) ticket(t *testing.T, addr string) string {
+	t.Helper()
+
+	var batch model.TicketBatch
+	if err := newCaller(addr).post("/v1/tickets", map[string]int{"count": 1}, &batch); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(1, len(batch.Tickets)); diff != "" {
+		t.Fatalf("tickets (-want +got):\n%s", diff)
+	}
+	return batch.Tickets[0]
+}
+
+func TestResubmissionThroughAnotherInstanceGetsTheSameAnswer(t *testing.T) {
+	c := startCell(t, 2, 4)
+	job := quote("joined", 3, 300*time.Millisecond)
+	job.Ticket = c.ticket(t, c.addrs[0])
+
+	answers := make(chan model.Answer, 4)
+	for i := range 4 {
+		go func() {
+			a, err := newCaller(c.addrs[i%2]).submit(job)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- a
+		}()
+	}
+	first := <-answers
+	checkWhole(t, "joined", 3, first)
+	for range 3 {
+		if diff := cmp.Diff(first, <-answers); diff != "" {
+			t.Errorf("answers differ (-first +other):\n%s", diff)
+		}
+	}
+
+	after, err := newCaller(c.addrs[1]).submit(job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(first, after); diff != "" {
+		t.Errorf("answer after the end differs (-first +later):\n%s", diff)
+	}
+	starts := c.starts(t)
+	for i := range 3 {
+		if diff := cmp.Diff(1, starts[nonce("joined", i)]); diff != "" {
+			t.Errorf("starts of task %d (-want +got):\n%s", i, diff)
+		}
+	}
+}
