--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -17,6 +17,7 @@
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
+	"foxtailmux/fakes"
 	"foxtailmux/load"
 )
 
@@ -33,6 +34,7 @@
 	runID      string
 	workers    int
 	experiment string
+	events     []string
 	json       string
 	plot       string
 }
@@ -72,6 +74,7 @@
 	flags.Float64Var(&s.run.TimeScale, 0, "timeScale", 1, "factor of run times and deadlines")
 	flags.IntVar(&s.run.MaxOutstanding, 0, "maxOutstanding", 0, "bound of jobs in flight, 0 for the default")
 	flags.StringVar(&s.experiment, 0, "experiment", "", "YAML file that describes variants to compare")
+	flags.StringListVar(&s.events, 0, "events", "file of events that the workers append to, to compare the answers with; may be given several times")
 	flags.StringVar(&s.json, 0, "json", "", "file for the report as JSON")
 	flags.StringVar(&s.plot, 0, "plot", "", "file for a plot as PNG")
 	return flags
@@ -115,16 +118,48 @@
 	s.run.Preset = preset
 	s.run.RunID = s.runID
 
+	s.run.History = &load.History{}
+
 	report, curves, err := load.RunCurves(ctx, s.run)
 	if err != nil {
 		return err
 	}
+	if err := s.verify(&report); err != nil {
+		return err
+	}
 	if err := s.write(report, curves); err != nil {
 		return err
 	}
 	return report.Err()
 }
 
+// verify compares the answers of the run with the workers' events, if their
+// files are given.
+func (s *settings) verify(report *load.Report) error {
+	if len(s.events) == 0 {
+		return nil
+	}
+	var all []fakes.Event
+	for _, name := range s.events {
+		events, err := readEvents(name)
+		if err != nil {
+			return err
+		}
+		all = append(all, events...)
+	}
+	report.Add(s.run.History.Verify(all))
+	return nil
+}
+
+func readEvents(name string) ([]fakes.Event, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return fakes.ReadEvents(file)
+}
+
 func (s *settings) compare(ctx context.Context) error {
 	content, err := os.ReadFile(s.experiment)
 	if err != nil {
--- a/fakes/events.go
+++ b/fakes/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"sync"
 	"time"
@@ -77,3 +78,21 @@
 	defer l.mu.Unlock()
 	return l.failure
 }
+
+// ReadEvents reads events that a log wrote as JSON lines. It fails with
+// KindRequest on a line that isn't an event.
+func ReadEvents(r io.Reader) ([]Event, error) {
+	var events []Event
+	decoder := json.NewDecoder(r)
+	for {
+		var e Event
+		err := decoder.Decode(&e)
+		if errors.Is(err, io.EOF) {
+			return events, nil
+		}
+		if err != nil {
+			return nil, &Error{Op: "read events", Kind: KindRequest, Err: err}
+		}
+		events = append(events, e)
+	}
+}
--- a/load/clust.go
+++ b/load/clust.go
@@ -100,24 +100,14 @@
 	return targets
 }
 
-// DoubleStarts returns the ids of tasks with more than one start event, and
-// how many events are no longer held and so could not be looked at.
-func (c *Cluster) DoubleStarts() (ids []string, dropped int64) {
-	starts := map[string]int{}
+// Events returns the events of all workers, and how many are no longer held.
+func (c *Cluster) Events() (events []fakes.Event, dropped int64) {
 	for _, w := range c.Fleet.Workers {
 		page := w.Events()
+		events = append(events, page.Events...)
 		dropped += page.Dropped
-		for _, e := range page.Events {
-			if e.Event != fakes.EventStart {
-				continue
-			}
-			starts[e.TaskID]++
-			if starts[e.TaskID] == 2 {
-				ids = append(ids, e.TaskID)
-			}
-		}
 	}
-	return ids, dropped
+	return events, dropped
 }
 
 // Close stops the entry instances, then the workers and the platform.
--- a/load/record.go
+++ b/load/record.go
@@ -139,7 +139,7 @@
 		r.report.Refusals[string(o.answer.Error.Kind)]++
 	}
 	if o.finding != nil {
-		r.addFinding(*o.finding)
+		r.report.Add([]Finding{*o.finding})
 	}
 }
 
@@ -149,14 +149,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.addFinding(*f)
-}
-
-func (r *recorder) addFinding(f Finding) {
-	r.report.Violations[string(f.Violation)]++
-	if len(r.report.Findings) < maxFindings {
-		r.report.Findings = append(r.report.Findings, f)
-	}
+	r.report.Add([]Finding{*f})
 }
 
 func (r *recorder) addNeverFits(o outcome) {
--- a/load/report.go
+++ b/load/report.go
@@ -65,6 +65,16 @@
 	Overhead        Quantiles `json:"overhead"`
 }
 
+// Add puts further findings into the report.
+func (r *Report) Add(findings []Finding) {
+	for _, f := range findings {
+		r.Violations[string(f.Violation)]++
+		if len(r.Findings) < maxFindings {
+			r.Findings = append(r.Findings, f)
+		}
+	}
+}
+
 // Err returns an Error with KindViolation when an answer broke its contract.
 func (r Report) Err() error {
 	count := sum(r.Violations)
--- a/load/run.go
+++ b/load/run.go
@@ -23,6 +23,7 @@
 	Duration       time.Duration
 	Warmup         time.Duration // arrivals before it are sent but not recorded
 	MaxOutstanding int           // bound of jobs in flight; 0 takes the default
+	History        *History      // takes every answer; may be nil
 }
 
 // Limits of a run.
@@ -226,6 +227,9 @@
 	if err == nil {
 		o.finding = Check(s, status, answer)
 	}
+	if r.options.History != nil {
+		r.options.History.Observe(s, answer)
+	}
 	return o
 }
 
