--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -71,7 +71,7 @@
 	flags.DurationVar(&s.run.Duration, 0, "duration", 10*time.Second, "time during which jobs arrive")
 	flags.DurationVar(&s.run.Warmup, 0, "warmup", 0, "first part of the duration that isn't recorded")
 	flags.Float64Var(&s.run.Utilisation, 0, "utilisation", 0.8, "mean load as a share of the capacity")
-	flags.Float64Var(&s.run.TimeScale, 0, "timeScale", 1, "factor of run times and deadlines")
+	flags.Float64Var(&s.run.TimeScale, 0, "timeScale", 1, "factor of run times, deadlines, bursts and waves")
 	flags.IntVar(&s.run.MaxOutstanding, 0, "maxOutstanding", 0, "bound of jobs in flight, 0 for the default")
 	flags.StringVar(&s.experiment, 0, "experiment", "", "YAML file that describes variants to compare")
 	flags.StringListVar(&s.events, 0, "events", "file of events that the workers append to, to compare the answers with; may be given several times")
--- a/load/exper.go
+++ b/load/exper.go
@@ -172,12 +172,12 @@
 // spread is the lowest and the highest of the runs.
 func (c Comparison) WriteTable(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "variant\tround\tseed\tjobs\toverhead p50\tp99\tp99.9\twork in time\tneeded\twasted\tviolations")
+	fmt.Fprintln(w, "variant\tround\tseed\tjobs\toverhead p50\tp99\tp99.9\twork in time\tneeded\twasted\tno answer\tviolations")
 	for _, v := range c.Variants {
 		for round, r := range v.Runs {
-			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t%s\t%s\t%d\n", v.Name, round+1, r.Seed, r.Jobs,
+			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t%s\t%s\t%d\t%d\n", v.Name, round+1, r.Seed, r.Jobs,
 				r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.WorkInTimeShare,
-				r.perTask(r.NeededPerTask), r.perTask(r.WastedPerTask), sum(r.Violations))
+				r.perTask(r.NeededPerTask), r.perTask(r.WastedPerTask), sum(r.TransportErrors), sum(r.Violations))
 		}
 	}
 
--- a/load/gen.go
+++ b/load/gen.go
@@ -31,7 +31,7 @@
 	Preset      Preset
 	Seed        uint64
 	RunID       string  // part of every nonce and key
-	TimeScale   float64 // multiplies run times and deadlines
+	TimeScale   float64 // multiplies run times, deadlines, bursts and waves
 	Utilisation float64 // share of the capacity that the mean load takes
 }
 
@@ -60,6 +60,8 @@
 
 // NewGenerator returns a generator at the start of its run.
 func NewGenerator(options GeneratorOptions) *Generator {
+	options.Preset.Burst = options.Preset.Burst.scaled(options.TimeScale)
+	options.Preset.Waves = options.Preset.Waves.scaled(options.TimeScale)
 	g := &Generator{
 		options: options,
 		random:  rand.New(rand.NewPCG(options.Seed, streamSubmissions)),
@@ -72,6 +74,18 @@
 	return g
 }
 
+func (b Burst) scaled(factor float64) Burst {
+	b.Every = scale(b.Every, factor)
+	b.Length = scale(b.Length, factor)
+	return b
+}
+
+func (w Waves) scaled(factor float64) Waves {
+	w.Every = scale(w.Every, factor)
+	w.Window = scale(w.Window, factor)
+	return w
+}
+
 // share returns the share of time that bursts take.
 func (b Burst) share() float64 {
 	if b.Every <= 0 {
