admin: serve the operators' port

While no configuration is in force only health, readiness and status answer: an instance that does not know its keys yet is not one without keys.

--- /dev/null
+++ b/admin/routes.go
@@ -0,0 +1,120 @@
+package admin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"github.com/rotisserie/eris"
+
+	"foxtailmux/config"
+)
+
+// maxStateBytes bounds the answer to /state.
+const maxStateBytes = 4 << 20
+
+// Failure is the body of every answer that is an error.
+type Failure struct {
+	Error string `json:"error"`
+}
+
+// LogLevel is the body of PUT /v1/logLevel.
+type LogLevel struct {
+	Level string `json:"level"`
+}
+
+func (s *Server) routes() {
+	read, operate := s.require(config.RoleRead), s.require(config.RoleOperate)
+	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
+	s.app.Get("/readyz", s.ready)
+	s.app.Get("/metrics", read, adaptor.HTTPHandler(s.options.Metrics))
+	s.app.Get("/state", read, s.state)
+	s.app.Get("/v1/config", read, s.version)
+	s.app.Get(config.StatusPath, s.statusAccess(read), s.status)
+	s.app.Put("/v1/logLevel", operate, s.setLogLevel)
+	for name, operation := range s.options.Operations {
+		s.app.Post("/v1/"+name, operate, s.operation(operation))
+	}
+}
+
+// statusAccess opens the status while there is no configuration, since it
+// then says why.
+func (s *Server) statusAccess(read fiber.Handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		if s.options.Version() == nil {
+			return c.Next()
+		}
+		return read(c)
+	}
+}
+
+func (s *Server) ready(c fiber.Ctx) error {
+	if err := s.options.Ready(); err != nil {
+		return fail(c, http.StatusServiceUnavailable, err.Error())
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) state(c fiber.Ctx) error {
+	data, err := json.Marshal(s.options.State())
+	if err != nil {
+		return eris.Wrap(err, "encode the state")
+	}
+	if len(data) > maxStateBytes {
+		return fail(c, http.StatusInternalServerError, fmt.Sprintf("the state has %d bytes, more than %d", len(data), maxStateBytes))
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(data)
+}
+
+func (s *Server) version(c fiber.Ctx) error {
+	v := s.options.Version()
+	if v == nil {
+		return fail(c, http.StatusServiceUnavailable, "no configuration is in force yet")
+	}
+	return c.JSON(v)
+}
+
+func (s *Server) status(c fiber.Ctx) error {
+	return c.JSON(s.options.Status())
+}
+
+func (s *Server) setLogLevel(c fiber.Ctx) error {
+	var level LogLevel
+	if err := json.Unmarshal(c.Body(), &level); err != nil {
+		return fail(c, http.StatusBadRequest, "the body must be JSON: "+err.Error())
+	}
+	if err := s.options.SetLogLevel(level.Level); err != nil {
+		return fail(c, http.StatusBadRequest, err.Error())
+	}
+	return c.JSON(level)
+}
+
+func (s *Server) operation(run Operation) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		body := c.Body()
+		if len(body) > 0 && !json.Valid(body) {
+			return fail(c, http.StatusBadRequest, "the body must be JSON")
+		}
+		result, err := run(c.Context(), append(json.RawMessage(nil), body...))
+		if err != nil {
+			return fail(c, http.StatusUnprocessableEntity, err.Error())
+		}
+		return c.JSON(result)
+	}
+}
+
+func fail(c fiber.Ctx, status int, reason string) error {
+	return c.Status(status).JSON(Failure{Error: reason})
+}
+
+func answerError(c fiber.Ctx, err error) error {
+	var known *fiber.Error
+	if errors.As(err, &known) {
+		return fail(c, known.Code, known.Message)
+	}
+	return fail(c, http.StatusInternalServerError, err.Error())
+}
--- a/config/report.go
+++ b/config/report.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -132,7 +133,7 @@
 			continue
 		}
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Status.Instance, s.Status.DataCentre, s.Addr,
-			s.Status.Version, short(s.Status.Digest), sinceText(s.Status.SinceMillis), s.Status.Error)
+			s.Status.Version, short(s.Status.Digest), sinceText(s.Status.SinceMillis), cmp.Or(s.Status.Error, "-"))
 	}
 	if err := t.Flush(); err != nil {
 		return err
