peer: deliver the parameters of a call byte for byte

Cause: the jsonrpc2 library decodes the parameters of a request into a map and encodes them again, which sorts keys and rewrites escapes. Ruled out: the digest itself (stable over a round trip of encoding/json), the claim row, reused buffers. Parameters now travel as one string.

--- a/peer/call.go
+++ b/peer/call.go
@@ -16,23 +16,35 @@
 type connSource func(l *link, ctx context.Context) (*conn, error)
 
 // Call sends a request to a peer and decodes the answer into result, which
-// may be nil. Every error is an *Error. The request is written at most once.
+// may be nil. The bytes of a json.RawMessage in the parameters arrive
+// unchanged. Every error is an *Error. The request is written at most once.
 func (g *Group) Call(ctx context.Context, peerID, method string, params, result any) error {
-	return g.call(ctx, (*link).get, peerID, method, params, result)
+	raw, err := encode(params)
+	if err == nil {
+		raw, err = wrap(raw)
+	}
+	if err != nil {
+		return encodeError(method, err)
+	}
+	return g.call(ctx, (*link).get, peerID, method, raw, result)
 }
 
 // Ask is Call without the probe of a connection that was silent. It suits
-// heartbeats, which are a probe themselves and may be lost.
+// heartbeats, which are a probe themselves and may be lost. The parameters
+// must encode as a JSON object, whose keys may arrive in another order.
 func (g *Group) Ask(ctx context.Context, peerID, method string, params, result any) error {
-	return g.call(ctx, (*link).getUnproven, peerID, method, params, result)
-}
-
-func (g *Group) call(ctx context.Context, source connSource, peerID, method string, params, result any) error {
 	raw, err := encode(params)
 	if err != nil {
-		return &Error{Op: method, Kind: NotSent, Err: eris.Wrap(err, "encode parameters")}
+		return encodeError(method, err)
 	}
+	return g.call(ctx, (*link).getUnproven, peerID, method, raw, result)
+}
+
+func encodeError(method string, err error) error {
+	return &Error{Op: method, Kind: NotSent, Err: eris.Wrap(err, "encode parameters")}
+}
 
+func (g *Group) call(ctx context.Context, source connSource, peerID, method string, raw json.RawMessage, result any) error {
 	l := g.link(peerID)
 	if l == nil {
 		return &Error{Op: method, Kind: NoPeer, Err: eris.Errorf("peer %q is unknown", peerID)}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -105,7 +105,10 @@
 func run(ctx context.Context, req *jsonrpc2.Request, handler Handler) (result any, err error) {
 	var params json.RawMessage
 	if req.Params != nil {
-		params = *req.Params
+		params, err = unwrap(*req.Params)
+		if err != nil {
+			return nil, err
+		}
 	}
 
 	recovered := panics.Try(func() {
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -131,3 +131,46 @@
 		}
 	}
 }
+
+func TestKeyedJobThroughAnotherInstanceGetsTheSameAnswer(t *testing.T) {
+	c := startCell(t, 3, 4)
+	job := quote("keyed", 2, 100*time.Millisecond)
+	job.IdempotencyKey = "order-17"
+
+	answers := make(chan model.Answer, len(c.addrs))
+	for _, addr := range c.addrs {
+		go func() {
+			a, err := newCaller(addr).submit(job)
+			if err != nil {
+				t.Error(err)
+			}
+			answers <- a
+		}()
+	}
+	first := <-answers
+	checkWhole(t, "keyed", 2, first)
+	for range len(c.addrs) - 1 {
+		if diff := cmp.Diff(first, <-answers); diff != "" {
+			t.Errorf("answers differ (-first +other):\n%s", diff)
+		}
+	}
+
+	other := quote("other", 2, 0)
+	other.IdempotencyKey = job.IdempotencyKey
+	a, err := newCaller(c.addrs[0]).submit(other)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.Error == nil || a.Error.Kind != model.FailKeyConflict {
+		t.Errorf("another job on the key: %+v, want a key conflict", a)
+	}
+	starts := c.starts(t)
+	for _, n := range []string{nonce("keyed", 0), nonce("keyed", 1)} {
+		if diff := cmp.Diff(1, starts[n]); diff != "" {
+			t.Errorf("starts of %s (-want +got):\n%s", n, diff)
+		}
+	}
+	if diff := cmp.Diff(0, starts[nonce("other", 0)]); diff != "" {
+		t.Errorf("starts of the other job (-want +got):\n%s", diff)
+	}
+}
