runner, relay: answer a cancelled job by what is known to have run

Cause: the call that carries a forwarded batch ended with the job's context, so a cancelled or late job came back as workerLost, ran maybe, though the peer knew.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -81,10 +81,16 @@
 }
 
 func (s *Server) deleteJob(c fiber.Ctx) error {
-	if err := s.intake.Cancel(c.Context(), c.Params("id")); err != nil {
+	id := c.Params("id")
+	if err := s.intake.Cancel(c.Context(), id); err != nil {
 		return s.sendError(c, err)
 	}
-	return c.SendStatus(http.StatusAccepted)
+	return c.Status(http.StatusAccepted).JSON(cancelReply{JobID: id})
+}
+
+// cancelReply says that the job with this id is being stopped.
+type cancelReply struct {
+	JobID string `json:"jobId"`
 }
 
 func (s *Server) sendError(c fiber.Ctx, err error) error {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -60,6 +60,7 @@
 	m.retries = counters("retries_total", "Attempts after the first, by reason.", "reason")
 	m.forwards = counters("forwards_total", "Jobs forwarded to a peer, by outcome.", "outcome")
 	m.messages = counters("messages_total", "Messages sent, by whether they were needed, and by kind.", "purpose", "kind")
+	m.messages.WithLabelValues("needed", "start") // shown as 0 before the first one
 	m.unauthorized = counter("unauthorized_total", "Requests of operators without a valid key.")
 	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, by direction.", "direction")
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -14,8 +14,13 @@
 	"foxtailmux/queue"
 )
 
-// cancelTimeout bounds the call that cancels a forwarded batch.
-const cancelTimeout = time.Second
+const (
+	// cancelTimeout bounds the call that cancels a forwarded batch.
+	cancelTimeout = time.Second
+
+	// cancelGrace is how long a cancelled batch may still tell what ran.
+	cancelGrace = 500 * time.Millisecond
+)
 
 // Scheduler starts tasks on the workers of this instance.
 type Scheduler interface {
@@ -124,12 +129,29 @@
 	r.forwards.Go(func() {
 		defer r.addInFlight(peerID, -len(items))
 
+		ctx, cancel := r.outlive(j, peerID)
+		defer cancel()
+
 		var reply BatchReply
-		err := r.Peers.Call(j.Context, peerID, MethodRun, batchOf(j, items), &reply)
-		r.settle(j, peerID, items, reply, err)
+		err := r.Peers.Call(ctx, peerID, MethodRun, batchOf(j, items), &reply)
+		r.settle(j, items, reply, err)
 	})
 }
 
+// outlive returns a context that ends a while after the job's, so that the
+// peer can tell what became of the tasks that it is then asked to stop.
+func (r *Relay) outlive(j *queue.Job, peerID string) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(j.Context))
+	release := context.AfterFunc(j.Context, func() {
+		time.AfterFunc(cancelGrace, cancel)
+		r.cancelThere(peerID, j.ID)
+	})
+	return ctx, func() {
+		release()
+		cancel()
+	}
+}
+
 func (r *Relay) addInFlight(peerID string, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -140,7 +162,7 @@
 	r.inFlight[peerID] += n
 }
 
-func (r *Relay) settle(j *queue.Job, peerID string, items []*queue.Item, reply BatchReply, err error) {
+func (r *Relay) settle(j *queue.Job, items []*queue.Item, reply BatchReply, err error) {
 	switch {
 	case err == nil && len(reply.Outcomes) == len(items):
 		r.Observer.Forwarded("answered")
@@ -153,7 +175,6 @@
 		r.Observer.Forwarded("unknown")
 		r.Observer.Message("wasted", "forward")
 		deliverUnknown(items, err)
-		r.cancelThere(peerID, j.ID)
 	}
 }
 
--- a/runner/gather.go
+++ b/runner/gather.go
@@ -8,8 +8,8 @@
 	"foxtailmux/queue"
 )
 
-// gather collects the outcomes of a job's tasks. It is decided when every
-// task has ended or one has failed.
+// gather collects the outcomes of a job's tasks. Failed is closed with the
+// first failure, ended when every task has ended.
 type gather struct {
 	id string
 
@@ -20,8 +20,8 @@
 	unknown bool
 	failure *model.Failure
 
-	decided chan struct{}
-	ended   chan struct{}
+	failed chan struct{}
+	ended  chan struct{}
 }
 
 func newGather(id string, tasks int) *gather {
@@ -29,7 +29,7 @@
 		id:      id,
 		results: make([]json.RawMessage, tasks),
 		pending: tasks,
-		decided: make(chan struct{}),
+		failed:  make(chan struct{}),
 		ended:   make(chan struct{}),
 	}
 }
@@ -63,9 +63,6 @@
 		g.started = true
 		g.fail(model.FailWorkerError, "a task failed: "+o.Reply.Reason)
 	}
-	if g.pending == 0 && g.failure == nil {
-		close(g.decided)
-	}
 }
 
 // fail keeps the first failure. The lock is held.
@@ -74,16 +71,17 @@
 		return
 	}
 	g.failure = &model.Failure{Kind: kind, Reason: reason}
-	close(g.decided)
+	close(g.failed)
 }
 
-// refuse fails the job before or beside its tasks.
+// refuse fails the job unless each of its tasks has ended.
 func (g *gather) refuse(f model.Failure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	g.fail(f.Kind, f.Reason)
-	g.failure.RetryAfterMillis = max(g.failure.RetryAfterMillis, f.RetryAfterMillis)
+	if g.pending > 0 {
+		g.fail(f.Kind, f.Reason)
+	}
 }
 
 // answer builds the caller's answer from what is known now.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,8 +14,8 @@
 	"foxtailmux/quota"
 )
 
-// settleGrace is how long a decided job waits for its other tasks, so that
-// the answer can say what ran.
+// settleGrace is how long a failed job waits for its other tasks, so that the
+// answer can say what ran.
 const settleGrace = 100 * time.Millisecond
 
 // Scheduler starts tasks on the workers of this instance.
@@ -100,13 +100,13 @@
 	return g.answer()
 }
 
-// await returns when every task has ended, or when the job is decided and the
+// await returns when every task has ended, or when the job has failed and the
 // rest had its time to say what became of it.
 func (r *Runner) await(ctx context.Context, g *gather, cancel func()) {
 	select {
 	case <-g.ended:
 		return
-	case <-g.decided:
+	case <-g.failed:
 	case <-ctx.Done():
 		g.refuse(endedFailure(ctx))
 	}
@@ -151,6 +151,9 @@
 // deliver records an outcome, or starts a repeatable task again while the
 // budget allows it.
 func (r *Runner) deliver(g *gather, j *queue.Job, it *queue.Item, plan plan, index int, o queue.Outcome) {
+	if j.Context.Err() != nil {
+		g.refuse(endedFailure(j.Context))
+	}
 	if plan.repeatable && failed(o) && j.Context.Err() == nil && r.retry(j, it, plan) {
 		return
 	}
