fakes: prove that a silent connection starts nothing

Mutations of the stand-ins survived where a silent connection still read requests and where scans were unsorted with three keys; both are caught now.

--- a/fakes/platform_test.go
+++ b/fakes/platform_test.go
@@ -49,7 +49,7 @@
 func TestScanPagesInKeyOrder(t *testing.T) {
 	p := startPlatform(t, fakes.PlatformOptions{})
 	base := "http://" + p.Addr()
-	for _, key := range []string{"k3", "k1", "other", "k2"} {
+	for _, key := range []string{"k3", "k1", "other", "k6", "k2", "k5", "k4", "k7"} {
 		mustSend(t, http.MethodPost, base+table.TransactionPath, put(key, "0", 0), nil)
 	}
 
@@ -64,7 +64,7 @@
 		}
 		more = page.More
 	}
-	if diff := cmp.Diff([]string{"k1", "k2", "k3"}, pages); diff != "" {
+	if diff := cmp.Diff([]string{"k1", "k2", "k3", "k4", "k5", "k6", "k7"}, pages); diff != "" {
 		t.Errorf("keys (-want +got):\n%s", diff)
 	}
 }
--- a/fakes/worker_test.go
+++ b/fakes/worker_test.go
@@ -144,7 +144,8 @@
 	waitFor(t, "the connection is accepted", func() bool { return w.Connections() == 1 })
 	mustSend(t, http.MethodPost, "http://"+w.Addr()+fakes.FaultsPath, fakes.WorkerFaults{Silent: true}, nil)
 
-	if _, err := fmt.Fprintf(old, "GET %s HTTP/1.1\r\nHost: w\r\n\r\n", fakes.StatusPath); err != nil {
+	body := `{"taskId":"t"}`
+	if _, err := fmt.Fprintf(old, "POST %s HTTP/1.1\r\nHost: w\r\nContent-Length: %d\r\n\r\n%s", fakes.TasksPath, len(body), body); err != nil {
 		t.Fatal(err)
 	}
 	if status := mustSend(t, http.MethodGet, "http://"+w.Addr()+fakes.StatusPath, nil, nil); status != http.StatusOK {
@@ -155,6 +156,9 @@
 	if timeout, ok := err.(net.Error); n != 0 || !ok || !timeout.Timeout() {
 		t.Errorf("old connection read %d bytes, %v; want a timeout", n, err)
 	}
+	if got := starts(w, "t"); got != 0 {
+		t.Errorf("%d starts over the silent connection", got)
+	}
 }
 
 func TestConnectionsAboveTheLimitAreClosed(t *testing.T) {
