demo: run stand-ins and two instances in one process

Lines of the peers' log at debug level still reach stderr, since member logs to the default logger and not to that of the instance.

--- a/subcmd/demo.go
+++ b/subcmd/demo.go
@@ -7,8 +7,8 @@
 	"github.com/peterbourgon/ff/v4"
 )
 
-// Demo runs a platform, workers and an entry instance in this process, sends
-// jobs through them and prints a table. The main package sets it; while it is
+// Demo runs a platform, workers and entry instances in this process, sends
+// jobs through them, checks the answers and prints a table. The main package sets it; while it is
 // nil the command fails.
 var Demo func(ctx context.Context, stdout, stderr io.Writer) error
 
@@ -22,9 +22,10 @@
 	return &ff.Command{
 		Name:      "demo",
 		Usage:     program + " demo",
-		ShortHelp: "run jobs through an instance with stand-ins",
-		LongHelp: longHelp("Runs a stand-in platform, stand-in workers and an entry instance in this\n"+
-			"process, over TCP on 127.0.0.1, and prints what became of the jobs.", demoExample),
+		ShortHelp: "run jobs through two instances with stand-ins",
+		LongHelp: longHelp("Runs a stand-in platform, stand-in workers and two entry instances in this\n"+
+			"process, over TCP on 127.0.0.1, checks every answer and prints what became of\n"+
+			"the jobs. Exits with 1 if a check fails.", demoExample),
 		Flags: noFlags("demo"),
 		Exec: func(ctx context.Context, args []string) error {
 			if err := noArgs("demo", args); err != nil {
