entry: answer every refusal as JSON and log requests

Requests that the HTTP library refuses (413, 431, 408, 404, 405, 501, broken HTTP) and those above the connection limit were answered as text or not at all; each is now an answer with kind and ran. A compressed body is refused with 415, since the library would have unpacked it past the body limit, and a body is JSON whatever its content type. Answers about an id that is not known said ran 'no', though its job may have run; they now say 'maybe' and thisAttempt 'no'. An error of the library's other than a refusal says 'maybe' too. A write timeout keeps a caller that does not read from holding up a shutdown.

A plain job is cancelled when its caller closes the connection; the socket is peeked at every 250 ms. Jobs on a ticket or key run on.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -2,8 +2,9 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
-	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -14,30 +15,57 @@
 	"foxtailmux/model"
 )
 
-// failureError is an error that knows how to tell a caller of it.
-type failureError interface {
-	error
-	Failure() model.Failure
-}
+// overloadDelay is when a caller may try again that was refused because too
+// many jobs are open.
+const overloadDelay = 500 * time.Millisecond
 
 func (s *Server) postJob(c fiber.Ctx) error {
-	var job model.Job
-	if err := decode(c.Body(), &job); err != nil {
-		return s.send(c, refuse(model.FailBadRequest, err.Error()))
-	}
-
+	r := newRequest(c)
 	if int(s.open.Add(1)) > s.openJobs() {
 		s.open.Add(-1)
-		return s.send(c, refuse(model.FailOverloaded, errTooManyJobs.Error()))
+		return s.answer(r, tooManyJobs())
 	}
 	defer s.open.Add(-1)
 
-	began := time.Now()
-	answer := s.intake.Submit(c.Context(), job)
+	if failure := s.readJob(c, &r.job); failure != nil {
+		return s.answer(r, refuse(failure.Kind, failure.Reason))
+	}
+
+	answer := s.submit(c, r.job)
 	if answer.Result == model.Complete {
-		s.observer.Response(time.Since(began), ideal(job))
+		s.observer.Response(time.Since(r.began), ideal(r.job))
+	}
+	return s.answer(r, answer)
+}
+
+func tooManyJobs() model.Answer {
+	a := refuse(model.FailOverloaded, "too many jobs are open on this instance")
+	a.Error.RetryAfterMillis = overloadDelay.Milliseconds()
+	return a
+}
+
+func (s *Server) readJob(c fiber.Ctx, job *model.Job) *model.Failure {
+	if err := decode(c.BodyRaw(), job); err != nil {
+		return &model.Failure{Kind: model.FailBadRequest, Reason: err.Error()}
+	}
+	if limit := s.limits.maxTasks(); len(job.Tasks) > limit {
+		reason := fmt.Sprintf("the job has %d tasks, allowed are %d", len(job.Tasks), limit)
+		return &model.Failure{Kind: model.FailTooLarge, Reason: reason}
+	}
+	return nil
+}
+
+// submit runs a job. One without ticket and key is cancelled when its caller
+// goes away, since nobody could ask for its answer.
+func (s *Server) submit(c fiber.Ctx, job model.Job) model.Answer {
+	if job.Ticket != "" || job.IdempotencyKey != "" {
+		return s.intake.Submit(c.Context(), job)
 	}
-	return s.send(c, answer)
+
+	ctx, cancel := context.WithCancel(c.Context())
+	w := watch(c.RequestCtx().Conn(), cancel)
+	defer w.stop()
+	return s.intake.Submit(ctx, job)
 }
 
 // ideal is the longest declared run time of the job's tasks.
@@ -54,68 +82,49 @@
 }
 
 func (s *Server) postTickets(c fiber.Ctx) error {
-	request := ticketRequest{Count: 1}
-	if len(c.Body()) > 0 {
-		if err := decode(c.Body(), &request); err != nil {
-			return s.send(c, refuse(model.FailBadRequest, err.Error()))
+	r := newRequest(c)
+	asked := ticketRequest{Count: 1}
+	if body := c.BodyRaw(); len(body) > 0 {
+		if err := decode(body, &asked); err != nil {
+			return s.answer(r, refuse(model.FailBadRequest, err.Error()))
 		}
 	}
-	if request.Count < 1 || request.Count > s.limits.MaxTickets {
-		err := eris.Errorf("count is %d, allowed are 1 to %d", request.Count, s.limits.MaxTickets)
-		return s.send(c, refuse(model.FailBadRequest, err.Error()))
+	if asked.Count < 1 || asked.Count > s.limits.MaxTickets {
+		reason := fmt.Sprintf("count is %d, allowed are 1 to %d", asked.Count, s.limits.MaxTickets)
+		return s.answer(r, refuse(model.FailBadRequest, reason))
 	}
 
-	batch, err := s.intake.Tickets(request.Count)
+	batch, err := s.intake.Tickets(asked.Count)
 	if err != nil {
-		return s.sendError(c, err)
+		return s.refuseError(r, err)
 	}
-	return c.JSON(batch)
+	return s.value(r, http.StatusOK, batch)
 }
 
 func (s *Server) getJob(c fiber.Ctx) error {
-	status, err := s.intake.Status(c.Context(), c.Params("id"))
+	r, id := newRequest(c), c.Params("id")
+	status, err := s.intake.Status(c.Context(), id)
 	if err != nil {
-		return s.sendError(c, err)
+		return s.unknownJob(r, id, err)
 	}
-	return c.JSON(status)
+	return s.value(r, http.StatusOK, status)
 }
 
 func (s *Server) deleteJob(c fiber.Ctx) error {
-	id := c.Params("id")
+	r, id := newRequest(c), c.Params("id")
 	if err := s.intake.Cancel(c.Context(), id); err != nil {
-		return s.sendError(c, err)
+		return s.unknownJob(r, id, err)
 	}
-	return c.Status(http.StatusAccepted).JSON(cancelReply{JobID: id})
+	return s.value(r, http.StatusAccepted, cancellation{JobID: id})
 }
 
-// cancelReply says that the job with this id is being stopped.
-type cancelReply struct {
+// cancellation tells that a job's cancellation was accepted.
+type cancellation struct {
 	JobID string `json:"jobId"`
 }
 
-func (s *Server) sendError(c fiber.Ctx, err error) error {
-	var f failureError
-	if !errors.As(err, &f) {
-		return s.send(c, refuse(model.FailInternal, err.Error()))
-	}
-	failure := f.Failure()
-	return s.send(c, refuse(failure.Kind, failure.Reason))
-}
-
-func (s *Server) send(c fiber.Ctx, a model.Answer) error {
-	if a.Error != nil && a.Ran == model.RanNo {
-		s.observer.Refused(string(a.Error.Kind))
-	}
-	s.observer.Answered(string(a.Result), string(a.Ran))
-	return c.Status(StatusOf(a)).JSON(a)
-}
-
-// refuse answers a request of which nothing was started.
-func refuse(kind model.FailureKind, reason string) model.Answer {
-	return model.Fail("", model.RanNo, kind, reason)
-}
-
-// decode reads exactly one JSON value without unknown fields.
+// decode reads exactly one JSON value without unknown fields. What it keeps
+// is copied from the body.
 func decode(body []byte, value any) error {
 	d := json.NewDecoder(bytes.NewReader(body))
 	d.DisallowUnknownFields()
--- a/entry/server.go
+++ b/entry/server.go
@@ -2,18 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/rotisserie/eris"
 
 	"foxtailmux/model"
 )
 
+// Paths of the callers' interface.
+const (
+	ticketsPath = "/v1/tickets"
+	jobsPath    = "/v1/jobs"
+	jobPath     = "/v1/jobs/:id"
+)
+
 // Intake takes submissions and questions about them.
 type Intake interface {
 	Submit(ctx context.Context, job model.Job) model.Answer
@@ -30,18 +34,35 @@
 }
 
 // Limits bound what one caller's connection and all callers may use. Sizes
-// are in bytes.
+// are in bytes. ReadTimeout bounds the receipt of a request and, anew, the
+// sending of its answer. 0 in MaxTasks takes DefaultMaxTasks.
 type Limits struct {
 	MaxBody        int
 	MaxHeader      int
 	MaxConnections int
 	MaxTickets     int
+	MaxTasks       int // of one job
 	ReadTimeout    time.Duration
 	IdleTimeout    time.Duration
 }
 
+// DefaultMaxTasks is the number of tasks that a job may have at most, whatever
+// its service allows.
+const DefaultMaxTasks = 10_000
+
+func (l Limits) maxTasks() int {
+	if l.MaxTasks == 0 {
+		return DefaultMaxTasks
+	}
+	return l.MaxTasks
+}
+
 // Server is the callers' HTTP server.
 type Server struct {
+	// Log takes a line for each request; nil logs none. It is set before
+	// Start.
+	Log RequestLog
+
 	limits   Limits
 	intake   Intake
 	observer Observer
@@ -58,22 +79,27 @@
 // returns how many jobs may be open at once.
 func NewServer(listener net.Listener, limits Limits, intake Intake, observer Observer, maxOpenJobs func() int) *Server {
 	s := &Server{
-		listener: listener,
 		limits:   limits,
 		intake:   intake,
 		observer: observer,
 		openJobs: maxOpenJobs,
 		done:     make(chan struct{}),
 	}
+	s.listener = newLimitListener(listener, limits.MaxConnections, func() {
+		observer.Refused(string(model.FailOverloaded))
+	})
 	s.app = fiber.New(fiber.Config{
-		Immutable:       true,
-		BodyLimit:       limits.MaxBody,
-		ReadBufferSize:  limits.MaxHeader,
-		Concurrency:     limits.MaxConnections,
-		ReadTimeout:     limits.ReadTimeout,
-		IdleTimeout:     limits.IdleTimeout,
-		ErrorHandler:    s.onError,
-		StructValidator: nil,
+		Immutable:      true,
+		BodyLimit:      limits.MaxBody,
+		ReadBufferSize: limits.MaxHeader,
+		Concurrency:    limits.MaxConnections + 1, // the listener refuses first
+		ReadTimeout:    limits.ReadTimeout,
+		WriteTimeout:   limits.ReadTimeout,
+		IdleTimeout:    limits.IdleTimeout,
+		ErrorHandler:   s.onError,
+
+		// A body is JSON whatever its content type says.
+		DisablePreParseMultipartForm: true,
 	})
 	s.routes()
 	return s
@@ -81,17 +107,21 @@
 
 func (s *Server) routes() {
 	s.app.Use(s.closeWhileDraining)
-	s.app.Post("/v1/tickets", s.postTickets)
-	s.app.Post("/v1/jobs", s.postJob)
-	s.app.Get("/v1/jobs/:id", s.getJob)
-	s.app.Delete("/v1/jobs/:id", s.deleteJob)
+	s.app.Use(refuseCompressed)
+	s.app.Post(ticketsPath, s.postTickets)
+	s.app.Post(jobsPath, s.postJob)
+	s.app.Get(jobPath, s.getJob)
+	s.app.Delete(jobPath, s.deleteJob)
 }
 
 // Start serves until Stop.
 func (s *Server) Start(context.Context) error {
 	go func() {
 		defer close(s.done)
-		_ = s.app.Listener(s.listener, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = s.app.Listener(s.listener, fiber.ListenConfig{
+			DisableStartupMessage: true,
+			BeforeServeFunc:       s.refuseUnknownMethods,
+		})
 	}()
 	return nil
 }
@@ -105,7 +135,8 @@
 // Drain asks callers to open new connections elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
-// Stop lets the requests in progress end and then closes the server.
+// Stop lets the requests in progress end and then closes the server. It
+// returns an *Error if the context ends first.
 func (s *Server) Stop(ctx context.Context) error {
 	s.Drain()
 	if err := s.app.ShutdownWithContext(ctx); err != nil {
@@ -127,29 +158,3 @@
 	}
 	return err
 }
-
-// onError answers a request that no handler took.
-func (s *Server) onError(c fiber.Ctx, err error) error {
-	status := http.StatusInternalServerError
-	var fiberErr *fiber.Error
-	if errors.As(err, &fiberErr) {
-		status = fiberErr.Code
-	}
-
-	failure := &model.Failure{Kind: kindOfStatus(status), Reason: err.Error()}
-	s.observer.Refused(string(failure.Kind))
-	return c.Status(status).JSON(model.Answer{Result: model.Failed, Ran: model.RanNo, Error: failure})
-}
-
-func kindOfStatus(status int) model.FailureKind {
-	switch status {
-	case http.StatusRequestEntityTooLarge:
-		return model.FailTooLarge
-	case http.StatusInternalServerError:
-		return model.FailInternal
-	default:
-		return model.FailBadRequest
-	}
-}
-
-var errTooManyJobs = eris.New("too many jobs are open on this instance")
