demo: submit bookmarks twice and check by the load tool's history

The check of the workers' events stood twice, here and in load; the demo now takes load.History. Each bookmark goes out twice at once with its key.

--- a/demo/caller.go
+++ b/demo/caller.go
@@ -1,16 +1,13 @@
 package demo
 
 import (
-	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 
 	"foxtailmux/model"
@@ -27,7 +24,8 @@
 	status     int
 	answer     model.Answer
 	response   time.Duration
-	err        error // no answer arrived
+	err        error    // no answer arrived
+	again      *outcome // of a second submission with the same key
 }
 
 // caller sends each job to the next of its instances, as a balancer does.
@@ -108,27 +106,3 @@
 	}
 	return response.StatusCode(), answer, nil
 }
-
-// drive submits the jobs at their interval, restarts one instance in the
-// middle and returns when every job is answered.
-func (s *stage) drive(ctx context.Context, o options) ([]outcome, error) {
-	outcomes := make([]outcome, o.jobs)
-	var restarted error
-	var group conc.WaitGroup
-
-	for i := range o.jobs {
-		if i == o.jobs/2 {
-			group.Go(func() { restarted = s.restart(ctx, "entry-1") })
-		}
-		job := mix[i%len(mix)].submission(fmt.Sprintf("job-%d", i), i)
-		client := s.caller.pick()
-		group.Go(func() { outcomes[i] = send(client, job) })
-
-		if err := sleep(ctx, o.interval); err != nil {
-			group.Wait()
-			return nil, &Error{Op: "submit", Kind: KindEnded, Err: err}
-		}
-	}
-	group.Wait()
-	return outcomes, restarted
-}
--- a/demo/demo_test.go
+++ b/demo/demo_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -21,7 +22,7 @@
 	}
 
 	text := out.String()
-	for _, want := range []string{"neverFits 3", "badRequest 3", "\n60 jobs, ", "twice): 0\n"} {
+	for _, want := range []string{"neverFits 3", "badRequest 3", "\n60 jobs, ", "9 jobs were submitted twice", "twice): 0\n"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("the table lacks %q:\n%s", want, text)
 		}
@@ -31,16 +32,18 @@
 	}
 }
 
-// whole is the outcome of a quote with each task started once.
+// whole is the outcome of a keyed job that was submitted twice and started once.
 func whole() (outcome, []fakes.Event) {
-	s := quote.submission("a", 0)
+	s := bookmark.submission("a", 0)
 	o := outcome{submission: s, status: 200, answer: model.Answer{JobID: "j", Result: model.Complete, Ran: model.RanYes}}
 	var events []fakes.Event
-	for i, nonce := range s.Nonces {
+	for _, nonce := range s.Nonces {
 		raw, _ := json.Marshal(fakes.TaskResult{Nonce: nonce})
 		o.answer.Tasks = append(o.answer.Tasks, raw)
-		events = append(events, fakes.Event{Event: fakes.EventStart, TaskID: "j-" + string(rune('0'+i)), Attempt: 1})
+		events = append(events, fakes.Event{Event: fakes.EventStart, Nonce: nonce, Attempt: 1})
 	}
+	again := o
+	o.again = &again
 	return o, events
 }
 
@@ -50,32 +53,44 @@
 		want  []string
 	}{
 		"nothing": {func(*outcome, *[]fakes.Event) {}, nil},
+		"no answer": {
+			func(o *outcome, _ *[]fakes.Event) { o.err = errors.New("closed") },
+			[]string{"job 0: no answer: closed"},
+		},
 		"a partial answer": {
-			func(o *outcome, _ *[]fakes.Event) { o.answer.Tasks = o.answer.Tasks[:3] },
-			[]string{"job 0 (quote): partial answer: 3 results for 4 tasks"},
+			func(o *outcome, _ *[]fakes.Event) { o.answer.Tasks = nil },
+			[]string{"job 0: partial: 0 results for 1 tasks"},
 		},
 		"another caller's result": {
-			func(o *outcome, _ *[]fakes.Event) { o.answer.Tasks[1] = json.RawMessage(`{"nonce":"b/1"}`) },
-			[]string{"job 0 (quote): foreign answer: result 1 is that of b/1"},
+			func(o *outcome, _ *[]fakes.Event) {
+				o.again.answer.Tasks = []json.RawMessage{[]byte(`{"nonce":"b/0"}`)}
+			},
+			[]string{"job 0: foreign: result 0 is that of b/0"},
+		},
+		"another answer to the second submission": {
+			func(o *outcome, _ *[]fakes.Event) {
+				o.again.answer.Tasks = []json.RawMessage{[]byte(`{"nonce":"a/0","worker":"w"}`)}
+			},
+			[]string{"job 0: differs: result 0 differs"},
 		},
 		"a second start": {
-			func(_ *outcome, e *[]fakes.Event) { *e = append(*e, (*e)[2]) },
-			[]string{"task j-2 started 2 times"},
+			func(_ *outcome, e *[]fakes.Event) { *e = append(*e, (*e)[0]) },
+			[]string{"job 0: doubleStart: task a/0 has 2 starts"},
 		},
 		"a start after not run": {
 			func(o *outcome, _ *[]fakes.Event) {
 				o.answer = model.Fail("j", model.RanNo, model.FailQuota, "")
 				o.status = 429
 			},
-			[]string{"job 0 (quote) was answered as not run and 4 tasks started"},
+			[]string{"job 0: ran: task a/0 has 1 starts"},
 		},
 		"a result without a start": {
-			func(_ *outcome, e *[]fakes.Event) { *e = (*e)[1:] },
-			[]string{"job 0 (quote) is complete and 3 of 4 tasks started"},
+			func(_ *outcome, e *[]fakes.Event) { *e = nil },
+			[]string{"job 0: neverRan: task a/0 has 0 starts"},
 		},
 		"a job served that should be refused": {
 			func(o *outcome, _ *[]fakes.Event) { o.submission.kind.wanted = model.FailNeverFits },
-			[]string{"job 0 (quote) was not refused as neverFits"},
+			[]string{"job 0: not refused as neverFits"},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/demo/report.go
+++ b/demo/report.go
@@ -65,12 +65,29 @@
 	}
 
 	starts, retried := countStarts(events)
+	again, same := countAgain(outcomes)
 	_, err := fmt.Fprintf(w, "\n%d jobs, %d task starts, %d of them retries; one instance was restarted gracefully\n"+
+		"%d jobs were submitted twice with their idempotency key; %d got the same answer twice\n"+
 		"problems (answers not whole or not the caller's own, tasks started twice): %d\n",
-		len(outcomes), starts, retried, len(problems))
+		len(outcomes), starts, retried, again, same, len(problems))
 	return err
 }
 
+// countAgain counts the jobs that were submitted twice, and those of them
+// whose submissions belong to one job with one result.
+func countAgain(outcomes []outcome) (again, same int) {
+	for _, o := range outcomes {
+		if o.again == nil {
+			continue
+		}
+		again++
+		if o.answer.JobID == o.again.answer.JobID && o.answer.Result == o.again.answer.Result {
+			same++
+		}
+	}
+	return again, same
+}
+
 func (r *row) print(w io.Writer, name string) {
 	fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%s\t", name, r.jobs, r.served, counts(r.refused), counts(r.failed))
 	if len(r.responses) == 0 {
