daemon: wait for the first list of workers before turning ready

Cause: an instance with no worker of its own refused its first jobs as noWorker until a peer's heartbeat told of slots.

--- a/daemon/ready.go
+++ b/daemon/ready.go
@@ -8,8 +8,8 @@
 	"foxtailmux/member"
 )
 
-// joinPatience is how long a new instance waits for its first peer before it
-// takes work alone.
+// joinPatience is how long a new instance waits for its first list of workers
+// and its first peer before it takes work without them.
 const joinPatience = 3 * time.Second
 
 // ready returns why the instance takes no new work, or nil.
@@ -19,6 +19,10 @@
 		return eris.New("the instance is leaving")
 	case !d.watcher.Ready():
 		return eris.New("no configuration is in force yet")
+	case time.Since(d.started) > joinPatience:
+		return nil
+	case d.roster.State().LastSuccess.IsZero():
+		return eris.New("the list of workers was not read yet")
 	case d.joining():
 		return eris.New("no peer has answered yet")
 	}
@@ -27,7 +31,7 @@
 
 // joining reports whether the first peer is still to be heard of.
 func (d *Daemon) joining() bool {
-	if len(d.settings.Peers.Seeds) == 0 || time.Since(d.started) > joinPatience {
+	if len(d.settings.Peers.Seeds) == 0 {
 		return false
 	}
 	for _, m := range d.members.Members() {
