intake, ticket: prove each rule by breaking it

The first was a fault: Release takes effect at once now. The others were sound and lacked a test.

A forwarded submission carries the digest made where the caller's bytes arrived, so that no codec on the way can turn a resubmission into a conflict.

Ruled out: a digest over sorted JSON, which would cost every submission a decode and rounds large numbers.

Broken on a scratch copy, each seen to fail a test of intake or ticket: ids not released after a join, or released after the own claim or a lost answer; released id begun; every submission told first; deadline not checked before the start, or not by the clock that counts suspended time; panic not answered; ticket run as a plain job; caller's context stops a kept job; ticket and key together; cancel not passed on; expired key told as unknown id; own id begun instead of the claim's; plain job after close; stopping instance not forwarding keyed jobs, or not waiting for the hand-over; taker unknown; thisAttempt "maybe" when proven not sent, and "no" when not; ran "no" for a dead minter; a lost forward sent again or run here; forwarded requests forwarded or asking again; holder not asked, asked too often, chain not followed; second peer offered what the first may hold; unknown outcome of an offer taken for a refusal, and the other way; no time left after the open jobs; cut not told; target of a hand-over not checked; request without id, key or digest taken; cancel lost during a hand-over; lost status told as unknown; digest with deadline or key, or made anew by the receiver; no grace for a peer's answer.

--- a/intake/forward.go
+++ b/intake/forward.go
@@ -16,7 +16,13 @@
 		return notThis(s.id, model.FailDeadline, "the deadline passed before the submission was forwarded")
 	}
 
-	params := submitParams{ID: s.id, Job: s.job, LeftMillis: s.deadline.left().Milliseconds(), Hops: s.hops + 1}
+	params := submitParams{
+		ID:         s.id,
+		Job:        s.job,
+		Digest:     s.digest,
+		LeftMillis: s.deadline.left().Milliseconds(),
+		Hops:       s.hops + 1,
+	}
 	var answer model.Answer
 	err := i.peers.Call(ctx, peerID, methodSubmit, params, &answer)
 	switch {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -87,6 +87,9 @@
 
 func (n *node) Call(ctx context.Context, peerID, method string, params, result any) error {
 	text, _ := json.Marshal(params)
+	var loose any // a codec may put the keys into another order
+	_ = json.Unmarshal(text, &loose)
+	text, _ = json.Marshal(loose)
 	n.net.mu.Lock()
 	n.net.calls[method]++
 	to := n.net.nodes[slices.IndexFunc(n.net.nodes, func(o *node) bool { return "peer "+o.name == peerID })]
@@ -214,7 +217,7 @@
 }
 
 func job(id, key string) model.Job {
-	return model.Job{Team: "team", Tasks: []model.Task{{Payload: json.RawMessage(`"p"`)}}, DeadlineMillis: 1000, Ticket: id, IdempotencyKey: key}
+	return model.Job{Team: "team", Tasks: []model.Task{{Payload: json.RawMessage(`{"z":1,"a":"<"}`)}}, DeadlineMillis: 1000, Ticket: id, IdempotencyKey: key}
 }
 
 // summary is what a caller learns of an answer.
@@ -323,14 +326,49 @@
 	synctest.Test(t, func(t *testing.T) {
 		net, nodes := cluster(t, 2)
 		id := tickets(t, nodes[0], 1)[0]
-		got, err := nodes[1].intake.serveSubmit(t.Context(), submitParams{ID: id, Job: job(id, ""), LeftMillis: 1000, Hops: 1})
+		got, err := nodes[1].intake.serveSubmit(t.Context(), submitParams{ID: id, Job: job(id, ""), Digest: "d", LeftMillis: 1000, Hops: 1})
 		if err != nil || net.calls[methodSubmit] != 0 {
 			t.Fatal(err, net.calls)
 		}
 		want(t, failed(model.RanMaybe, model.RanNo, model.FailMinterLost), got)
-		if _, err := nodes[1].intake.serveSubmit(t.Context(), submitParams{Job: job("", "")}); err == nil {
-			t.Fatal("a submission without id and key was taken")
+		for _, p := range []submitParams{{Job: job("", ""), Digest: "d"}, {ID: id, Job: job(id, "")}} {
+			if _, err := nodes[1].intake.serveSubmit(t.Context(), p); err == nil {
+				t.Fatalf("an incomplete submission was taken: %+v", p)
+			}
+		}
+
+		nodes[1].intake.holders.set(nodes[0].name, "gone")
+		got, err = nodes[1].intake.serveSubmit(t.Context(), submitParams{ID: id, Job: job(id, ""), Digest: "d", LeftMillis: 1000, Hops: 1})
+		if err != nil || net.calls[methodHolder] != 0 {
+			t.Fatal(err, net.calls)
+		}
+		want(t, failed(model.RanMaybe, model.RanNo, model.FailMinterLost), got)
+	})
+}
+
+func TestHoldersFollowAChainOfHandovers(t *testing.T) {
+	h := holders{next: make(map[string]string)}
+	h.set("a", "b")
+	h.set("b", "c")
+	holder, ok := h.of("a")
+	if diff := cmp.Diff("c", holder); !ok || diff != "" {
+		t.Fatal(ok, diff)
+	}
+	h.set("c", "a")
+	h.of("a") // ends
+}
+
+func TestAnswerOfAPeerAtTheDeadlineArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := cluster(t, 2)
+		net.fault = func(_ *node, _ string, run func() error) error {
+			time.Sleep(10 * time.Millisecond)
+			defer time.Sleep(10 * time.Millisecond)
+			return run()
 		}
+		nodes[0].work = time.Hour
+		id := tickets(t, nodes[0], 1)[0]
+		want(t, failed(model.RanYes, "", model.FailDeadline), nodes[1].intake.Submit(t.Context(), job(id, "")))
 	})
 }
 
@@ -418,6 +456,14 @@
 				t.Fatal("two jobs for a key")
 			}
 		}
+		for _, n := range nodes {
+			for counter := range uint64(2) { // the ids that the key was not claimed for
+				id := ticket.ID{Incarnation: n.name, Counter: counter}.String()
+				if _, err := n.store.Lookup(id); id != got[0].JobID && ticketKind(err) != ticket.KindExpired {
+					t.Fatalf("%s: %v", id, err)
+				}
+			}
+		}
 		other := job("", "key")
 		other.Repeatable = true
 		want(t, failed(model.RanMaybe, model.RanNo, model.FailKeyConflict), nodes[0].intake.Submit(t.Context(), other))
@@ -536,7 +582,14 @@
 						t.Error(status, err)
 					}
 				})
+				wg.Go(func() {
+					if err := nodes[0].intake.Cancel(t.Context(), ids[29]); err != nil {
+						t.Error(err)
+					}
+				})
 				wg.Wait()
+				want(t, failed(model.RanNo, "", model.FailCancelled), nodes[2].intake.Submit(t.Context(), job(ids[29], "")))
+				ids = ids[:29]
 
 				nodes[0].dead = true
 				net.fault = nil
@@ -567,7 +620,7 @@
 			}
 			return run()
 		}
-		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		if err := nodes[0].intake.HandOver(ctx); err == nil {
 			t.Fatal("no error")
@@ -615,7 +668,7 @@
 		if err := json.Unmarshal(text, &b); err != nil {
 			t.Fatal(err)
 		}
-		b.Ticket = ""
+		b.Ticket, b.IdempotencyKey, b.DeadlineMillis = "", "", 0
 		c := b
 		c.Service = rapid.StringN(1, 8, 8).Draw(t, "service")
 		one, _ := digest(a)
--- a/intake/serve.go
+++ b/intake/serve.go
@@ -21,10 +21,11 @@
 )
 
 // submitParams is a forwarded submission. Without an id, the receiver claims
-// the job's key.
+// the job's key. The digest is that of the job as the caller sent it.
 type submitParams struct {
 	ID         string    `json:"id,omitempty"`
 	Job        model.Job `json:"job"`
+	Digest     string    `json:"digest"`
 	LeftMillis int64     `json:"leftMillis"`
 	Hops       int       `json:"hops"`
 }
@@ -83,15 +84,14 @@
 	if p.ID == "" && p.Job.IdempotencyKey == "" {
 		return model.Answer{}, &Error{Op: methodSubmit, Kind: model.FailBadRequest, Err: eris.New("neither an id nor a key")}
 	}
-	sum, err := digest(p.Job)
-	if err != nil {
-		return model.Answer{}, &Error{Op: methodSubmit, Kind: model.FailBadRequest, Err: err}
+	if p.Digest == "" {
+		return model.Answer{}, &Error{Op: methodSubmit, Kind: model.FailBadRequest, Err: eris.New("no digest")}
 	}
 
 	s := submission{
 		id:       p.ID,
 		job:      p.Job,
-		digest:   sum,
+		digest:   p.Digest,
 		deadline: newDeadline(i.options.Clock, time.Duration(p.LeftMillis)*time.Millisecond),
 		hops:     p.Hops,
 		keyed:    p.Job.IdempotencyKey != "",
--- a/ticket/space.go
+++ b/ticket/space.go
@@ -18,7 +18,7 @@
 type batch struct {
 	first, end uint64
 	begun      uint64
-	expires    time.Time
+	expires    time.Time // zero if released
 }
 
 func newSpace() *space {
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -82,8 +82,7 @@
 	return ids, nil
 }
 
-// Release drops an unused id, which then counts as expired. The caller must
-// know that nobody else was told of the id. Only ids minted alone are dropped.
+// Release drops an unused id that was minted alone; it then counts as expired.
 func (s *Store) Release(id string) {
 	parsed, err := Parse(id)
 	if err != nil {
@@ -93,7 +92,7 @@
 	defer s.mu.Unlock()
 
 	sp := s.spaces[parsed.Incarnation]
-	if sp == nil || sp.entries[parsed.Counter] != nil {
+	if sp == nil {
 		return
 	}
 	if b := sp.batchOf(parsed.Counter); b != nil && b.end-b.first == 1 {
@@ -165,7 +164,7 @@
 	if e := sp.entries[id.Counter]; e != nil {
 		return sp, e, nil
 	}
-	if sp.batchOf(id.Counter) == nil {
+	if b := sp.batchOf(id.Counter); b == nil || b.expires.IsZero() {
 		return nil, nil, &Error{Op: op, Kind: KindExpired, Err: eris.Errorf("id %s is past its retention", id)}
 	}
 	if s.sealed {
@@ -186,6 +185,14 @@
 	return s.spaces[incarnation] != nil
 }
 
+// Size returns how many ids take up room, and how many of them are open.
+func (s *Store) Size() (held, open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.held, s.open
+}
+
 // Cancel stops the id's job. An unused id is answered as cancelled, so that a
 // submission that arrives later does not run. The kinds of errors are those
 // of Begin.
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -161,6 +161,23 @@
 	})
 }
 
+func TestReleasedIDMakesRoomUnlessItIsUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore(t, minter)
+		released, used := mint(t, s), mint(t, s)
+		begin(t, s, used, true)
+		s.Release(released)
+		s.Release(used)
+		_, _, err := s.Begin(released, "d")
+		wantKind(t, err, KindExpired)
+		time.Sleep(2 * time.Second)
+		begin(t, s, used, false)
+		if held, open := s.Size(); held != 1 || open != 1 {
+			t.Fatalf("%d ids held, %d open", held, open)
+		}
+	})
+}
+
 func TestCancelStopsTheJobOrBurnsTheUnusedID(t *testing.T) {
 	s := newStore(t, minter)
 	open, unused := mint(t, s), mint(t, s)
@@ -194,8 +211,8 @@
 	e.Finish(complete(e.ID(), "1"))
 	_, err = s.Lookup(e.ID())
 	wantKind(t, err, KindExpired)
-	if s.held != 0 {
-		t.Fatalf("%d ids held", s.held)
+	if held, open := s.Size(); held != 0 || open != 0 {
+		t.Fatalf("%d ids held, %d open", held, open)
 	}
 }
 
