ticket: call an id past an adopted sequence expired

Cause: a stopping instance still runs plain jobs, whose ids come after the end of the sequence it handed over. The holder called such an id "unknown", which is answered as "not run", though the job ran at its minter.

Ruled out: refusing plain jobs from the seal on, which would refuse work that the instance can still do.

Broken on a scratch copy: without the change, TestHandoverWaitsForOpenJobsAndMovesTheRest fails.

Conclusion: only the minter itself calls one of its ids unknown.

--- a/ticket/store.go
+++ b/ticket/store.go
@@ -158,7 +158,9 @@
 // find returns the id's space and entry; the entry is nil if the id is unused.
 func (s *Store) find(op string, id ID) (*space, *Entry, error) {
 	sp := s.spaces[id.Incarnation]
-	if sp == nil || id.Counter >= sp.next {
+	// The minter of an adopted sequence may have started jobs on ids that came
+	// after its hand-over.
+	if sp == nil || (id.Counter >= sp.next && id.Incarnation == s.incarnation) {
 		return nil, nil, &Error{Op: op, Kind: KindUnknown, Err: eris.Errorf("id %s was never minted here", id)}
 	}
 	if e := sp.entries[id.Counter]; e != nil {
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -278,6 +278,9 @@
 			t.Fatal(answer, err)
 		}
 		wantKind(t, a.Import(parts[0]), KindHandedOver)
+
+		_, _, err = b.Begin(a.Start().ID(), "d") // it runs at its minter
+		wantKind(t, err, KindExpired)
 	})
 }
 
