config: close the gaps that broken builds showed

Each rule was broken once in a scratch copy. Ten of the first breaks got past the tests; for each there is a test now: an object with another valid document, a request dropped on its way, a head set back, a number left free, an entry cut out of a mended chain, offers that can't be had or are too many, and instances without a version.

--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -238,10 +238,12 @@
 		t.Error(diff)
 	}
 
+	empty := serve(t, keyed(), nil)
 	others := map[string][]string{
-		"one behind":        {first.Addr(), behind.Addr()},
-		"one not reachable": {first.Addr(), unusedAddr(t)},
-		"none":              nil,
+		"none has a version": {empty.Addr(), empty.Addr()},
+		"one behind":         {first.Addr(), behind.Addr()},
+		"one not reachable":  {first.Addr(), unusedAddr(t)},
+		"none":               nil,
 	}
 	if !same.Same {
 		t.Error("two instances with one version differ")
--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -55,6 +55,8 @@
 func TestLostAnswersAreSettled(t *testing.T) {
 	faults := map[string]func(string) fault{
 		"commit took effect":  failNext("commit", fault{lost: true}),
+		"commit never came":   failNext("commit", fault{dropped: true}),
+		"object never came":   failNext("putObject", fault{dropped: true}),
 		"commit comes late":   failNext("commit", fault{late: 3 * time.Second}),
 		"commit races itself": failNext("commit", fault{late: minSettleBackoff}),
 		"object was written":  failNext("putObject", fault{lost: true}),
@@ -266,6 +268,12 @@
 		"last changed with its hash": func(t *testing.T, s *fakeStore) {
 			s.rewrite(t, historyKey(3), func(e *Entry) { e.Why = "other"; e.Hash = e.ComputeHash() })
 		},
+		"entry cut out and the chain mended": func(t *testing.T, s *fakeStore) {
+			mend := func(e *Entry) { e.Previous = s.entry(t, historyKey(1)).Hash; e.Hash = e.ComputeHash() }
+			delete(s.rows, historyKey(2))
+			s.rewrite(t, historyKey(3), mend)
+			s.rewrite(t, HeadKey, mend)
+		},
 		"head went back": func(_ *testing.T, s *fakeStore) {
 			row := s.rows[HeadKey]
 			row.Value = s.rows[historyKey(2)].Value
@@ -293,6 +301,43 @@
 	}
 }
 
+// The row of the number alone must not decide, in case it was removed.
+func TestChangeOnAnOldHeadLosesEvenIfItsNumberIsFree(t *testing.T) {
+	s := newFakeStore()
+	mustApply(t, s, 1)
+	old, err := readHead(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, s, 2)
+	delete(s.rows, historyKey(2))
+
+	_, err = commitEntry(t.Context(), s, old, nextEntry(old, document(3).Digest(), "ana", "why"))
+	if diff := cmp.Diff(KindRaceLost, KindOf(err)); diff != "" {
+		t.Error(diff, err)
+	}
+}
+
+// A head that was set back must not let a change write over the history.
+func TestChangeNeverWritesOverAnEntry(t *testing.T) {
+	s := newFakeStore()
+	mustApply(t, s, 1)
+	second := mustApply(t, s, 2)
+	s.rows[HeadKey] = s.rows[historyKey(1)]
+
+	err := applyError(t, s, document(3), "ana", "why")
+	var lost *Error
+	if !errors.As(err, &lost) || lost.Kind != KindRaceLost {
+		t.Fatalf("got %v", err)
+	}
+	if diff := cmp.Diff(&second, lost.Winner); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(second, s.entry(t, historyKey(2))); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestHistoryReadsEveryPage(t *testing.T) {
 	s := newFakeStore()
 	var last Entry
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -17,14 +17,16 @@
 	"foxtailmux/table"
 )
 
-// fault is what goes wrong with one call. late carries a write out only
+// fault is what goes wrong with one call. dropped loses the request on its
+// way, which its caller can't tell from a lost answer; late carries a write out only
 // after its caller was told that the outcome is unknown.
 type fault struct {
-	down  bool
-	lost  bool
-	late  time.Duration
-	delay time.Duration
-	half  bool
+	down    bool
+	lost    bool
+	dropped bool
+	late    time.Duration
+	delay   time.Duration
+	half    bool
 }
 
 type fakeStore struct {
@@ -61,6 +63,9 @@
 		return &table.Error{Op: op, Kind: table.KindUnknown, Err: ctx.Err()}
 	}
 	unknown := &table.Error{Op: op, Kind: table.KindUnknown, Err: eris.New("answer lost")}
+	if f.dropped {
+		return unknown
+	}
 	if f.late > 0 {
 		time.AfterFunc(f.late, func() { s.locked(f, act) })
 		return unknown
@@ -157,12 +162,18 @@
 	change()
 }
 
-func (s *fakeStore) rewrite(t *testing.T, key string, change func(*Entry)) {
+func (s *fakeStore) entry(t *testing.T, key string) Entry {
 	t.Helper()
 	var e Entry
 	if err := json.Unmarshal(s.rows[key].Value, &e); err != nil {
 		t.Fatal(err)
 	}
+	return e
+}
+
+func (s *fakeStore) rewrite(t *testing.T, key string, change func(*Entry)) {
+	t.Helper()
+	e := s.entry(t, key)
 	change(&e)
 	value, err := json.Marshal(e)
 	if err != nil {
--- a/config/watch_test.go
+++ b/config/watch_test.go
@@ -145,7 +145,7 @@
 }
 
 func TestCorruptObjectsAreRefusedReportedAndRetried(t *testing.T) {
-	for _, corrupt := range [][]byte{nil, []byte("{}"), document(2).Canonical()[:100]} {
+	for _, corrupt := range [][]byte{nil, []byte("{}"), document(2).Canonical()[:100], document(3).Canonical()} {
 		synctest.Test(t, func(t *testing.T) {
 			s := newFakeStore()
 			mustApply(t, s, 1)
@@ -208,6 +208,68 @@
 	})
 }
 
+func TestOfferThatCannotBeHadDoesNotHideALowerOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.setFault(always(fault{down: true}))
+		doc := document(7)
+		fetch := func(_ context.Context, number int64, _ string) ([]byte, error) {
+			if number != 7 {
+				return nil, eris.New("not here")
+			}
+			return doc.Canonical(), nil
+		}
+		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+
+		w.Offer(8, document(8).Digest())
+		synctest.Wait()
+		w.Offer(7, doc.Digest())
+		time.Sleep(2 * retryDelay)
+		mustHave(t, w, 7)
+	})
+}
+
+func TestOffersAreBoundedAndMakeRoomAfterFailures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.setFault(always(fault{down: true}))
+		doc := document(7)
+		fetch := func(_ context.Context, number int64, _ string) ([]byte, error) {
+			if number != 7 {
+				return nil, eris.New("not here")
+			}
+			return doc.Canonical(), nil
+		}
+		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
+		defer stopWatcher(t, w)
+		for n := range int64(maxOffers) {
+			w.Offer(1000+n, document(1000+int(n)).Digest())
+		}
+		w.Offer(7, doc.Digest())
+		time.Sleep(time.Second)
+		mustHave(t, w, 0)
+
+		time.Sleep((maxOffers + 1) * maxOfferFailures * retryDelay)
+		w.Offer(7, doc.Digest())
+		time.Sleep(2 * retryDelay)
+		mustHave(t, w, 7)
+	})
+}
+
+func TestInstallRefusesAnOvertakenVersion(t *testing.T) {
+	w := NewWatcher(WatcherOptions{})
+	var r recorder
+	w.Subscribe(r.add)
+	for _, n := range []int64{2, 1, 2, 3} {
+		w.install(&Version{Number: n})
+	}
+	if diff := cmp.Diff([]int64{2, 3}, r.numbers); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestStopEndsASilentCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
