--- a/member/budget.go
+++ b/member/budget.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// budget is a leaky bucket: every byte of control traffic fills it, and the
-// next round of heartbeats waits until it has drained at the budgeted rate.
+// maxDebt bounds the time for which a burst slows the heartbeats down.
+const maxDebt = time.Minute
+
+// budget is a leaky bucket of control traffic, which drains at the budgeted
+// rate.
 type budget struct {
 	rate float64 // bytes per second
 
@@ -14,6 +17,7 @@
 	level float64 // bytes
 	at    time.Time
 	total int64 // bytes since the start
+	taken int64 // total at the last call of period
 }
 
 func newBudget(rate float64) *budget {
@@ -26,18 +30,20 @@
 	defer b.mu.Unlock()
 	b.drain()
 	b.level += float64(n)
+	b.level = min(b.level, b.rate*maxDebt.Seconds())
 	b.total += int64(n)
-
-	// More than the longest period can't be waited for.
-	b.level = min(b.level, b.rate*maxPeriod.Seconds())
 }
 
-// wait returns the time until the bucket is empty.
-func (b *budget) wait() time.Duration {
+// period returns the time that brings the bucket back to empty, when as many
+// bytes are spent in it as since the last call.
+func (b *budget) period() time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.drain()
-	return time.Duration(b.level / b.rate * float64(time.Second))
+
+	recent := float64(b.total - b.taken)
+	b.taken = b.total
+	return time.Duration((b.level + recent) / b.rate * float64(time.Second))
 }
 
 // spent returns the bytes since the start.
--- a/member/candidate.go
+++ b/member/candidate.go
@@ -41,7 +41,7 @@
 }
 
 // next returns the addresses to probe, those probed longest ago first.
-func (c *candidates) next(now time.Time, reached func(addr string) bool) []string {
+func (c *candidates) next(now time.Time, reached func(addr string) bool) []target {
 	all := slices.Concat(c.seeds, c.listed)
 	slices.Sort(all)
 	due := slices.DeleteFunc(slices.Compact(all), func(addr string) bool {
@@ -51,9 +51,10 @@
 		return c.probedAt[a].Compare(c.probedAt[b])
 	})
 
-	due = due[:min(len(due), probesPerRound)]
-	for _, addr := range due {
+	var list []target
+	for _, addr := range due[:min(len(due), probesPerRound)] {
 		c.probedAt[addr] = now
+		list = append(list, target{addr: addr})
 	}
-	return due
+	return list
 }
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -51,9 +51,22 @@
 		return g.metSelf(t, &h)
 	}
 	g.receive(&h, sentAt, true)
+	if t.id == "" {
+		g.markTold(&h)
+	}
 	return nil
 }
 
+// markTold records that a member met at an address has the own entry.
+func (g *Group) markTold(h *heartbeat) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.records[h.ID]; r != nil && !h.WantEntry {
+		r.told = true
+		r.toldDigest = g.self.ConfigDigest
+	}
+}
+
 func (g *Group) ask(ctx context.Context, t target, raw json.RawMessage) (json.RawMessage, time.Time, error) {
 	peerID := t.id
 	if peerID == "" {
@@ -110,8 +123,10 @@
 func (g *Group) receive(h *heartbeat, heardAt time.Time, withHints bool) {
 	g.mu.Lock()
 	changed := g.hear(h, heardAt)
-	if withHints {
-		for i := range h.Hints {
+	from := g.records[h.ID]
+	for i := range h.Hints {
+		if withHints && from != nil {
+			from.knows(&h.Hints[i], heardAt)
 			changed = g.hearsay(&h.Hints[i], heardAt) || changed
 		}
 	}
@@ -132,31 +147,56 @@
 		Load:         g.self.Load,
 		ConfigNumber: g.self.ConfigNumber,
 		ConfigCheck:  configCheck(g.self.ConfigDigest),
+		View:         g.view(g.self.Entry.DataCentre),
 	}
+
 	r := g.records[id]
-	if r != nil {
-		h.WantEntry = r.wantEntry
-		h.Hints = g.hints(r)
-	}
-	if r == nil || !r.told || r.toldDigest != g.self.ConfigDigest {
-		entry := g.self.Entry
-		h.Entry = &entry
-		h.ConfigDigest = g.self.ConfigDigest
-	}
-	if r != nil {
-		r.told = true
-		r.toldDigest = g.self.ConfigDigest
-	}
+	if r == nil {
+		g.addEntry(h)
+		h.WantHints = true
+		return h
+	}
+	if !r.told || r.toldDigest != g.self.ConfigDigest {
+		g.addEntry(h)
+	}
+	h.WantEntry = r.wantEntry
+	h.WantHints = g.pull(r)
+	h.Hints = g.hints(r)
+	r.told = true
+	r.toldDigest = g.self.ConfigDigest
 	return h
 }
 
+// pull reports whether to ask for hints: once in a period, and only a member
+// that sees others in its data centre.
+func (g *Group) pull(from *record) bool {
+	now := time.Now()
+	if now.Sub(g.pulledAt) < g.period || from.view == g.view(from.member.Entry.DataCentre) {
+		return false
+	}
+	g.pulledAt = now
+	return true
+}
+
+func (g *Group) addEntry(h *heartbeat) {
+	entry := g.self.Entry
+	h.Entry = &entry
+	h.ConfigDigest = g.self.ConfigDigest
+}
+
 // hints picks the members of which the receiver was told longest ago: those
-// of other data centres than its own, and new ones.
+// of other data centres than its own, and of all when it asked for hints.
 func (g *Group) hints(to *record) []hint {
+	count := hintsPerMessage
+	if to.asksHints {
+		count = maxHints
+	}
+
 	now := time.Now()
 	var news []*record
 	for _, r := range g.records {
-		if r != to && g.worthTelling(r, to, now) {
+		local := r.member.Entry.DataCentre == to.member.Entry.DataCentre
+		if r != to && (!local || to.asksHints) && r.worthTelling(to, now) {
 			news = append(news, r)
 		}
 	}
@@ -168,31 +208,38 @@
 		return cmp.Or(cmp.Compare(gain(b), gain(a)), cmp.Compare(a.member.Entry.ID, b.member.Entry.ID))
 	})
 
-	list := make([]hint, 0, maxHints)
-	for _, r := range news[:min(len(news), hintCount(to, now))] {
+	to.asksHints = false
+	list := make([]hint, 0, count)
+	for _, r := range news[:min(len(news), count)] {
 		to.hinted[r.member.Entry.ID] = r.member.LastHeard
 		list = append(list, hintOf(r, now))
 	}
 	return list
 }
 
-// hintCount lets a new member hear of the others sooner.
-func hintCount(to *record, now time.Time) int {
-	if now.Sub(to.firstHeard) < announceFor {
-		return hintsToNew
-	}
-	return hintsPerMessage
+func (r *record) worthTelling(to *record, now time.Time) bool {
+	return r.known() &&
+		now.Sub(r.member.LastHeard) <= remoteSuspectAfter &&
+		r.member.LastHeard.After(to.hinted[r.member.Entry.ID])
 }
 
-func (g *Group) worthTelling(r, to *record, now time.Time) bool {
-	if !r.known() || now.Sub(r.member.LastHeard) > remoteSuspectAfter {
-		return false
+// view hashes the members of a data centre, in any order.
+func (g *Group) view(dataCentre string) uint32 {
+	var sum uint32
+	if own := &g.self.Entry; own.DataCentre == dataCentre {
+		sum = memberHash(own.ID, own.Incarnation)
 	}
-	if !r.member.LastHeard.After(to.hinted[r.member.Entry.ID]) {
-		return false
+	for id, r := range g.records {
+		e := &r.member.Entry
+		if r.known() && r.member.State != StateDead && e.DataCentre == dataCentre {
+			sum += memberHash(id, e.Incarnation)
+		}
 	}
-	foreign := r.member.Entry.DataCentre != to.member.Entry.DataCentre
-	return foreign || now.Sub(r.firstHeard) < announceFor
+	return sum
+}
+
+func memberHash(id, incarnation string) uint32 {
+	return uint32(rendezvous(id, incarnation))
 }
 
 func hintOf(r *record, now time.Time) hint {
--- a/member/group.go
+++ b/member/group.go
@@ -56,8 +56,9 @@
 	subscribers []func()
 	period      time.Duration
 	tickedAt    time.Time
-	roundAt     time.Time
-	jitter      *jitter
+	adaptedAt   time.Time
+	probedAt    time.Time
+	pulledAt    time.Time // when hints were asked for
 }
 
 // New returns a Group that only knows itself, and registers its handler with
@@ -74,9 +75,9 @@
 		self:       Member{Entry: o.Self, State: StateAlive},
 		records:    map[string]*record{},
 		candidates: newCandidates(o.Self.PeerAddr, o.Seeds),
-		period:     o.MinPeriod,
+		period:     firstPeriods * o.MinPeriod,
 		tickedAt:   time.Now(),
-		jitter:     newJitter(o.Seed),
+		adaptedAt:  time.Now(),
 	}
 	g.self.Entry.State = model.Live
 	o.Transport.Handle(heartbeatMethod, g.handle)
--- a/member/message.go
+++ b/member/message.go
@@ -12,7 +12,9 @@
 
 // heartbeat is both the request and the answer of an exchange. Entry and
 // ConfigDigest are left out once the receiver has them; ConfigCheck, the
-// start of the digest, shows the receiver when it has another one.
+// start of the digest, shows the receiver when it has another one. View is a
+// hash of the members that the sender knows in its own data centre. WantHints
+// asks for the members that the receiver knows, when the views differ.
 type heartbeat struct {
 	ID           string       `json:"id"`
 	Incarnation  string       `json:"incarnation"`
@@ -23,7 +25,9 @@
 	ConfigCheck  string       `json:"configCheck,omitempty"`
 	ConfigDigest string       `json:"configDigest,omitempty"`
 	Entry        *model.Entry `json:"entry,omitempty"`
+	View         uint32       `json:"view"`
 	WantEntry    bool         `json:"wantEntry,omitempty"`
+	WantHints    bool         `json:"wantHints,omitempty"`
 	Hints        []hint       `json:"hints,omitempty"`
 }
 
@@ -43,7 +47,7 @@
 const (
 	maxHeartbeatSize = 16 << 10 // bytes
 	maxNameLength    = 128      // bytes
-	maxHints         = 16
+	maxHints         = 6
 	configCheckSize  = 8 // bytes of the digest
 )
 
--- a/member/network_test.go
+++ b/member/network_test.go
@@ -8,18 +8,29 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"foxtailmux/model"
 
+	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 )
 
 // latency is the one-way delay of the test network.
 const latency = time.Millisecond
 
+// frameOverhead is the bytes around the parameters and the result of a call:
+// 100 of JSON-RPC and 52 of TCP and IP headers for each of three packets.
+const frameOverhead = 100 + 3*52
+
+func TestMain(m *testing.M) {
+	log.DefaultLogger.SetLevel(log.WarnLevel)
+	os.Exit(m.Run())
+}
+
 // seed returns the seed of the run, from FOXTAILMUX_SEED when that is set.
 func seed(t testing.TB) uint64 {
 	t.Helper()
@@ -68,6 +79,7 @@
 	*Group
 	network *network
 	entry   model.Entry
+	bytes   atomic.Int64 // sent and received, with all overheads
 
 	mu      sync.Mutex
 	handler func(ctx context.Context, params json.RawMessage) (any, error)
@@ -229,6 +241,9 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
+	size := int64(len(params.(json.RawMessage)) + len(answer.(json.RawMessage)) + frameOverhead)
+	n.bytes.Add(size)
+	to.bytes.Add(size)
 	*result.(*json.RawMessage) = slices.Clone(answer.(json.RawMessage))
 	return nil
 }
--- a/member/options.go
+++ b/member/options.go
@@ -16,8 +16,8 @@
 	RemovePeer(id string)
 }
 
-// Options configure a Group. Load and Config are called for each round of
-// heartbeats. MinPeriod is the shortest time between two rounds.
+// Options configure a Group. Load and Config are called several times a
+// second. MinPeriod is the shortest time between two heartbeats to a member.
 type Options struct {
 	Self      model.Entry
 	Seeds     []string // peer addresses, IP:port
@@ -25,12 +25,12 @@
 	Load      func() model.Load
 	Config    func() (number int64, digest string)
 	MinPeriod time.Duration
-	Seed      uint64 // of the jitter; 0 draws one
+	Seed      uint64 // of the start delay; 0 draws one
 }
 
 const (
 	defaultMinPeriod = 500 * time.Millisecond
-	maxPeriod        = 6 * time.Second
+	maxPeriod        = 10 * time.Second
 
 	// The bytes a second that heartbeats may take, sent and received, with
 	// the headers of their packets.
@@ -44,20 +44,21 @@
 	missedPeriods = 3
 
 	// Members of other data centres are mostly heard of through others.
-	remoteSuspectAfter = 30 * time.Second
+	remoteSuspectAfter = 45 * time.Second
 	remoteDeadAfter    = 2 * remoteSuspectAfter
 
 	// A dead member is probed and its incarnation kept for this time.
 	forgetAfter = 10 * time.Minute
 
-	// Members that were first heard within this time are told to all.
-	announceFor = 30 * time.Second
-
 	// The own loop was paused when it runs later than this.
 	pauseThreshold = time.Second
 
+	// The first period is this number of the shortest ones, until the size of
+	// the group shows in the traffic.
+	firstPeriods = 4
+
 	hintsPerMessage = 2
-	hintsToNew      = 8
+	maxGrowth       = 3 // of the period from one to the next
 	linksBetween    = 2 // between two data centres
 	probesPerRound  = 4 // of addresses without a member
 	maxRecords      = 512
@@ -67,8 +68,6 @@
 	packetOverhead  = 156 // bytes of TCP and IP headers of request, answer and acknowledgement
 	heartbeatMethod = "heartbeat"
 	ticksPerPeriod  = 2
-	jitterShare     = 0.1
-	skipWithinShare = 0.5 // of a period; the pair has just exchanged heartbeats
 )
 
 func (o Options) withDefaults() Options {
--- a/member/record.go
+++ b/member/record.go
@@ -10,16 +10,17 @@
 type record struct {
 	member Member
 
-	firstHeard  time.Time
 	exchangedAt time.Time     // when heartbeats last went either way
 	period      time.Duration // of its heartbeats, as it told
 	leaving     bool
 	direct      bool // its entry came from itself
 	busy        bool // a heartbeat to it is under way
 
-	told       bool // it has the own entry
+	view       uint32 // of its own data centre, as it told
+	told       bool   // it has the own entry
 	toldDigest string
 	wantEntry  bool
+	asksHints  bool                 // it is to get the full count of hints
 	hinted     map[string]time.Time // by id: LastHeard of the last hint to it
 }
 
@@ -47,9 +48,8 @@
 	}
 
 	r := &record{
-		firstHeard: time.Now(),
-		hinted:     map[string]time.Time{},
-		wantEntry:  true,
+		hinted:    map[string]time.Time{},
+		wantEntry: true,
 	}
 	r.member.Entry.ID = id
 	r.member.Entry.Incarnation = incarnation
@@ -71,8 +71,10 @@
 	stale := r.wantsConfig(h)
 	r.exchangedAt = time.Now()
 	r.period = millis(h.PeriodMillis)
+	r.view = h.View
 	r.member.Load = h.Load
 	r.setLeaving(h.Leaving)
+	r.asksHints = r.asksHints || h.WantHints
 	if h.WantEntry {
 		r.told = false
 	}
@@ -118,6 +120,14 @@
 	return differs(before, r.member)
 }
 
+// knows keeps the member from being told what it told itself.
+func (r *record) knows(h *hint, toldAt time.Time) {
+	heardAt := toldAt.Add(-millis(h.AgeMillis))
+	if heardAt.After(r.hinted[h.ID]) {
+		r.hinted[h.ID] = heardAt
+	}
+}
+
 func (g *Group) heard(r *record, at time.Time) {
 	if at.After(r.member.LastHeard) {
 		r.member.LastHeard = at
--- a/member/round.go
+++ b/member/round.go
@@ -1,40 +1,27 @@
 package member
 
 import (
+	"cmp"
 	"math/rand/v2"
-	"sync"
+	"slices"
 	"time"
 
 	"foxtailmux/model"
 )
 
-// jitter spreads the rounds of instances that were started together.
-type jitter struct {
-	mu   sync.Mutex
-	rand *rand.Rand
-}
-
-func newJitter(seed uint64) *jitter {
-	if seed == 0 {
-		seed = rand.Uint64()
-	}
-	return &jitter{rand: rand.New(rand.NewPCG(seed, seed))}
-}
-
-func (j *jitter) spread(d time.Duration) time.Duration {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	return time.Duration(float64(d) * (1 + jitterShare*(2*j.rand.Float64()-1)))
-}
-
 func (g *Group) run() {
 	defer close(g.done)
 	defer g.tasks.Wait()
 
 	interval := g.options.MinPeriod / ticksPerPeriod
+	select {
+	case <-g.ctx.Done():
+		return
+	case <-time.After(g.startDelay(interval)):
+	}
+
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-
 	for {
 		g.tick(interval)
 		select {
@@ -45,8 +32,19 @@
 	}
 }
 
-// tick judges the members, and sends heartbeats when a round is due.
+// startDelay spreads the ticks of instances that were started together.
+func (g *Group) startDelay(interval time.Duration) time.Duration {
+	seed := g.options.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return time.Duration(rand.New(rand.NewPCG(seed, seed)).Int64N(int64(interval)))
+}
+
+// tick judges the members and sends the heartbeats that are due.
 func (g *Group) tick(interval time.Duration) {
+	load := g.options.Load()
+	number, digest := g.options.Config()
 	now := time.Now()
 
 	g.mu.Lock()
@@ -54,39 +52,29 @@
 		g.excuse(now, late)
 	}
 	g.tickedAt = now
-	changed := g.judge(now)
-	due := !now.Before(g.roundAt)
-	g.mu.Unlock()
-
-	g.notify(changed)
-	if due {
-		g.round(now)
-	}
-}
-
-func (g *Group) round(now time.Time) {
-	load := g.options.Load()
-	number, digest := g.options.Config()
-
-	g.mu.Lock()
 	g.self.Load = load
 	g.self.ConfigNumber = number
 	g.self.ConfigDigest = digest
-	g.schedule(now)
+	g.adapt(now)
+	changed := g.judge(now)
 	targets := g.targets(now)
 	g.mu.Unlock()
 
+	g.notify(changed)
 	for _, t := range targets {
 		g.tasks.Go(func() { g.exchange(t) })
 	}
 }
 
-// schedule sets the next round by the traffic so far. The period at most
-// doubles, since the others judge this instance by the period it told last.
-func (g *Group) schedule(now time.Time) {
-	wanted := max(g.budget.wait(), g.options.MinPeriod)
-	g.period = min(wanted, 2*g.period, maxPeriod)
-	g.roundAt = now.Add(g.jitter.spread(g.period))
+// adapt sets the period by the traffic of the last one. It grows in steps,
+// since the others judge this instance by the period it told last.
+func (g *Group) adapt(now time.Time) {
+	if now.Sub(g.adaptedAt) < g.period {
+		return
+	}
+	g.adaptedAt = now
+	wanted := max(g.budget.period(), g.options.MinPeriod)
+	g.period = min(wanted, maxGrowth*g.period, maxPeriod)
 }
 
 // target is the receiver of a heartbeat: a member, or whoever answers at an
@@ -98,29 +86,43 @@
 
 func (g *Group) targets(now time.Time) []target {
 	linked := g.linked()
-	recent := time.Duration(float64(g.period) * skipWithinShare)
 
 	var list []target
 	for id, r := range g.records {
 		local := r.member.Entry.DataCentre == g.self.Entry.DataCentre
-		if !r.known() || r.busy || r.member.State == StateDead || !local && !linked[id] {
-			continue
-		}
-		if now.Sub(r.exchangedAt) >= recent {
+		if r.member.State != StateDead && (local || linked[id]) && g.isDue(r, now) {
 			list = append(list, target{id: id})
 		}
 	}
-
-	list = append(list, g.deadTargets()...)
-	for i := range list {
-		g.records[list[i].id].busy = true
+	slices.SortFunc(list, func(a, b target) int { return cmp.Compare(a.id, b.id) })
+	if now.Sub(g.probedAt) >= g.period {
+		g.probedAt = now
+		list = append(list, g.deadTargets()...)
+		list = append(list, g.candidates.next(now, g.reached)...)
 	}
-	for _, addr := range g.candidates.next(now, g.reached) {
-		list = append(list, target{addr: addr})
+
+	for _, t := range list {
+		if r := g.records[t.id]; r != nil {
+			r.busy = true
+		}
 	}
 	return list
 }
 
+// isDue reports whether the pair has to exchange heartbeats. The slower of
+// the two sets the period. The one with the lower id begins; the other one
+// only sends when it does not.
+func (g *Group) isDue(r *record, now time.Time) bool {
+	if !r.known() || r.busy {
+		return false
+	}
+	period := max(g.period, r.period)
+	if g.self.Entry.ID > r.member.Entry.ID {
+		period = period * 3 / 2
+	}
+	return now.Sub(r.exchangedAt) >= period
+}
+
 // deadTargets picks the dead member whose last exchange is oldest.
 func (g *Group) deadTargets() []target {
 	var oldest *record
