--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -1,6 +1,9 @@
 package proof
 
 import (
+	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -17,9 +20,10 @@
 	fleet    *fakes.Fleet
 	entries  []*process
 	addrs    []string
+	flags    []string
 }
 
-func startCell(t *testing.T, entries, workers int) *cell {
+func startCell(t *testing.T, entries, workers int, flags ...string) *cell {
 	t.Helper()
 
 	platform, err := fakes.StartPlatform(fakes.PlatformOptions{})
@@ -40,7 +44,7 @@
 	}
 
 	applyExample(t, platform.Addr())
-	c := &cell{platform: platform, fleet: fleet}
+	c := &cell{platform: platform, fleet: fleet, flags: flags}
 	for i := range entries {
 		c.add(t, i)
 	}
@@ -51,15 +55,37 @@
 func (c *cell) add(t *testing.T, index int) {
 	t.Helper()
 
-	var flags []string
-	if index > 0 {
-		flags = []string{"--peers.seeds", c.entries[0].field("peers")}
-	}
-	p := startEntry(t, "entry-"+string(rune('1'+index)), c.platform.Addr(), flags...)
+	p := c.start(t, index)
 	c.entries = append(c.entries, p)
 	c.addrs = append(c.addrs, p.field("callers"))
 }
 
+// replace starts a new process of an instance that has ended.
+func (c *cell) replace(t *testing.T, index int) *process {
+	t.Helper()
+
+	c.entries[index] = c.start(t, index)
+	c.addrs[index] = c.entries[index].field("callers")
+	return c.entries[index]
+}
+
+// start runs an instance that is told of all that run already.
+func (c *cell) start(t *testing.T, index int) *process {
+	t.Helper()
+
+	var seeds []string
+	for _, p := range c.entries {
+		if !p.ended() {
+			seeds = append(seeds, p.field("peers"))
+		}
+	}
+	flags := c.flags
+	if len(seeds) > 0 {
+		flags = append(slices.Clone(flags), "--peers.seeds", strings.Join(seeds, ","))
+	}
+	return startEntry(t, fmt.Sprintf("entry-%d", index+1), c.platform.Addr(), flags...)
+}
+
 // starts counts the starts of each nonce on all workers.
 func (c *cell) starts(t *testing.T) map[string]int {
 	t.Helper()
