--- a/fakes/task.go
+++ b/fakes/task.go
@@ -102,7 +102,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
-	case w.faults.Leaving:
+	case w.faults.Leaving && !w.faults.LeavingAccepts:
 		return reasonLeaving
 	case w.busy >= w.options.Slots:
 		return reasonSlots
--- a/fakes/worker.go
+++ b/fakes/worker.go
@@ -49,6 +49,10 @@
 	// Leaving refuses new tasks as not run and shows in status and answers.
 	Leaving bool `json:"leaving"`
 
+	// LeavingAccepts makes a leaving worker run new tasks all the same, so
+	// that its events show who still sends some.
+	LeavingAccepts bool `json:"leavingAccepts"`
+
 	// Silent makes the connections that are established when it is set
 	// silent for good. New connections work. It is an act, not a state.
 	Silent bool `json:"silent,omitempty"`
