--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -119,13 +119,20 @@
 	}
 }
 
+// send sends a signal to the process.
+func (p *process) send(s syscall.Signal) {
+	p.t.Helper()
+
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Fatalf("signal %s: %v", p.name, err)
+	}
+}
+
 // kill ends the process at once and waits for its end.
 func (p *process) kill() {
 	p.t.Helper()
 
-	if err := p.cmd.Process.Kill(); err != nil {
-		p.t.Fatalf("kill %s: %v", p.name, err)
-	}
+	p.send(syscall.SIGKILL)
 	p.waitExit()
 }
 
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -188,7 +188,7 @@
 	for i := range 3 {
 		old := c.entries[i]
 		before := len(tr.answers())
-		old.signalStop()
+		old.send(syscall.SIGTERM)
 		if diff := cmp.Diff(0, old.waitExit()); diff != "" {
 			t.Errorf("exit code of %s (-want +got):\n%s", old.name, diff)
 		}
@@ -251,12 +251,3 @@
 		}
 	}
 }
-
-// signalStop asks the process to end gracefully.
-func (p *process) signalStop() {
-	p.t.Helper()
-
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		p.t.Fatalf("stop %s: %v", p.name, err)
-	}
-}
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -21,6 +21,9 @@
 	entries  []*process
 	addrs    []string
 	flags    []string
+
+	dataCentre string
+	seeds      []string // peers of other data centres
 }
 
 func startCell(t *testing.T, entries, workers int, flags ...string) *cell {
@@ -31,8 +34,22 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(platform.Close)
+	applyExample(t, platform.Addr())
+
+	c := newCell(t, platform, "kochi", workers, flags...)
+	for i := range entries {
+		c.add(t, i)
+	}
+	waitServing(t, c.entries...)
+	return c
+}
+
+// newCell starts the workers of a data centre and no entry instance yet.
+func newCell(t *testing.T, platform *fakes.Platform, dataCentre string, workers int, flags ...string) *cell {
+	t.Helper()
+
 	fleet, err := fakes.StartFleet(fakes.FleetOptions{
-		Count: workers, Name: "w", Pool: "quoting", DataCentres: []string{"kochi"},
+		Count: workers, Name: dataCentre, Pool: "quoting", DataCentres: []string{dataCentre},
 		Capacity: model.Needs{Cores: 64, MemoryMB: 128_000},
 	})
 	if err != nil {
@@ -43,13 +60,8 @@
 		platform.PutWorker(w.Describe())
 	}
 
-	applyExample(t, platform.Addr())
-	c := &cell{platform: platform, fleet: fleet, flags: flags}
-	for i := range entries {
-		c.add(t, i)
-	}
-	waitServing(t, c.entries...)
-	return c
+	flags = append([]string{"--dataCentre", dataCentre}, flags...)
+	return &cell{platform: platform, fleet: fleet, dataCentre: dataCentre, flags: flags}
 }
 
 func (c *cell) add(t *testing.T, index int) {
@@ -73,7 +85,7 @@
 func (c *cell) start(t *testing.T, index int) *process {
 	t.Helper()
 
-	var seeds []string
+	seeds := slices.Clone(c.seeds)
 	for _, p := range c.entries {
 		if !p.ended() {
 			seeds = append(seeds, p.field("peers"))
@@ -83,7 +95,7 @@
 	if len(seeds) > 0 {
 		flags = append(slices.Clone(flags), "--peers.seeds", strings.Join(seeds, ","))
 	}
-	return startEntry(t, fmt.Sprintf("entry-%d", index+1), c.platform.Addr(), flags...)
+	return startEntry(t, fmt.Sprintf("%s-%d", c.dataCentre, index+1), c.platform.Addr(), flags...)
 }
 
 // starts counts the starts of each nonce on all workers.
