peer: leave calls unknown when the callee closes

A handler that ended because its connection closed raced its error against the close, so that the caller saw either a refusal or an unknown outcome. Now it never answers.

--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -359,11 +359,16 @@
 	a.SetPeer("b", proxy.listener.Addr().String())
 
 	inFlight := make(chan error, 1)
-	go func() { inFlight <- call(t, a, "b", "hang", nil, nil) }()
+	go func() { inFlight <- a.Call(context.Background(), "b", "hang", nil, nil) }()
 	<-entered
 	proxy.silence()
 
-	wantOutcome(t, <-inFlight, outcome{Kind: Unknown, Sent: true})
+	select {
+	case err := <-inFlight:
+		wantOutcome(t, err, outcome{Kind: Unknown, Sent: true})
+	case <-time.After(patience):
+		t.Fatal("the call in flight still waits on the silent connection")
+	}
 	for i := range 10 {
 		if err := call(t, a, "b", "echo", i, nil); err != nil {
 			t.Errorf("call %d after the silence: %v", i, err)
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -85,6 +85,9 @@
 
 func answer(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request, handler Handler) {
 	result, err := run(ctx, req, handler)
+	if ctx.Err() != nil {
+		return // The connection is closing; its end leaves the call unknown.
+	}
 	if err != nil {
 		refuse(ctx, c, req.ID, CodeFailed, err.Error())
 		return
