--- a/member/group_test.go
+++ b/member/group_test.go
@@ -126,6 +126,8 @@
 		live := nodes[4].entry
 		live.State = model.Live
 		nodes[0].Feed([]model.Entry{live})
+		nodes[0].receive(&heartbeat{ID: live.ID, Incarnation: live.Incarnation, Entry: &live}, time.Now(), true)
+		wantStates(t, nodes[0], want)
 		settle(3 * time.Second)
 		wantStates(t, nodes[0], want)
 	})
@@ -268,6 +270,9 @@
 			n.Feed(stale)
 			late := &heartbeat{ID: old.entry.ID, Incarnation: old.entry.Incarnation, Entry: &old.entry, Leaving: true}
 			n.receive(late, time.Now(), true)
+			if _, found := n.Find(old.entry.Incarnation); found {
+				t.Errorf("%s took a late heartbeat of the old incarnation", n.entry.ID)
+			}
 		}
 		settle(joinTime)
 		for _, n := range []*node{nodes[0], nodes[1], again} {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -5,7 +5,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -67,6 +70,9 @@
 		s.heardAt.Store(int64(time.Since(s.started)))
 		s.options.OnBytes(Received, n)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, io.EOF // An idle connection ends without an error.
+	}
 	return n, err
 }
 
