--- a/member/group_test.go
+++ b/member/group_test.go
@@ -78,10 +78,10 @@
 		defer killAll(nodes)
 		settle(joinTime)
 		nodes[1].mu.Lock()
-		nodes[1].digest = "another digest of the same number"
+		nodes[1].digest = "0123456789abcdef, of another document"
 		nodes[1].mu.Unlock()
 		settle(5 * time.Second)
-		if diff := cmp.Diff("another digest of the same number", nodes[0].Members()[1].ConfigDigest); diff != "" {
+		if diff := cmp.Diff("0123456789abcdef, of another document", nodes[0].Members()[1].ConfigDigest); diff != "" {
 			t.Error(diff)
 		}
 	})
--- /dev/null
+++ b/peer/example_test.go
@@ -0,0 +1,34 @@
+package peer_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"foxtailmux/model"
+	"foxtailmux/peer"
+)
+
+func ExampleGroup_Call() {
+	ctx := context.Background()
+	answering := peer.New(peer.Options{Self: model.Entry{ID: "entry2"}, ListenAddr: "127.0.0.1:0"})
+	answering.Handle("double", func(_ context.Context, params json.RawMessage) (any, error) {
+		var n int
+		err := json.Unmarshal(params, &n)
+		return 2 * n, err
+	})
+	if err := answering.Start(); err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer func() { _ = answering.Close(ctx) }()
+
+	calling := peer.New(peer.Options{Self: model.Entry{ID: "entry1"}})
+	defer func() { _ = calling.Close(ctx) }()
+	calling.SetPeer("entry2", answering.Addr())
+
+	var result int
+	err := calling.Call(ctx, "entry2", "double", 21, &result)
+	fmt.Println(result, err)
+	// Output: 42 <nil>
+}
