relay: forward to a peer of unknown size rather than refuse

Cause: right after a join an instance may have lost all its workers to the new peer, whose last heartbeat was sent before it had any; in that window its jobs were refused as noWorker. TestJobIsForwardedToAPeerOfUnknownSizeRatherThanRefused fails before, passes after. Found by the leaving proof on a busy machine.

--- a/relay/plan.go
+++ b/relay/plan.go
@@ -62,6 +62,9 @@
 	}
 
 	best := emptiest(peers)
+	if best == nil && here.slots == 0 && len(peers) > 0 {
+		return peers[0] // its heartbeat may be older than its workers
+	}
 	if best == nil {
 		return here
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -225,3 +225,16 @@
 		t.Errorf("tasks elsewhere (-want +got):\n%s", diff)
 	}
 }
+
+// Right after a join the workers may have moved to a peer whose last heartbeat
+// was sent before it had any.
+func TestJobIsForwardedToAPeerOfUnknownSizeRatherThanRefused(t *testing.T) {
+	here := &fakeLocal{refuses: true}
+	there := &fakeLocal{}
+	r, _ := newPair(here, there)
+
+	submit(t, r, 4)
+	if diff := cmp.Diff(4, len(there.ran)); diff != "" {
+		t.Errorf("tasks on the peer (-want +got):\n%s", diff)
+	}
+}
