sched, runner: give back tasks whose queue lost its workers

Cause: tasks waited in the queue of an instance whose last worker of the pool left, or moved to another instance at a join, until their deadline: a job of three tasks failed after 5 s with two of them never started. Ruled out: lost wake-ups (the queue had nothing to wake for), refusals by the worker. The scheduler now gives such tasks back as not run and the runner submits them again, at most 10 times and 50 ms apart. TestStrandedTasksAreGivenBack and TestTaskThatLostItsQueueIsSubmittedAgain fail before, pass after.

--- a/queue/item.go
+++ b/queue/item.go
@@ -12,6 +12,10 @@
 	Request  model.StartRequest
 	Expected time.Duration
 
+	// Moves counts how often the task lost its place in a queue and was
+	// submitted again.
+	Moves int
+
 	// Deliver receives the outcome exactly once. It must not block.
 	Deliver func(Outcome)
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -3,6 +3,7 @@
 package queue
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -138,3 +139,19 @@
 	}
 	return items
 }
+
+// RemovePool takes out all waiting items of a pool and returns them.
+func (q *Queue) RemovePool(pool string) []*Item {
+	var items []*Item
+	for _, j := range slices.Clone(q.jobs) {
+		if j.Pool == pool {
+			items = append(items, q.Remove(j)...)
+		}
+	}
+	return items
+}
+
+// Pools returns the pools that tasks wait for.
+func (q *Queue) Pools() []string {
+	return slices.Sorted(maps.Keys(q.pools))
+}
--- a/runner/gather.go
+++ b/runner/gather.go
@@ -49,7 +49,7 @@
 func (g *gather) note(index int, o queue.Outcome) {
 	switch {
 	case o.NotRun:
-		g.fail(model.FailDeadline, "a task got no slot in time")
+		g.fail(model.FailNoWorker, "no worker takes a task: "+o.Err.Error())
 	case o.Err != nil:
 		g.unknown = true
 		g.fail(model.FailWorkerLost, "the outcome of a task is unknown")
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -14,6 +14,13 @@
 	"foxtailmux/quota"
 )
 
+const (
+	// maxMoves and moveDelay bound how often and how soon a task that lost its
+	// place in a queue is submitted again.
+	maxMoves  = 10
+	moveDelay = 50 * time.Millisecond
+)
+
 // settleGrace is how long a failed job waits for its other tasks, so that the
 // answer can say what ran.
 const settleGrace = 100 * time.Millisecond
@@ -154,12 +161,33 @@
 	if j.Context.Err() != nil {
 		g.refuse(endedFailure(j.Context))
 	}
+	if o.NotRun && j.Context.Err() == nil && it.Moves < maxMoves {
+		it.Moves++
+		time.AfterFunc(moveDelay, func() { r.move(g, j, it, index, o) })
+		return
+	}
 	if plan.repeatable && failed(o) && j.Context.Err() == nil && r.retry(j, it, plan) {
 		return
 	}
 	g.add(index, o)
 }
 
+// move submits a task again that lost its place in a queue without having been
+// started, because the workers of that queue left or have another home now.
+func (r *Runner) move(g *gather, j *queue.Job, it *queue.Item, index int, last queue.Outcome) {
+	if err := r.submitAgain(j, it); err != nil {
+		g.add(index, last)
+		return
+	}
+	r.Observer.Retried("moved")
+}
+
+func (r *Runner) submitAgain(j *queue.Job, it *queue.Item) error {
+	again := *j
+	again.Items = []*queue.Item{it}
+	return r.Scheduler.Submit(&again)
+}
+
 func failed(o queue.Outcome) bool {
 	return !o.NotRun && (o.Err != nil || o.Reply.Outcome == model.OutcomeFailed)
 }
@@ -170,9 +198,7 @@
 	}
 	it.Request.Attempt++
 
-	again := *j
-	again.Items = []*queue.Item{it}
-	if err := r.Scheduler.Submit(&again); err != nil {
+	if err := r.submitAgain(j, it); err != nil {
 		return false
 	}
 	r.Observer.Retried("failedAttempt")
--- a/runner/runner_test.go
+++ b/runner/runner_test.go
@@ -280,3 +280,37 @@
 		t.Errorf("third job: %+v, want complete", got)
 	}
 }
+
+func TestTaskThatLostItsQueueIsSubmittedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		r, s := newRunner(func(ctx context.Context, q model.StartRequest) queue.Outcome {
+			tries++
+			if tries < 3 {
+				return queue.Outcome{Err: eris.New("no worker"), NotRun: true}
+			}
+			return echo(ctx, q)
+		})
+
+		if got := r.Run(t.Context(), "j", quote(1)); got.Result != model.Complete {
+			t.Errorf("answer is %+v, want complete", got)
+		}
+		if diff := cmp.Diff(map[string]int{"j-0": 3}, s.starts); diff != "" {
+			t.Errorf("submissions (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestTaskThatNobodyRunsFailsAsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := newRunner(func(context.Context, model.StartRequest) queue.Outcome {
+			return queue.Outcome{Err: eris.New("no worker"), NotRun: true}
+		})
+
+		got := r.Run(t.Context(), "j", quote(1))
+		want := model.Fail("j", model.RanNo, model.FailNoWorker, "no worker takes a task: no worker")
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("answer (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -158,6 +158,7 @@
 	now := time.Now()
 	for s.queue.Len() > 0 && s.startNext(now) {
 	}
+	s.giveBackStranded()
 	s.observer.QueueLength(s.queue.Len())
 }
 
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -388,3 +388,38 @@
 		t.Errorf("kind (-want +got):\n%s", diff)
 	}
 }
+
+// A queue whose last worker leaves or moves to another instance must not keep
+// its tasks until their deadlines.
+func TestStrandedTasksAreGivenBack(t *testing.T) {
+	for name, strand := range map[string]func(*bench){
+		"the worker leaves":      func(b *bench) { b.sched.SetLeaving("w1") },
+		"the worker has another": func(b *bench) { b.sched.SetOwner(func(string) string { return "e2" }) },
+		"the worker is gone":     func(b *bench) { b.sched.Update(nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t)
+				defer b.close()
+				b.add("w1", 1, after(time.Second))
+				j, outcomes := b.job("a", 3, time.Minute)
+				b.submit(j)
+
+				synctest.Wait()
+				began := time.Now()
+				strand(b)
+				for range 2 {
+					if o := <-outcomes; !o.NotRun {
+						t.Errorf("outcome is %+v, want not run", o)
+					}
+				}
+				if diff := cmp.Diff(time.Duration(0), time.Since(began)); diff != "" {
+					t.Errorf("time until the tasks came back (-want +got):\n%s", diff)
+				}
+				if o := <-outcomes; o.Reply.Outcome != model.OutcomeDone {
+					t.Errorf("outcome of the task that ran is %+v, want done", o)
+				}
+			})
+		})
+	}
+}
--- a/sched/update.go
+++ b/sched/update.go
@@ -85,6 +85,7 @@
 
 	if w, ok := s.workers[id]; ok {
 		w.Leaving = true
+		s.pump()
 	}
 }
 
