proof: give each instance a worker in the test of a doubled key

The harness now waits until every instance is the home of a worker. With two workers, the hash gives both to entry-1, so that the wait never ended (6 of 6 runs); with four, as in the other tests, each has some. The checks are unchanged.

--- a/proof/product_test.go
+++ b/proof/product_test.go
@@ -108,7 +108,7 @@
 }
 
 func TestSubmitTwiceWithAKeyRunsOnce(t *testing.T) {
-	c := startCell(t, 2, 2)
+	c := startCell(t, 2, 4)
 	job := quote("keyed", 2, 0)
 	raw, err := json.Marshal(job)
 	if err != nil {
