load: compare clusters that are started anew for each run

A variant may describe a cluster by its configuration and faults; the tool starts it in its own process for each run, so an experiment needs no shell. A direct variant sends the tasks straight to the workers behind one queue: what it costs is the stand-ins, the load tool and the queueing of bursts. The report adds response over ideal, refusals by kind, the lost share and the responses of the jobs that ran on no faulty worker.

--- a/cmd/load/main.go
+++ b/cmd/load/main.go
@@ -170,7 +170,7 @@
 		return err
 	}
 
-	comparison, err := load.RunExperiment(ctx, experiment, s.runID)
+	comparison, err := load.RunExperiment(ctx, experiment, s.runID, newInstances().start)
 	if err != nil {
 		return err
 	}
--- a/load/exper.go
+++ b/load/exper.go
@@ -23,16 +23,24 @@
 	Warmup      time.Duration `yaml:"warmup"`
 	Utilisation float64       `yaml:"utilisation"`
 	TimeScale   float64       `yaml:"timeScale"`
-	Workers     int           `yaml:"workers"` // 0 takes the preset's number
+	Workers     int           `yaml:"workers"`     // 0 takes the preset's number
+	DataCentres int           `yaml:"dataCentres"` // 0 takes the preset's number
 	Variants    []Variant     `yaml:"variants"`
 }
 
-// Variant is a named set of entry instances.
+// Variant is a named set of entry instances: the addresses of processes, or a
+// cluster that is started anew for each run. Utilisation replaces that of the
+// experiment unless it is 0.
 type Variant struct {
-	Name    string  `yaml:"name"`
-	Targets Targets `yaml:",inline"`
+	Name        string  `yaml:"name"`
+	Utilisation float64 `yaml:"utilisation"`
+	Targets     Targets `yaml:",inline"`
+	Cluster     *Setup  `yaml:"cluster"`
 }
 
+// StartFunc starts an entry instance of a cluster.
+type StartFunc func(InstanceOptions) (Instance, error)
+
 // Bounds of an experiment.
 const (
 	maxRounds   = 1000
@@ -65,8 +73,13 @@
 		if v.Name == "" || names[v.Name] {
 			return eris.Errorf("variant name %q is empty or used twice", v.Name)
 		}
-		if len(v.Targets.Entries) == 0 {
-			return eris.Errorf("variant %q has no entries", v.Name)
+		if len(v.Targets.Entries) == 0 && v.Cluster == nil {
+			return eris.Errorf("variant %q has neither entries nor a cluster", v.Name)
+		}
+		if v.Cluster != nil {
+			if err := v.Cluster.validate(); err != nil {
+				return eris.Wrapf(err, "variant %q", v.Name)
+			}
 		}
 		names[v.Name] = true
 	}
@@ -79,37 +92,49 @@
 }
 
 // VariantReport holds the reports of a variant's runs, one for each round,
-// and the quantiles over all of them, in milliseconds.
+// and the quantiles over all of them, in milliseconds. Others covers the
+// responses without a task on a faulty worker.
 type VariantReport struct {
-	Name     string    `json:"name"`
-	Runs     []Report  `json:"runs"`
-	Response Quantiles `json:"response"`
-	Overhead Quantiles `json:"overhead"`
+	Name     string         `json:"name"`
+	Runs     []Report       `json:"runs"`
+	Response Quantiles      `json:"response"`
+	Overhead Quantiles      `json:"overhead"`
+	Ratio    Quantiles      `json:"ratio"`
+	Others   Quantiles      `json:"others"`
+	Refusals map[string]int `json:"refusals"`
+
+	overhead, response, ratio, others histogram
+}
 
-	overhead, response histogram
+func newVariantReport(name string) VariantReport {
+	return VariantReport{
+		Name:     name,
+		Refusals: map[string]int{},
+		overhead: newHistogram(),
+		response: newHistogram(),
+		ratio:    newHistogram(),
+		others:   newHistogram(),
+	}
 }
 
 // RunExperiment runs all rounds of an experiment. The run id is part of each
-// nonce and key, so it must be new for each experiment.
-func RunExperiment(ctx context.Context, e Experiment, runID string) (Comparison, error) {
-	preset, err := NewPreset(e.Preset)
+// nonce and key, so it must be new for each experiment. Start is called for
+// the instances of the variants that are clusters and may be nil without any.
+func RunExperiment(ctx context.Context, e Experiment, runID string, start StartFunc) (Comparison, error) {
+	preset, err := e.preset()
 	if err != nil {
 		return Comparison{}, err
 	}
-	if e.Workers > 0 {
-		preset.Workers = e.Workers
-	}
 
 	comparison := Comparison{}
 	for _, v := range e.Variants {
-		report := VariantReport{Name: v.Name, overhead: newHistogram(), response: newHistogram()}
-		comparison.Variants = append(comparison.Variants, report)
+		comparison.Variants = append(comparison.Variants, newVariantReport(v.Name))
 	}
 	for round := range e.Rounds {
 		for i, v := range e.Variants {
 			options := e.options(preset, v, round)
 			options.RunID = fmt.Sprintf("%s-%d-%d", runID, round, i)
-			if err := comparison.Variants[i].run(ctx, options); err != nil {
+			if err := comparison.Variants[i].run(ctx, v, options, start); err != nil {
 				return comparison, err
 			}
 			if ctx.Err() != nil {
@@ -120,8 +145,22 @@
 	return comparison, nil
 }
 
+func (e Experiment) preset() (Preset, error) {
+	preset, err := NewPreset(e.Preset)
+	if err != nil {
+		return Preset{}, err
+	}
+	if e.Workers > 0 {
+		preset.Workers = e.Workers
+	}
+	if e.DataCentres > 0 {
+		preset.DataCentres = preset.DataCentres[:min(e.DataCentres, len(preset.DataCentres))]
+	}
+	return preset, nil
+}
+
 func (e Experiment) options(preset Preset, v Variant, round int) RunOptions {
-	return RunOptions{
+	o := RunOptions{
 		GeneratorOptions: GeneratorOptions{
 			Preset:      preset,
 			Seed:        e.Seed + uint64(round),
@@ -132,18 +171,43 @@
 		Duration: e.Duration,
 		Warmup:   e.Warmup,
 	}
+	if v.Utilisation > 0 {
+		o.Utilisation = v.Utilisation
+	}
+	return o
+}
+
+func (v *VariantReport) run(ctx context.Context, variant Variant, options RunOptions, start StartFunc) error {
+	if variant.Cluster == nil {
+		return v.runOnce(ctx, options)
+	}
+
+	cluster, err := variant.Cluster.start(&options, start)
+	if err != nil {
+		return err
+	}
+	defer cluster.Close()
+	return v.runOnce(ctx, options)
 }
 
-func (v *VariantReport) run(ctx context.Context, options RunOptions) error {
+func (v *VariantReport) runOnce(ctx context.Context, options RunOptions) error {
 	report, recorder, err := run(ctx, options)
 	if err != nil {
 		return err
 	}
 	v.Runs = append(v.Runs, report)
+	for kind, count := range report.Refusals {
+		v.Refusals[kind] += count
+	}
+
 	v.overhead.merge(recorder.overhead)
 	v.response.merge(recorder.response)
+	v.ratio.merge(recorder.ratio)
+	v.others.merge(recorder.others)
 	v.Overhead = v.overhead.quantiles()
 	v.Response = v.response.quantiles()
+	v.Ratio = v.ratio.quantiles()
+	v.Others = v.others.quantiles()
 	return nil
 }
 
@@ -168,26 +232,47 @@
 	return curves
 }
 
-// WriteTable writes a line for each run and a summary for each variant. The
-// spread is the lowest and the highest of the runs.
+// WriteTable writes a line for each run, then the response over the ideal and
+// the refusals of each variant. The spread is the lowest and the highest of
+// the runs.
 func (c Comparison) WriteTable(out io.Writer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "variant\tround\tseed\tjobs\toverhead p50\tp99\tp99.9\twork in time\tneeded\twasted\tno answer\tviolations")
+	c.writeRuns(w)
+	c.writeQuantiles(w)
+	c.writeRefusals(w)
+	return w.Flush()
+}
+
+func (c Comparison) writeRuns(w io.Writer) {
+	fmt.Fprintln(w, "variant\tround\tseed\tload\tjobs\tlag p99\toverhead p50\tp99\tp99.9\twork in time\tlost\tneeded\twasted\tJain\tworst/best\tno answer\tviolations")
 	for _, v := range c.Variants {
 		for round, r := range v.Runs {
-			fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.4f\t%s\t%s\t%d\t%d\n", v.Name, round+1, r.Seed, r.Jobs,
-				r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.WorkInTimeShare,
-				r.perTask(r.NeededPerTask), r.perTask(r.WastedPerTask), sum(r.TransportErrors), sum(r.Violations))
+			fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.4f\t%.4f\t%s\t%s\t%.4f\t%.4f\t%d\t%d\n",
+				v.Name, round+1, r.Seed, r.Utilisation, r.Jobs, r.SenderLag.P99,
+				r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.WorkInTimeShare, r.LostShare,
+				r.perTask(r.NeededPerTask), r.perTask(r.WastedPerTask),
+				r.Jain, r.WorstOverBest, sum(r.TransportErrors), sum(r.Violations))
 		}
 	}
+}
 
-	fmt.Fprintln(w, "\nvariant\truns\tjobs answered\toverhead p50\tp99\tp99.9\tspread of p99")
+func (c Comparison) writeQuantiles(w io.Writer) {
+	fmt.Fprintln(w, "\nvariant\truns\tjobs answered\tresponse/ideal p50\tp99\tp99.9\toverhead p50\tp99\tp99.9\tspread of p99\tothers' response p50\tp99")
 	for _, v := range c.Variants {
 		low, high := v.spread()
-		fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f to %.2f\n", v.Name, len(v.Runs), v.Overhead.Count,
-			v.Overhead.P50, v.Overhead.P99, v.Overhead.P999, low, high)
+		fmt.Fprintf(w, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f to %.2f\t%.2f\t%.2f\n",
+			v.Name, len(v.Runs), v.Overhead.Count,
+			v.Ratio.P50, v.Ratio.P99, v.Ratio.P999,
+			v.Overhead.P50, v.Overhead.P99, v.Overhead.P999, low, high,
+			v.Others.P50, v.Others.P99)
+	}
+}
+
+func (c Comparison) writeRefusals(w io.Writer) {
+	fmt.Fprintln(w, "\nvariant\trefusals by kind")
+	for _, v := range c.Variants {
+		writeCounts(w, v.Name, v.Refusals)
 	}
-	return w.Flush()
 }
 
 // spread returns the lowest and the highest p99 of the runs' overheads.
--- a/load/record.go
+++ b/load/record.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"encoding/json"
 	"errors"
 	"slices"
 	"strconv"
@@ -9,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"foxtailmux/fakes"
 	"foxtailmux/model"
 )
 
@@ -22,6 +24,8 @@
 	response histogram
 	overhead histogram
 	ratio    histogram
+	others   histogram // responses without a task on a faulty worker
+	faulty   map[string]bool
 	lag      histogram
 	teams    map[string]*teamRecord
 	total    good
@@ -31,6 +35,7 @@
 // that was answered in time.
 type good struct {
 	jobs, jobsInTime int
+	lost             int // failed after they may have run
 	work, workInTime time.Duration
 }
 
@@ -52,6 +57,7 @@
 		response: newHistogram(),
 		overhead: newHistogram(),
 		ratio:    newHistogram(),
+		others:   newHistogram(),
 		lag:      newHistogram(),
 		teams:    map[string]*teamRecord{},
 	}
@@ -98,6 +104,9 @@
 		r.overhead.record(o.response - o.submission.Ideal)
 		r.ratio.record(ratioAsMillis(o.response, o.submission.Ideal))
 	}
+	if complete && !o.ranOn(r.faulty) {
+		r.others.record(o.response)
+	}
 	if o.submission.CancelAt > 0 {
 		return
 	}
@@ -109,6 +118,9 @@
 	inTime := complete && o.response <= deadline
 	team.add(o.submission, inTime)
 	r.total.add(o.submission, inTime)
+	if o.lost() {
+		r.total.lost++
+	}
 }
 
 // addAgain records the outcome of a second submission on a ticket.
@@ -124,6 +136,25 @@
 	return o.err == nil && o.finding == nil && o.answer.Result == model.Complete
 }
 
+// lost tells whether the job failed and may not be submitted again safely.
+func (o outcome) lost() bool {
+	return o.err != nil || o.answer.Result == model.Failed && o.answer.Ran != model.RanNo
+}
+
+// ranOn tells whether a task ran on one of the workers.
+func (o outcome) ranOn(workers map[string]bool) bool {
+	if len(workers) == 0 {
+		return false
+	}
+	for _, raw := range o.answer.Tasks {
+		var result fakes.TaskResult
+		if err := json.Unmarshal(raw, &result); err == nil && workers[result.Worker] {
+			return true
+		}
+	}
+	return false
+}
+
 // count counts the answer by its status, result and kind.
 func (r *recorder) count(o outcome) {
 	if o.err != nil {
@@ -211,6 +242,8 @@
 	report.Response = r.response.quantiles()
 	report.Overhead = r.overhead.quantiles()
 	report.Ratio = r.ratio.quantiles()
+	report.Others = r.others.quantiles()
+	report.LostShare = share(float64(r.total.lost), float64(r.total.jobs))
 	report.SenderLag = r.lag.quantiles()
 	report.InTimeShare = share(float64(r.total.jobsInTime), float64(r.total.jobs))
 	report.WorkInTimeShare = r.total.workShare()
--- a/load/report.go
+++ b/load/report.go
@@ -41,10 +41,12 @@
 	Response  Quantiles `json:"response"`  // of complete answers, from the planned arrival
 	Overhead  Quantiles `json:"overhead"`  // response less ideal
 	Ratio     Quantiles `json:"ratio"`     // response over ideal
+	Others    Quantiles `json:"others"`    // responses without a task on a faulty worker
 	SenderLag Quantiles `json:"senderLag"` // of the tool itself
 
 	InTimeShare     float64 `json:"inTimeShare"`     // of jobs that can run and weren't cancelled
 	WorkInTimeShare float64 `json:"workInTimeShare"` // the same, weighed by slot time
+	LostShare       float64 `json:"lostShare"`       // of the same jobs, failed after they may have run
 
 	MessagesKnown  bool     `json:"messagesKnown"`
 	Messages       Messages `json:"messages"`
--- a/load/run.go
+++ b/load/run.go
@@ -7,6 +7,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
+
+	"foxtailmux/model"
 )
 
 // Targets are the addresses of the entry instances, as IP and port.
@@ -24,6 +26,12 @@
 	Warmup         time.Duration // arrivals before it are sent but not recorded
 	MaxOutstanding int           // bound of jobs in flight; 0 takes the default
 	History        *History      // takes every answer; may be nil
+
+	// FaultyWorkers are left out of Report.Others.
+	FaultyWorkers map[string]bool
+
+	// Direct answers the jobs in place of the entry instances. It may be nil.
+	Direct func(model.Job) (status int, answer model.Answer)
 }
 
 // Limits of a run.
@@ -39,7 +47,7 @@
 		return &Error{Op: "check options", Kind: KindOptions, Err: eris.New(reason)}
 	}
 	switch {
-	case len(o.Targets.Entries) == 0:
+	case len(o.Targets.Entries) == 0 && o.Direct == nil:
 		return fail("no entry addresses")
 	case o.Duration <= 0 || o.Duration > maxDuration:
 		return fail("duration must be above 0 and at most 1h")
@@ -100,6 +108,7 @@
 		recorder: newRecorder(),
 		slots:    make(chan struct{}, options.MaxOutstanding),
 	}
+	r.recorder.faulty = options.FaultyWorkers
 	before, beforeErr := scrape(options.Targets.Admins, options.Targets.AdminKey)
 	r.sendAll(ctx)
 	after, afterErr := scrape(options.Targets.Admins, options.Targets.AdminKey)
@@ -124,7 +133,9 @@
 	generator := NewGenerator(r.options.GeneratorOptions)
 	supplyCtx, stopSupply := context.WithCancel(ctx)
 	var fetching conc.WaitGroup
-	r.supply = newSupply(supplyCtx, r.client, fetching.Go)
+	if r.options.Direct == nil {
+		r.supply = newSupply(supplyCtx, r.client, fetching.Go)
+	}
 
 	r.started = time.Now()
 	for {
@@ -166,6 +177,10 @@
 		defer func() { r.keepFindings(recorder) }()
 	}
 	r.tasks.Add(int64(len(s.Job.Tasks)))
+	if r.options.Direct != nil {
+		s.OnTicket = false
+		s.CancelAt, s.ResubmitAt = 0, 0
+	}
 	if s.OnTicket {
 		r.takeTicket(&s, recorder)
 	}
@@ -220,7 +235,7 @@
 func (r *runner) submitAt(s Submission, at time.Duration) outcome {
 	time.Sleep(time.Until(r.started.Add(at)))
 	timeout := time.Duration(s.Job.DeadlineMillis)*time.Millisecond + answerSlack
-	status, answer, err := r.client.submit(s.Job, timeout)
+	status, answer, err := r.submit(s.Job, timeout)
 
 	o := outcome{submission: s, status: status, answer: answer, err: err}
 	o.response = time.Since(r.started.Add(at))
@@ -233,6 +248,14 @@
 	return o
 }
 
+func (r *runner) submit(job model.Job, timeout time.Duration) (int, model.Answer, error) {
+	if r.options.Direct != nil {
+		status, answer := r.options.Direct(job)
+		return status, answer, nil
+	}
+	return r.client.submit(job, timeout)
+}
+
 func (r *runner) cancel(s Submission, recorder *recorder) {
 	time.Sleep(time.Until(r.started.Add(s.CancelAt)))
 	err := r.client.cancel(s.Job.Ticket)
--- a/load/run_test.go
+++ b/load/run_test.go
@@ -190,7 +190,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	comparison, err := RunExperiment(context.Background(), experiment, "x")
+	comparison, err := RunExperiment(context.Background(), experiment, "x", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/load/scrape.go
+++ b/load/scrape.go
@@ -68,6 +68,14 @@
 	return response.Body(), nil
 }
 
+// isReady tells whether an instance takes new work.
+func isReady(addr string) bool {
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	request.SetRequestURI("http://" + addr + "/readyz")
+	err := fasthttp.DoTimeout(request, response, shortTimeout)
+	return err == nil && response.StatusCode() == http.StatusOK
+}
+
 func parseMessages(body []byte) (Messages, error) {
 	parser := expfmt.NewTextParser(prom.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(bytes.NewReader(body))
