config: add the commands check, diff, apply, status and history

The operators had the package but no command. apply takes -on, the number of the version that must be in force, so that a change which comes between the diff and the apply makes it lose. status asks the instances given and every one that those name; one that is known and can't be asked is reported as such. history -changes holds each document against its digest.

--- a/admin/server_test.go
+++ b/admin/server_test.go
@@ -262,6 +262,47 @@
 	}
 }
 
+func TestStatusIsCollectedFromMembersToo(t *testing.T) {
+	naming := func(instance string, members ...config.MemberStatus) *Server {
+		return serve(t, keyless(), func(o *Options) {
+			o.Status = func() config.Status {
+				return config.Status{Instance: instance, Version: 3, Digest: "d", Members: members}
+			}
+		})
+	}
+	gone, moved := unusedAddr(t), unusedAddr(t)
+	last := naming("d")
+	third := naming("c", config.MemberStatus{Instance: "d", OperatorsAddr: last.Addr()})
+	second := naming("b",
+		config.MemberStatus{Instance: "c", OperatorsAddr: third.Addr(), State: "suspect"},
+		config.MemberStatus{Instance: "d", DataCentre: "kochi", State: "alive"},
+		config.MemberStatus{Instance: "d", OperatorsAddr: moved, State: "dead"},
+		config.MemberStatus{Instance: "stopped", OperatorsAddr: gone, State: "leaving"},
+	)
+	report := config.CollectStatus(t.Context(), []string{second.Addr()}, "")
+	var found []string
+	for _, s := range report.Instances {
+		found = append(found, s.Addr)
+	}
+	if diff := cmp.Diff([]string{second.Addr(), third.Addr(), last.Addr()}, found); diff != "" || !report.Same {
+		t.Error(report.Same, diff)
+	}
+
+	for _, lost := range []config.MemberStatus{
+		{Instance: "e", DataCentre: "kochi", OperatorsAddr: gone, State: "dead"},
+		{Instance: "e", DataCentre: "kochi", State: "alive"},
+	} {
+		report := config.CollectStatus(t.Context(), []string{naming("a", lost).Addr()}, "")
+		if report.Same || len(report.Instances) != 2 {
+			t.Fatalf("%+v", report)
+		}
+		got := report.Instances[1]
+		if got.Instance != "e" || got.DataCentre != "kochi" || got.Addr != lost.OperatorsAddr || got.Error == "" {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
 func unusedAddr(t *testing.T) string {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/config/apply.go
+++ b/config/apply.go
@@ -32,6 +32,25 @@
 // changed; with KindUnknown if the change may have taken effect when the
 // context ended.
 func Apply(ctx context.Context, store Store, doc Document, who, why string) (Applied, error) {
+	return apply(ctx, store, doc, who, why, func(head) error { return nil })
+}
+
+// ApplyOn is Apply that loses, with KindRaceLost, unless the version of that
+// number is in force. 0 asks that there is none yet.
+func ApplyOn(ctx context.Context, store Store, number int64, doc Document, who, why string) (Applied, error) {
+	return apply(ctx, store, doc, who, why, func(before head) error {
+		switch {
+		case before.Number == number:
+			return nil
+		case before.Number == 0:
+			return &Error{Op: "apply", Kind: KindNone, Err: eris.Errorf("version %d was to be in force, but there is none yet", number)}
+		default:
+			return lostTo(before.Entry)
+		}
+	})
+}
+
+func apply(ctx context.Context, store Store, doc Document, who, why string, accepts func(head) error) (Applied, error) {
 	who, why = strings.TrimSpace(who), strings.TrimSpace(why)
 	if err := checkChange(doc, who, why); err != nil {
 		return Applied{}, err
@@ -41,6 +60,9 @@
 	if err != nil {
 		return Applied{}, err
 	}
+	if err := accepts(before); err != nil {
+		return Applied{}, err
+	}
 	data := doc.Canonical()
 	digest := digestOf(data)
 	if digest == before.Digest {
--- a/config/history.go
+++ b/config/history.go
@@ -11,11 +11,13 @@
 
 // HistoryReport is the chain of changes, oldest first. Verified tells that
 // the numbers have no gap, that every hash fits and that the head is the
-// last entry; Problems holds what does not.
+// last entry; Problems holds what does not. Revisions are there if they were
+// asked for.
 type HistoryReport struct {
-	Entries  []Entry  `json:"entries"`
-	Verified bool     `json:"verified"`
-	Problems []string `json:"problems"`
+	Entries   []Entry    `json:"entries"`
+	Revisions []Revision `json:"revisions,omitempty"`
+	Verified  bool       `json:"verified"`
+	Problems  []string   `json:"problems"`
 }
 
 // History reads the changes and verifies the chain of their hashes.
--- a/config/report.go
+++ b/config/report.go
@@ -67,6 +67,11 @@
 	if err != nil {
 		return DiffReport{}, err
 	}
+	return DiffDocument(ctx, store, doc)
+}
+
+// DiffDocument compares a document with the version in force.
+func DiffDocument(ctx context.Context, store Reader, doc Document) (DiffReport, error) {
 	current, err := InForce(ctx, store)
 	if err != nil && KindOf(err) != KindNone {
 		return DiffReport{}, err
@@ -113,6 +118,9 @@
 	if err := t.Flush(); err != nil {
 		return err
 	}
+	if err := r.writeChanges(w); err != nil {
+		return err
+	}
 
 	for _, p := range r.Problems {
 		if _, err := fmt.Fprintf(w, "broken: %s\n", p); err != nil {
@@ -129,7 +137,8 @@
 	_, _ = fmt.Fprintln(t, "INSTANCE\tDATA CENTRE\tADDRESS\tVERSION\tDIGEST\tIN FORCE FOR\tERROR")
 	for _, s := range r.Instances {
 		if s.Status == nil {
-			_, _ = fmt.Fprintf(t, "-\t-\t%s\t-\t-\t-\t%s\n", s.Addr, s.Error)
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t-\t-\t-\t%s\n",
+				cmp.Or(s.Instance, "-"), cmp.Or(s.DataCentre, "-"), cmp.Or(s.Addr, "-"), s.Error)
 			continue
 		}
 		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Status.Instance, s.Status.DataCentre, s.Addr,
--- a/config/status.go
+++ b/config/status.go
@@ -13,6 +13,20 @@
 	SinceMillis  int64  `json:"sinceMillis"`
 	PolledMillis int64  `json:"polledMillis"`
 	Error        string `json:"error,omitempty"`
+
+	// Members are the other instances that this one knows of.
+	Members []MemberStatus `json:"members,omitempty"`
+}
+
+// MemberStatus is what an instance knows of another one. OperatorsAddr is
+// empty if the other was only heard of through third ones. HeardMillis is how
+// long ago it was last heard of.
+type MemberStatus struct {
+	Instance      string `json:"instance"`
+	DataCentre    string `json:"dataCentre"`
+	OperatorsAddr string `json:"operatorsAddr,omitempty"`
+	State         string `json:"state"`
+	HeardMillis   int64  `json:"heardMillis"`
 }
 
 // Status returns the state of the watcher under the name of its instance.
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -128,7 +128,7 @@
 	d.admin = admin.New(admin.Options{
 		Listener:    d.listeners.operators,
 		Version:     d.watcher.Current,
-		Status:      func() config.Status { return d.watcher.Status(d.self.ID, d.self.DataCentre) },
+		Status:      d.status,
 		Ready:       d.ready,
 		State:       func() any { return d.state() },
 		Metrics:     d.meter.Handler(),
--- /dev/null
+++ b/subcmd/config.go
@@ -0,0 +1,182 @@
+package subcmd
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"io"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+
+	"foxtailmux/config"
+	"foxtailmux/place"
+	"foxtailmux/queue"
+	"foxtailmux/setup"
+	"foxtailmux/table"
+)
+
+const (
+	configExample = "config check ./conf"
+
+	// configTimeout bounds a command that reads or writes the store, and
+	// storeTimeout each request of it.
+	configTimeout = 30 * time.Second
+	storeTimeout  = 2 * time.Second
+)
+
+func init() {
+	register(Command{Name: "config", Example: configExample, Build: newConfig})
+}
+
+func newConfig(s Streams) *ff.Command {
+	return &ff.Command{
+		Name:      "config",
+		Usage:     program + " config COMMAND [FLAGS]",
+		ShortHelp: "check, apply and audit the shared configuration",
+		LongHelp:  longHelp("Checks and applies a folder of YAML files, and shows what is in force.", configExample),
+		Flags:     noFlags("config"),
+		Subcommands: []*ff.Command{
+			newConfigCheck(s),
+			newConfigDiff(s),
+			newConfigApply(s),
+			newConfigStatus(s),
+			newConfigHistory(s),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) == 0 {
+				return usageError("config", "no command; see %s config -h", program)
+			}
+			return usageError("config", "unknown command %q; see %s config -h", args[0], program)
+		},
+	}
+}
+
+// configFlags are the flags that several of the commands share.
+type configFlags struct {
+	fs       *flag.FlagSet
+	json     bool
+	platform string
+	timeout  time.Duration
+}
+
+func newConfigFlags(name string) *configFlags {
+	f := &configFlags{fs: newFlags(name)}
+	f.fs.BoolVar(&f.json, "json", false, "print JSON")
+	return f
+}
+
+func (f *configFlags) bindStore() {
+	f.fs.StringVar(&f.platform, "platform", setup.Default().Platform.Addr, "IP:port of the platform")
+	f.fs.DurationVar(&f.timeout, "timeout", configTimeout, "time for the whole command")
+}
+
+// store returns the platform's store and a context that ends with the
+// command's time.
+func (f *configFlags) store(ctx context.Context, op string) (context.Context, context.CancelFunc, *table.Client, error) {
+	if err := setup.CheckDial(f.platform); err != nil {
+		return nil, nil, nil, usageError(op, "flag -platform: %v", err)
+	}
+	if f.timeout <= 0 {
+		return nil, nil, nil, usageError(op, "flag -timeout: %v is not above 0", f.timeout)
+	}
+
+	ctx, cancel := context.WithTimeout(ctx, f.timeout)
+	return ctx, cancel, table.NewClient(f.platform, storeTimeout), nil
+}
+
+// folder returns the one argument. Flags may follow it.
+func (f *configFlags) folder(op string, args []string) (string, error) {
+	if len(args) == 0 {
+		return "", usageError(op, "give the folder")
+	}
+	if err := f.fs.Parse(args[1:]); err != nil {
+		return "", usageError(op, "%v", err)
+	}
+	return args[0], noArgs(op, f.fs.Args())
+}
+
+// report is a result that can be shown as JSON or as a table.
+type report interface {
+	WriteTable(w io.Writer) error
+}
+
+func (f *configFlags) print(s Streams, r report) error {
+	if f.json {
+		return writeJSON(s.Out, r)
+	}
+	return r.WriteTable(s.Out)
+}
+
+func writeJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	e.SetEscapeHTML(false)
+	return e.Encode(v)
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error failureCause `json:"error"`
+}
+
+type failureCause struct {
+	Kind   config.Kind   `json:"kind"`
+	Reason string        `json:"reason"`
+	Winner *config.Entry `json:"winner,omitempty"`
+}
+
+// fail turns an error of the configuration into that of the command, and
+// prints its JSON form if that is wanted.
+func (f *configFlags) fail(s Streams, op string, err error) error {
+	var cause *config.Error
+	if !errors.As(err, &cause) {
+		return &Error{Op: op, Kind: KindFailed, Err: err}
+	}
+
+	if f.json {
+		body := failure{failureCause{Kind: cause.Kind, Reason: cause.Err.Error(), Winner: cause.Winner}}
+		if err := writeJSON(s.Out, body); err != nil {
+			return &Error{Op: op, Kind: KindFailed, Err: err}
+		}
+	}
+	kind := KindFailed
+	if cause.Kind == config.KindInvalid {
+		kind = KindInput
+	}
+	return &Error{Op: op, Kind: kind, Err: cause.Err}
+}
+
+// load returns the document of a folder. Every rule that the folder breaks
+// is printed.
+func (f *configFlags) load(s Streams, op, folder string) (config.Document, error) {
+	r, err := config.Check(folder, plugins())
+	if err != nil {
+		return config.Document{}, f.fail(s, op, err)
+	}
+	if len(r.Problems) > 0 {
+		return config.Document{}, f.broken(s, op, r)
+	}
+
+	doc, err := config.Load(folder, plugins())
+	if err != nil {
+		return config.Document{}, f.fail(s, op, err)
+	}
+	return doc, nil
+}
+
+func (f *configFlags) broken(s Streams, op string, r config.CheckReport) error {
+	if err := f.print(s, r); err != nil {
+		return &Error{Op: op, Kind: KindFailed, Err: err}
+	}
+	return inputError(op, "%s breaks %d rules, the first is %s", r.Folder, len(r.Problems), r.Problems[0])
+}
+
+// plugins names what a document may pick in this build.
+func plugins() config.Options {
+	return config.Options{
+		Policies: place.Policies.Names(),
+		Orders:   queue.Orders.Names(),
+	}
+}
--- a/subcmd/job.go
+++ b/subcmd/job.go
@@ -113,7 +113,7 @@
 
 	var job model.Job
 	if err := decodeJob(text, &job); err != nil {
-		return model.Job{}, inputError("submit", "%s%s: %v", path, place(text, err), err)
+		return model.Job{}, inputError("submit", "%s%s: %v", path, placeOf(text, err), err)
 	}
 	if rule := brokenRule(job); rule != "" {
 		return model.Job{}, inputError("submit", "%s: %s", path, rule)
@@ -157,8 +157,8 @@
 	return nil
 }
 
-// place returns ":line:column" where the error tells it.
-func place(text []byte, err error) string {
+// placeOf returns ":line:column" where the error tells it.
+func placeOf(text []byte, err error) string {
 	var syntax *json.SyntaxError
 	var mismatch *json.UnmarshalTypeError
 	offset := int64(0)
