config: hold a peer's offer against the store and the hash chain

A peer that offered a wrongly high number had it taken, with any document that matched the digest it named. Now an offer makes an instance ask the store, which decides; an offer that the store does not have is refused and reported. Only while the store is away is a peer believed, and then only entries that lead on from the version in force. An instance without any version takes the first on the peer's word. A store that lost or replaced the version in force is reported as well.

The canonical form is pinned by a digest, since a field added without omitzero would make instances of the release before refuse every document.

--- a/config/canonical.go
+++ b/config/canonical.go
@@ -52,9 +52,8 @@
 // Decode reads a canonical form and holds it against its digest. Unknown
 // fields are an error, since what they ask for would not be in force.
 func Decode(data []byte, digest string) (Document, error) {
-	if got := digestOf(data); got != digest {
-		err := eris.Errorf("%d bytes have the digest %s, want %s", len(data), got, digest)
-		return Document{}, &Error{Op: "decode", Kind: KindCorrupt, Err: err}
+	if err := checkDigest(data, digest); err != nil {
+		return Document{}, err
 	}
 
 	var d Document
@@ -65,3 +64,12 @@
 	}
 	return d, nil
 }
+
+func checkDigest(data []byte, digest string) error {
+	got := digestOf(data)
+	if got == digest {
+		return nil
+	}
+	err := eris.Errorf("%d bytes have the digest %s, want %s", len(data), got, digest)
+	return &Error{Op: "decode", Kind: KindCorrupt, Err: err}
+}
--- a/config/document.go
+++ b/config/document.go
@@ -5,7 +5,10 @@
 
 import "time"
 
-// Document is the merged configuration.
+// Document is the merged configuration. An instance refuses a document with a
+// field that it does not know. So a field that is added to these types is
+// left out of the JSON form while it is zero (omitzero), and zero has to mean
+// what earlier releases do.
 type Document struct {
 	Services  []Service `yaml:"services" json:"services"`
 	Pools     []Pool    `yaml:"pools" json:"pools"`
--- a/config/fake_test.go
+++ b/config/fake_test.go
@@ -235,3 +235,34 @@
 func randomOf(seed, stream uint64) *rand.Rand {
 	return rand.New(rand.NewPCG(seed, stream))
 }
+
+// entryOf returns an entry with its own hash.
+func entryOf(number int64, digest, previous string) Entry {
+	e := Entry{Number: number, Digest: digest, ChangeID: "c", Who: "ana", Why: "why", Previous: previous}
+	e.Hash = e.ComputeHash()
+	return e
+}
+
+// supplyOf returns a version as a peer gives it to an instance without one.
+func supplyOf(number int64, doc Document) Supply {
+	return Supply{Document: doc.Canonical(), Entries: []Entry{entryOf(number, doc.Digest(), "before")}}
+}
+
+// supply gives what the store holds, as a peer that has it all would.
+func (s *fakeStore) supply(after, number int64, digest string) (Supply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	supplied := Supply{Document: s.objects[objectName(digest)]}
+	if after == 0 {
+		after = number - 1
+	}
+	for n := after + 1; n <= number; n++ {
+		e, err := parseEntry(s.rows[historyKey(n)].Value)
+		if err != nil {
+			return Supply{}, err
+		}
+		supplied.Entries = append(supplied.Entries, e)
+	}
+	return supplied, nil
+}
--- a/config/offer.go
+++ b/config/offer.go
@@ -5,11 +5,16 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 )
 
 const (
 	maxOffers        = 8
 	maxOfferFailures = 20
+
+	// refutedPause keeps a peer that repeats a wrong offer from causing a
+	// read of the store each time.
+	refutedPause = 10 * time.Second
 )
 
 // offer is a version that a peer named and that is not in force here yet.
@@ -23,6 +28,10 @@
 type offers struct {
 	mu       sync.Mutex
 	failures map[offer]int
+
+	// refuted is the last offer that the store proved wrong.
+	refuted   offer
+	refutedAt time.Time
 }
 
 // add returns false if the offer is known or there are too many.
@@ -32,7 +41,8 @@
 
 	key := offer{number: number, digest: digest}
 	_, known := o.failures[key]
-	if known || len(o.failures) >= maxOffers {
+	refuted := key == o.refuted && time.Since(o.refutedAt) < refutedPause
+	if known || refuted || len(o.failures) >= maxOffers {
 		return false
 	}
 	if o.failures == nil {
@@ -68,6 +78,13 @@
 	delete(o.failures, key)
 }
 
+// refute records an offer that the store proved wrong.
+func (o *offers) refute(key offer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.refuted, o.refutedAt = key, time.Now()
+}
+
 func (o *offers) failed(key offer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/config/status.go
+++ b/config/status.go
@@ -1,6 +1,12 @@
 package config
 
-import "time"
+import (
+	"strings"
+	"time"
+)
+
+// refusalShown is how long a refused version is told of after the last try.
+const refusalShown = time.Minute
 
 // Status is what one instance says of its configuration. SinceMillis is how
 // long the version has been in force, PolledMillis how long ago the store
@@ -48,15 +54,16 @@
 	return s
 }
 
+// lastError tells of a version that was refused lately and of the store.
 func (w *Watcher) lastError() string {
-	switch {
-	case w.takeErr != nil:
-		return w.takeErr.Error()
-	case w.pollErr != nil:
-		return w.pollErr.Error()
-	default:
-		return ""
+	var texts []string
+	if w.takeErr != nil && time.Since(w.takeErrAt) < refusalShown {
+		texts = append(texts, w.takeErr.Error())
+	}
+	if w.pollErr != nil {
+		texts = append(texts, w.pollErr.Error())
 	}
+	return strings.Join(texts, "; ")
 }
 
 func millisSince(t time.Time) int64 {
--- a/config/store.go
+++ b/config/store.go
@@ -82,13 +82,17 @@
 	if err := decoder.Decode(&e); err != nil {
 		return Entry{}, eris.Wrap(err, "decode the entry")
 	}
+	return e, e.check()
+}
+
+func (e Entry) check() error {
 	if e.Number < 1 || !digestPattern.MatchString(e.Digest) {
-		return Entry{}, eris.Errorf("entry has the number %d and the digest %q", e.Number, e.Digest)
+		return eris.Errorf("entry has the number %d and the digest %q", e.Number, e.Digest)
 	}
 	if got := e.ComputeHash(); got != e.Hash {
-		return Entry{}, eris.Errorf("entry %d has the hash %s, says %s", e.Number, got, e.Hash)
+		return eris.Errorf("entry %d has the hash %s, says %s", e.Number, got, e.Hash)
 	}
-	return e, nil
+	return nil
 }
 
 // head is the last entry with the version of its row. Both are zero before
--- a/config/watch.go
+++ b/config/watch.go
@@ -24,20 +24,22 @@
 	maxPollDoublings = 4
 )
 
-// FetchFunc gets the canonical document of a version from a peer.
-type FetchFunc func(ctx context.Context, number int64, digest string) ([]byte, error)
+// FetchFunc gets a version from a peer, with the entries after the one in
+// force here, whose number is 0 if there is none.
+type FetchFunc func(ctx context.Context, after, number int64, digest string) (Supply, error)
 
 // WatcherOptions configure a watcher. Fetch may be nil; Options hold the
 // plug-ins of this process.
 type WatcherOptions struct {
-	Store   Reader
+	Store   Scanner
 	Fetch   FetchFunc
 	Options Options
 }
 
 // Watcher brings new versions into force. It only ever takes a higher number
-// than the one in force and keeps what it has when sources fail. It is safe
-// for concurrent use.
+// than the one in force and keeps what it has when sources fail. The store
+// decides what was accepted; while it is away, a peer is believed whose hash
+// chain leads on from the version in force. It is safe for concurrent use.
 type Watcher struct {
 	options WatcherOptions
 	current atomic.Pointer[Version]
@@ -52,10 +54,13 @@
 
 	mu          sync.Mutex
 	subscribers []func(*Version)
+	canonical   []byte  // the document in force
+	chain       []Entry // to the version in force, that one last
 	since       time.Time
 	lastPoll    time.Time
 	pollErr     error
 	takeErr     error
+	takeErrAt   time.Time
 }
 
 // NewWatcher returns a watcher that has not started.
@@ -125,7 +130,7 @@
 }
 
 // Offer tells of a version that a peer has in force. A higher number than
-// the one in force is fetched at once; every other is ignored.
+// the one in force is looked for at once; every other is ignored.
 func (w *Watcher) Offer(number int64, digest string) {
 	if !digestPattern.MatchString(digest) || !w.isNewer(number) {
 		return
@@ -194,18 +199,6 @@
 	return jittered(delay)
 }
 
-func (w *Watcher) pollOnce(ctx context.Context) bool {
-	call, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-
-	h, err := readHead(call, w.options.Store)
-	w.polled(err)
-	if err != nil {
-		return false
-	}
-	return !w.isNewer(h.Number) || w.take(ctx, h.Number, h.Digest)
-}
-
 func (w *Watcher) interval() time.Duration {
 	if v := w.Current(); v != nil {
 		return v.Document.Intervals.ConfigPoll
@@ -217,101 +210,13 @@
 	return time.Duration(float64(d) * (1 + pollJitter*(2*rand.Float64()-1)))
 }
 
-func (w *Watcher) polled(err error) {
+func (w *Watcher) polled(stored Entry, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 
 	w.pollErr = err
 	if err == nil {
+		w.pollErr = checkHead(stored, w.lastEntry())
 		w.lastPoll = time.Now()
 	}
 }
-
-// takeOffer tries one offer, so that offers that can't be had never hold up
-// the next poll for longer than one try.
-func (w *Watcher) takeOffer(ctx context.Context) {
-	o, ok := w.offers.next()
-	if !ok {
-		return
-	}
-
-	if !w.isNewer(o.number) || w.take(ctx, o.number, o.digest) {
-		w.offers.drop(o)
-		return
-	}
-	w.offers.failed(o)
-}
-
-// take brings a version into force if its document can be had from the store
-// or a peer, matches its digest and breaks no rule here.
-func (w *Watcher) take(ctx context.Context, number int64, digest string) bool {
-	doc, err := w.document(ctx, number, digest)
-	if err == nil {
-		err = w.check(doc)
-	}
-	if err != nil {
-		w.refuse(number, err)
-		return false
-	}
-
-	w.install(&Version{Number: number, Digest: digest, Document: doc})
-	return true
-}
-
-func (w *Watcher) document(ctx context.Context, number int64, digest string) (Document, error) {
-	doc, err := w.fromStore(ctx, digest)
-	if err == nil || w.options.Fetch == nil {
-		return doc, err
-	}
-
-	doc, peerErr := w.fromPeer(ctx, number, digest)
-	if peerErr == nil {
-		return doc, nil
-	}
-	return Document{}, eris.Errorf("%v; from a peer: %v", err, peerErr)
-}
-
-func (w *Watcher) fromStore(ctx context.Context, digest string) (Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	return readDocument(ctx, w.options.Store, digest)
-}
-
-func (w *Watcher) fromPeer(ctx context.Context, number int64, digest string) (Document, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-
-	data, err := w.options.Fetch(ctx, number, digest)
-	if err != nil {
-		return Document{}, err
-	}
-	return Decode(data, digest)
-}
-
-func (w *Watcher) check(doc Document) error {
-	if problems := Validate(doc, w.options.Options); len(problems) > 0 {
-		return problems
-	}
-	return nil
-}
-
-func (w *Watcher) refuse(number int64, err error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.takeErr = eris.Wrapf(err, "version %d is not in force", number)
-}
-
-func (w *Watcher) install(v *Version) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-
-	if !w.isNewer(v.Number) {
-		return
-	}
-	w.current.Store(v)
-	w.since = time.Now()
-	w.takeErr = nil
-	for _, f := range w.subscribers {
-		f(v)
-	}
-}
--- a/config/watch_test.go
+++ b/config/watch_test.go
@@ -1,7 +1,9 @@
 package config
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,7 +116,7 @@
 			s := newFakeStore()
 			s.setFault(always(f))
 			doc := document(7)
-			fetch := func(context.Context, int64, string) ([]byte, error) { return doc.Canonical(), nil }
+			fetch := func(context.Context, int64, int64, string) (Supply, error) { return supplyOf(7, doc), nil }
 			w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
 			defer stopWatcher(t, w)
 			time.Sleep(time.Minute)
@@ -149,7 +151,9 @@
 		synctest.Test(t, func(t *testing.T) {
 			s := newFakeStore()
 			mustApply(t, s, 1)
-			fetch := func(context.Context, int64, string) ([]byte, error) { return corrupt, nil }
+			fetch := func(_ context.Context, _, _ int64, digest string) (Supply, error) {
+				return Supply{Document: corrupt, Entries: []Entry{entryOf(2, digest, "")}}, nil
+			}
 			w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
 			defer stopWatcher(t, w)
 			synctest.Wait()
@@ -187,13 +191,52 @@
 	})
 }
 
+// A newer release may write fields that this one does not know.
+func TestDocumentWithAnUnknownFieldIsRefusedAndReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		mustApply(t, s, 1)
+		w := startWatcher(t, WatcherOptions{Store: s})
+		defer stopWatcher(t, w)
+		synctest.Wait()
+
+		newer := bytes.Replace(document(2).Canonical(), []byte(`"limits":{`), []byte(`"limits":{"colour":1,`), 1)
+		h, err := readHead(t.Context(), s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.objects[objectName(digestOf(newer))] = newer
+		if _, err := commitEntry(t.Context(), s, h, nextEntry(h, digestOf(newer), "ana", "why")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Minute)
+		mustHave(t, w, 1)
+		if text := w.Status("a", "b").Error; !strings.Contains(text, `unknown field "colour"`) {
+			t.Error(text)
+		}
+
+		mustApply(t, s, 3)
+		time.Sleep(inForceBound)
+		mustHave(t, w, 3)
+	})
+}
+
+// The form must stay as it is, so that instances of the release before read
+// what a newer one writes.
+func TestCanonicalFormOfTheExampleIsThatOfEarlierReleases(t *testing.T) {
+	const digest = "2daaa7270a163c47281533a3735a8c4c35424580ecb825a7b833ccc6549976df"
+	if diff := cmp.Diff(digest, Example().Digest()); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestOffersThatCannotBeHadDoNotHoldUpPolls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		mustApply(t, s, 1)
-		fetch := func(ctx context.Context, _ int64, _ string) ([]byte, error) {
+		fetch := func(ctx context.Context, _, _ int64, _ string) (Supply, error) {
 			<-ctx.Done()
-			return nil, ctx.Err()
+			return Supply{}, ctx.Err()
 		}
 		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
 		defer stopWatcher(t, w)
@@ -213,11 +256,11 @@
 		s := newFakeStore()
 		s.setFault(always(fault{down: true}))
 		doc := document(7)
-		fetch := func(_ context.Context, number int64, _ string) ([]byte, error) {
+		fetch := func(_ context.Context, _, number int64, _ string) (Supply, error) {
 			if number != 7 {
-				return nil, eris.New("not here")
+				return Supply{}, eris.New("not here")
 			}
-			return doc.Canonical(), nil
+			return supplyOf(7, doc), nil
 		}
 		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
 		defer stopWatcher(t, w)
@@ -236,11 +279,11 @@
 		s := newFakeStore()
 		s.setFault(always(fault{down: true}))
 		doc := document(7)
-		fetch := func(_ context.Context, number int64, _ string) ([]byte, error) {
+		fetch := func(_ context.Context, _, number int64, _ string) (Supply, error) {
 			if number != 7 {
-				return nil, eris.New("not here")
+				return Supply{}, eris.New("not here")
 			}
-			return doc.Canonical(), nil
+			return supplyOf(7, doc), nil
 		}
 		w := startWatcher(t, WatcherOptions{Store: s, Fetch: fetch})
 		defer stopWatcher(t, w)
@@ -263,7 +306,7 @@
 	var r recorder
 	w.Subscribe(r.add)
 	for _, n := range []int64{2, 1, 2, 3} {
-		w.install(&Version{Number: n})
+		w.install(&Version{Number: n}, nil, []Entry{{Number: n}})
 	}
 	if diff := cmp.Diff([]int64{2, 3}, r.numbers); diff != "" {
 		t.Error(diff)
@@ -323,14 +366,11 @@
 		const changes, watchers = 200, 4
 		s := newFakeStore()
 		entries := []Entry{mustApply(t, s, 0)}
-		fetch := func(_ context.Context, number int64, digest string) ([]byte, error) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			data, ok := s.objects[objectName(digest)]
-			if !ok || number%3 == 0 {
-				return nil, eris.New("not here")
+		fetch := func(_ context.Context, after, number int64, digest string) (Supply, error) {
+			if number%3 == 0 {
+				return Supply{}, eris.New("not here")
 			}
-			return data, nil
+			return s.supply(after, number, digest)
 		}
 		all := make([]*Watcher, watchers)
 		records := make([]recorder, watchers)
--- a/daemon/fetch.go
+++ b/daemon/fetch.go
@@ -5,47 +5,43 @@
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
+
+	"foxtailmux/config"
 )
 
-// methodConfig answers with the document of the configuration in force.
+// methodConfig answers with the version in force and its place in the history.
 const methodConfig = "config.get"
 
+// configQuery asks for the version of that digest. After is the number of the
+// version that the asking instance has.
 type configQuery struct {
+	After  int64  `json:"after"`
 	Digest string `json:"digest"`
 }
 
-type configReply struct {
-	Document json.RawMessage `json:"document"`
-}
-
-// serveConfig gives a peer the document in force if it is the one asked for.
+// serveConfig gives a peer the version in force if it is the one asked for.
 func (d *Daemon) serveConfig(_ context.Context, params json.RawMessage) (any, error) {
 	var q configQuery
 	if err := json.Unmarshal(params, &q); err != nil {
 		return nil, eris.Wrap(err, "decode the query")
 	}
-
-	v := d.watcher.Current()
-	if v == nil || v.Digest != q.Digest {
-		return nil, eris.Errorf("digest %q is not in force here", q.Digest)
-	}
-	return configReply{Document: v.Document.Canonical()}, nil
+	return d.watcher.Supply(q.After, q.Digest)
 }
 
-// fetchFromPeer asks the peers that have a version in force for its document.
-func (d *Daemon) fetchFromPeer(ctx context.Context, number int64, digest string) ([]byte, error) {
+// fetchFromPeer asks the peers that have a version in force for it.
+func (d *Daemon) fetchFromPeer(ctx context.Context, after, number int64, digest string) (config.Supply, error) {
 	failure := eris.Errorf("no peer has version %d", number)
 	for _, m := range d.members.Members() {
 		if m.Entry.ID == d.self.ID || m.ConfigDigest != digest {
 			continue
 		}
 
-		var reply configReply
-		err := d.peers.Call(ctx, m.Entry.ID, methodConfig, configQuery{Digest: digest}, &reply)
+		var s config.Supply
+		err := d.peers.Call(ctx, m.Entry.ID, methodConfig, configQuery{After: after, Digest: digest}, &s)
 		if err == nil {
-			return reply.Document, nil
+			return s, nil
 		}
 		failure = err
 	}
-	return nil, failure
+	return config.Supply{}, failure
 }
