proof: start instances in a data centre by default

Cause: two proofs that start instances by themselves gave no data centre since the cells of two data centres name theirs. Also logs each caller's request.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -122,6 +122,7 @@
 		IdleTimeout:    c.IdleTimeout,
 	}
 	d.entry = entry.NewServer(d.listeners.callers, limits, d.intake, d.meter, d.maxOpenJobs)
+	d.entry.Log = d.log
 }
 
 func (d *Daemon) buildAdmin() {
--- a/proof/config_cut_test.go
+++ b/proof/config_cut_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -167,7 +168,7 @@
 	w := watchConfig(t, c.entries...)
 	ch := startChanges(t, c.platform.Addr(), 50*time.Millisecond, 10_000)
 	for i := range c.entries {
-		c.entries[i].signalStop()
+		c.entries[i].send(syscall.SIGTERM)
 		if diff := cmp.Diff(0, c.entries[i].waitExit()); diff != "" {
 			t.Error(diff)
 		}
--- a/proof/path_test.go
+++ b/proof/path_test.go
@@ -20,6 +20,7 @@
 	args := []string{
 		"serve",
 		"--instance", name,
+		"--dataCentre", "kochi",
 		"--platform.addr", platform,
 		"--callers.addr", "127.0.0.1:0",
 		"--operators.addr", "127.0.0.1:0",
@@ -94,8 +95,8 @@
 	start(t, "workers", "fakeworker", "--count", "4", "--pool", "quoting", "--dataCentre", "kochi",
 		"--cores", "64", "--memoryMB", "128000", "--platform", platform).field("addr")
 
-	first := startEntry(t, "entry-1", platform, "--dataCentre", "kochi")
-	second := startEntry(t, "entry-2", platform, "--dataCentre", "kochi", "--peers.seeds", first.field("peers"))
+	first := startEntry(t, "entry-1", platform)
+	second := startEntry(t, "entry-2", platform, "--peers.seeds", first.field("peers"))
 	addrs := []string{first.field("callers"), second.field("callers")}
 	waitServing(t, first, second)
 
