--- a/proof/config_help_test.go
+++ b/proof/config_help_test.go
@@ -32,13 +32,24 @@
 	exampleFolder = "../config/testdata/example"
 )
 
+// seedText is taken out of the environment, since a process that the tests
+// start would refuse the variable.
+var seedText = takeSeed()
+
+func takeSeed() string {
+	const variable = "FOXTAILMUX_SEED"
+	text := os.Getenv(variable)
+	_ = os.Unsetenv(variable)
+	return text
+}
+
 // seeded returns a source of random choices and logs its seed.
 func seeded(t *testing.T) *rand.Rand {
 	t.Helper()
 
 	seed := uint64(1)
-	if text := os.Getenv("FOXTAILMUX_SEED"); text != "" {
-		parsed, err := strconv.ParseUint(text, 10, 64)
+	if seedText != "" {
+		parsed, err := strconv.ParseUint(seedText, 10, 64)
 		if err != nil {
 			t.Fatal(err)
 		}
