--- a/config/apply.go
+++ b/config/apply.go
@@ -65,13 +65,13 @@
 	}
 	data := doc.Canonical()
 	digest := digestOf(data)
-	if digest == before.Digest {
-		return Applied{Unchanged: true, Entry: before.Entry}, nil
-	}
-
+	// Writing the document of the version in force mends a damaged object.
 	if err := putVerified(ctx, store, digest, data); err != nil {
 		return Applied{}, err
 	}
+	if digest == before.Digest {
+		return Applied{Unchanged: true, Entry: before.Entry}, nil
+	}
 	entry := nextEntry(before, digest, who, why)
 	return commitEntry(ctx, store, before, entry)
 }
--- a/config/apply_test.go
+++ b/config/apply_test.go
@@ -26,6 +26,47 @@
 	}
 }
 
+func TestApplyOfWhatIsInForceMendsADamagedObject(t *testing.T) {
+	s := newFakeStore()
+	entry := mustApply(t, s, 1)
+	s.objects[objectName(entry.Digest)] = []byte("half")
+	if _, err := InForce(t.Context(), s); KindOf(err) != KindCorrupt {
+		t.Errorf("got %v", err)
+	}
+
+	mustApply(t, s, 1)
+	version, err := InForce(t.Context(), s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Version{Number: 1, Digest: entry.Digest, Document: document(1).sorted()}, version); diff != "" {
+		t.Error(diff)
+	}
+	mustHaveHistory(t, s, 1, entry)
+}
+
+func TestApplyOnAnotherVersionLoses(t *testing.T) {
+	s := newFakeStore()
+	if _, err := ApplyOn(t.Context(), s, 1, document(1), "ana", "why"); KindOf(err) != KindNone {
+		t.Errorf("got %v", err)
+	}
+	if _, err := ApplyOn(t.Context(), s, 0, document(1), "ana", "why"); err != nil {
+		t.Fatal(err)
+	}
+	first := mustApply(t, s, 1)
+	for _, on := range []int64{0, 2} {
+		_, err := ApplyOn(t.Context(), s, on, document(2), "ana", "why")
+		var lost *Error
+		if !errors.As(err, &lost) || lost.Kind != KindRaceLost {
+			t.Fatalf("got %v", err)
+		}
+		if diff := cmp.Diff(&first, lost.Winner); diff != "" {
+			t.Error(diff)
+		}
+	}
+	mustHaveHistory(t, s, 1, first)
+}
+
 func TestApplyNeedsWhoWhyAndAValidDocument(t *testing.T) {
 	s := newFakeStore()
 	broken := document(1)
