member: suspect a peer at once when no connection to it can be opened

Cause: with 30 instances in one data centre heartbeats are up to 10 s apart, so a dead peer was suspected after 30 s. Until then jobs went to it and its workers had no home.

Now the transport tells what its connections find out: a connection that the other end closed is dialled again at once, one that calls wait on and that fails its probe is replaced, and when the new one can't be opened or greeted the peer is suspect. A heartbeat or a new connection ends that; what others tell doesn't. One heartbeat is sent after 2 s instead of a whole period, so that a short failure costs little. A leave that a member missed is passed on with the next heartbeat.

A process that was paused no longer serves what came on connections from before: package pause ends their contexts, and the worker client looks at the clock right before the first byte, so that no queued task of a peer's job is started after its answer was given.

Ruled out: a timed-out call alone as evidence (a long task looks the same), and a failed probe of an old connection (it may be the connection only).

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -35,6 +35,7 @@
 		Self:    d.self,
 		Listen:  func(string) (net.Listener, error) { return d.listeners.peers, nil },
 		OnBytes: d.meter.ControlBytes,
+		OnReach: func(id string, reached bool) { d.members.Reached(id, reached) },
 	})
 	d.members = member.New(member.Options{
 		Self:      d.self,
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -186,6 +186,7 @@
 
 // hints picks the members of which the receiver was told longest ago: those
 // of other data centres than its own, and of all when it asked for hints.
+// Members that leave go first, wherever they are.
 func (g *Group) hints(to *record) []hint {
 	count := hintsPerMessage
 	if to.asksHints {
@@ -196,7 +197,10 @@
 	var news []*record
 	for _, r := range g.records {
 		local := r.member.Entry.DataCentre == to.member.Entry.DataCentre
-		if r != to && (!local || to.asksHints) && r.worthTelling(to, now) {
+		if r == to || !r.known() {
+			continue
+		}
+		if r.leavesUnknownTo(to) || (!local || to.asksHints) && r.worthTelling(to, now) {
 			news = append(news, r)
 		}
 	}
@@ -205,6 +209,9 @@
 		return r.member.LastHeard.Sub(to.hinted[r.member.Entry.ID])
 	}
 	slices.SortFunc(news, func(a, b *record) int {
+		if first := a.leavesUnknownTo(to); first != b.leavesUnknownTo(to) {
+			return order(first)
+		}
 		return cmp.Or(cmp.Compare(gain(b), gain(a)), cmp.Compare(a.member.Entry.ID, b.member.Entry.ID))
 	})
 
@@ -212,14 +219,28 @@
 	list := make([]hint, 0, count)
 	for _, r := range news[:min(len(news), count)] {
 		to.hinted[r.member.Entry.ID] = r.member.LastHeard
+		if r.leaving {
+			to.leavers[r.member.Entry.Incarnation] = true
+		}
 		list = append(list, hintOf(r, now))
 	}
 	return list
 }
 
+// order returns the result of a comparison that puts the first one first.
+func order(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+func (r *record) leavesUnknownTo(to *record) bool {
+	return r.leaving && r.member.State != StateDead && !to.leavers[r.member.Entry.Incarnation]
+}
+
 func (r *record) worthTelling(to *record, now time.Time) bool {
-	return r.known() &&
-		now.Sub(r.member.LastHeard) <= remoteSuspectAfter &&
+	return now.Sub(r.member.LastHeard) <= remoteSuspectAfter &&
 		r.member.LastHeard.After(to.hinted[r.member.Entry.ID])
 }
 
--- a/member/judge.go
+++ b/member/judge.go
@@ -12,7 +12,7 @@
 		return StateDead
 	case r.leaving:
 		return StateLeaving
-	case silence > suspectAfter:
+	case silence > suspectAfter || !r.unreachedAt.IsZero():
 		return StateSuspect
 	default:
 		return StateAlive
@@ -27,6 +27,35 @@
 	return suspectAfter, 2 * suspectAfter
 }
 
+// Reached takes in whether a new connection to a member could be opened. One
+// that could not be reached is suspected until it shows a sign of life itself;
+// what others tell of it is none, since they may reach what this one can't.
+func (g *Group) Reached(id string, reached bool) {
+	g.notify(g.setReached(id, reached))
+}
+
+func (g *Group) setReached(id string, reached bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	r := g.records[id]
+	if r == nil || !r.known() {
+		return false
+	}
+	now := time.Now()
+	switch {
+	case reached:
+		r.unreachedAt = time.Time{}
+	case r.unreachedAt.IsZero():
+		r.unreachedAt = now
+		r.retried = false
+	}
+
+	before := r.member.State
+	r.member.State = g.stateOf(r, now)
+	return r.member.State != before
+}
+
 // judge updates the states of all members and reports a change.
 func (g *Group) judge(now time.Time) bool {
 	changed := false
--- a/member/options.go
+++ b/member/options.go
@@ -47,6 +47,10 @@
 	remoteSuspectAfter = 45 * time.Second
 	remoteDeadAfter    = 2 * remoteSuspectAfter
 
+	// A member that could not be reached gets its next heartbeat after this
+	// time, so that a short failure costs little.
+	retryAfter = 2 * time.Second
+
 	// A dead member is probed and its incarnation kept for this time.
 	forgetAfter = 10 * time.Minute
 
--- a/member/record.go
+++ b/member/record.go
@@ -11,10 +11,12 @@
 	member Member
 
 	exchangedAt time.Time     // when heartbeats last went either way
+	unreachedAt time.Time     // when a connection to it failed, zero after a sign of life
 	period      time.Duration // of its heartbeats, as it told
 	leaving     bool
 	direct      bool // its entry came from itself
 	busy        bool // a heartbeat to it is under way
+	retried     bool // it got a heartbeat since it could not be reached
 
 	view       uint32 // of its own data centre, as it told
 	told       bool   // it has the own entry
@@ -22,6 +24,7 @@
 	wantEntry  bool
 	asksHints  bool                 // it is to get the full count of hints
 	hinted     map[string]time.Time // by id: LastHeard of the last hint to it
+	leavers    map[string]bool      // by incarnation: it knows that this one leaves
 }
 
 // known reports whether the member can be reached and listed.
@@ -49,6 +52,7 @@
 
 	r := &record{
 		hinted:    map[string]time.Time{},
+		leavers:   map[string]bool{},
 		wantEntry: true,
 	}
 	r.member.Entry.ID = id
@@ -70,6 +74,7 @@
 	before := r.member
 	stale := r.wantsConfig(h)
 	r.exchangedAt = time.Now()
+	r.unreachedAt = time.Time{}
 	r.period = millis(h.PeriodMillis)
 	r.view = h.View
 	r.member.Load = h.Load
@@ -126,6 +131,9 @@
 	if heardAt.After(r.hinted[h.ID]) {
 		r.hinted[h.ID] = heardAt
 	}
+	if h.Leaving {
+		r.leavers[h.Incarnation] = true
+	}
 }
 
 func (g *Group) heard(r *record, at time.Time) {
--- a/member/round.go
+++ b/member/round.go
@@ -104,6 +104,7 @@
 	for _, t := range list {
 		if r := g.records[t.id]; r != nil {
 			r.busy = true
+			r.retried = true
 		}
 	}
 	return list
@@ -111,11 +112,15 @@
 
 // isDue reports whether the pair has to exchange heartbeats. The slower of
 // the two sets the period. The one with the lower id begins; the other one
-// only sends when it does not.
+// only sends when it does not. A member that could not be reached gets one
+// heartbeat sooner.
 func (g *Group) isDue(r *record, now time.Time) bool {
 	if !r.known() || r.busy {
 		return false
 	}
+	if !r.unreachedAt.IsZero() && !r.retried {
+		return now.Sub(r.unreachedAt) >= retryAfter
+	}
 	period := max(g.period, r.period)
 	if g.self.Entry.ID > r.member.Entry.ID {
 		period = period * 3 / 2
--- a/peer/link.go
+++ b/peer/link.go
@@ -112,22 +112,28 @@
 	return l.connect(ctx)
 }
 
-// check closes a connection that calls wait on and that does not answer.
+// check replaces a connection that the other end closed, and one that calls
+// wait on and that does not answer. A failure tells that the peer is gone.
 func (l *link) check(ctx context.Context) {
 	c := l.present.Load()
-	if c == nil {
+	if c == nil || !l.broken(ctx, c) {
 		return
 	}
+
+	l.drop()
+	if !c.stream.expired.Load() {
+		_, _ = l.connect(ctx)
+	}
+}
+
+func (l *link) broken(ctx context.Context, c *conn) bool {
 	if c.closed() {
-		l.drop()
-		return
+		return true
 	}
 	if c.usable() || c.open.Load() == 0 {
-		return
-	}
-	if !l.alive(ctx, c) {
-		l.drop()
+		return false
 	}
+	return !l.alive(ctx, c)
 }
 
 func (l *link) alive(ctx context.Context, c *conn) bool {
@@ -149,13 +155,22 @@
 	c, err := l.dial(ctx)
 	if err != nil {
 		l.delay(err)
+		l.report(ctx, false)
 		return nil, err
 	}
 	l.backoff = 0
 	l.present.Store(c)
+	l.report(ctx, true)
 	return c, nil
 }
 
+// report tells whether the peer was reached, unless the link is at its end.
+func (l *link) report(ctx context.Context, reached bool) {
+	if ctx.Err() == nil {
+		l.options.OnReach(l.id, reached)
+	}
+}
+
 // dial connects and makes sure that the expected peer answers. An id that
 // equals the address accepts any peer.
 func (l *link) dial(ctx context.Context) (*conn, error) {
--- a/peer/options.go
+++ b/peer/options.go
@@ -25,6 +25,10 @@
 	// OnBytes is called with the bytes of every read and write.
 	OnBytes func(direction string, n int)
 
+	// OnReach is called when a peer answered on a new connection, and when
+	// none to it could be opened. It must not block.
+	OnReach func(peerID string, reached bool)
+
 	MaxFrame  int // bytes of one message
 	MaxCalls  int // open calls to one peer
 	MaxServed int // requests in progress of one incoming connection
@@ -67,6 +71,10 @@
 		o.OnBytes = func(string, int) {}
 	}
 
+	if o.OnReach == nil {
+		o.OnReach = func(string, bool) {}
+	}
+
 	setDefault(&o.MaxFrame, defaultMaxFrame)
 	setDefault(&o.MaxCalls, defaultMaxCalls)
 	setDefault(&o.MaxServed, defaultMaxServed)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -268,6 +268,7 @@
 	target   string
 	mu       sync.Mutex
 	silent   []*atomic.Bool
+	frozen   atomic.Bool // new connections are silent from the start
 	conns    []net.Conn
 }
 
@@ -296,6 +297,7 @@
 		}
 
 		silent := new(atomic.Bool)
+		silent.Store(s.frozen.Load())
 		s.mu.Lock()
 		s.silent = append(s.silent, silent)
 		s.conns = append(s.conns, in, out)
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -10,10 +10,13 @@
 	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/panics"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"foxtailmux/pause"
 )
 
 // Handler answers one method. Its context ends with the connection that the
-// request came on. An error reaches the caller as Refused with CodeFailed.
+// request came on, and with a pause of the process: the connection then closes,
+// since what came on it may have waited for long. An error reaches the caller as Refused with CodeFailed.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
 // server answers the requests of one incoming connection.
@@ -28,6 +31,9 @@
 
 // serve answers requests until the connection ends.
 func (g *Group) serve(ctx context.Context, c net.Conn) {
+	ctx, cancel := g.watch.Guard(ctx)
+	defer cancel()
+
 	s := &server{group: g, slots: make(chan struct{}, g.options.MaxServed)}
 	// The dialling end closes idle connections first.
 	idle := 2 * g.options.IdleTimeout
@@ -56,7 +62,7 @@
 
 // Handle answers pings at once and starts a goroutine for other requests.
 func (s *server) Handle(ctx context.Context, c *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	if req.Notif {
+	if req.Notif || pause.Check(ctx) != nil {
 		return
 	}
 	if req.Method == pingMethod {
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -34,6 +34,7 @@
 	readTimeout time.Duration
 	heardAt     atomic.Int64 // nanoseconds since started
 	started     time.Time
+	expired     atomic.Bool // it ended because it was idle
 
 	mu       sync.Mutex
 	attempts map[jsonrpc2.ID]*attempt
@@ -71,6 +72,7 @@
 		s.options.OnBytes(Received, n)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.expired.Store(true)
 		return n, io.EOF // An idle connection ends without an error.
 	}
 	return n, err
--- a/worker/client.go
+++ b/worker/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"foxtailmux/model"
+	"foxtailmux/pause"
 )
 
 const (
@@ -103,7 +104,7 @@
 		return err
 	}
 
-	if err := ended(ctx); err != nil {
+	if err := pause.Check(ctx); err != nil {
 		c.put(k)
 		return &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
@@ -129,16 +130,6 @@
 	return nil
 }
 
-// ended looks at the clock itself: after a pause of the process the timer of
-// the context may not have fired yet.
-func ended(ctx context.Context) error {
-	deadline, ok := ctx.Deadline()
-	if ok && !time.Now().Before(deadline) {
-		return context.DeadlineExceeded
-	}
-	return ctx.Err()
-}
-
 func (c *Client) fill(req *fasthttp.Request, method, path string, body []byte) {
 	req.Header.SetMethod(method)
 	req.SetRequestURI(path)
