--- a/daemon/build.go
+++ b/daemon/build.go
@@ -34,6 +34,7 @@
 	d.peers = peer.New(peer.Options{
 		Self:    d.self,
 		Listen:  func(string) (net.Listener, error) { return d.listeners.peers, nil },
+		Watch:   d.watch,
 		OnBytes: d.meter.ControlBytes,
 		OnReach: func(id string, reached bool) { d.members.Reached(id, reached) },
 	})
@@ -122,7 +123,7 @@
 		ReadTimeout:    c.ReadTimeout,
 		IdleTimeout:    c.IdleTimeout,
 	}
-	d.entry = entry.NewServer(d.listeners.callers, limits, d.intake, d.meter, d.maxOpenJobs)
+	d.entry = entry.NewServer(d.listeners.callers, limits, awake{d.intake, d.watch}, d.meter, d.maxOpenJobs)
 	d.entry.Log = d.log
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"foxtailmux/member"
 	"foxtailmux/meter"
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/peer"
 	"foxtailmux/quota"
 	"foxtailmux/relay"
@@ -44,6 +45,7 @@
 	meter   *meter.Meter
 	table   *table.Client
 	watcher *config.Watcher
+	watch   *pause.Watch
 	peers   *peer.Group
 	members *member.Group
 	sched   *sched.Scheduler
@@ -83,6 +85,7 @@
 		log:       log,
 		meter:     meter.New(s.Instance, s.DataCentre),
 		table:     table.NewClient(s.Platform.Addr, s.Platform.Timeout),
+		watch:     pause.NewWatch(),
 		gate:      quota.NewGate(),
 		budget:    budget.New(0),
 	}
--- a/daemon/ready.go
+++ b/daemon/ready.go
@@ -19,6 +19,8 @@
 		return eris.New("the instance is leaving")
 	case !d.watcher.Ready():
 		return eris.New("no configuration is in force yet")
+	case d.watch.Recent(wakeUp):
+		return eris.New("the instance was paused")
 	case time.Since(d.started) > joinPatience:
 		return nil
 	case d.roster.State().LastSuccess.IsZero():
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -26,6 +26,7 @@
 type Watch struct {
 	mu     sync.Mutex
 	seenAt time.Time
+	wokeAt time.Time // when the last pause was noticed
 	guards map[*guard]struct{}
 }
 
@@ -88,12 +89,21 @@
 	if gap < threshold {
 		return
 	}
+	w.wokeAt = now
 	for gd := range w.guards {
 		gd.cancel(eris.Wrapf(ErrPaused, "for %v", gap.Round(time.Millisecond)))
 		delete(w.guards, gd)
 	}
 }
 
+// Recent reports whether a pause was noticed within the window before now.
+func (w *Watch) Recent(window time.Duration) bool {
+	w.look()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.wokeAt.IsZero() && time.Since(w.wokeAt) < window
+}
+
 // Check returns why the context has ended, or nil. It looks at the clock
 // itself, since after a pause no timer and no other goroutine may have run
 // yet. A context that no Watch guards ends by its deadline only.
--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -40,6 +40,9 @@
 					t.Errorf("cause is %v", context.Cause(derived))
 				}
 
+				if diff := cmp.Diff(c.ended, w.Recent(time.Second)); diff != "" {
+					t.Errorf("recent pause (-want +got):\n%s", diff)
+				}
 				fresh, cancelFresh := w.Guard(t.Context())
 				defer cancelFresh()
 				if err := Check(fresh); err != nil {
@@ -59,8 +62,8 @@
 		defer cancel()
 
 		time.Sleep(time.Minute)
-		if err := Check(guarded); err != nil {
-			t.Error(err)
+		if err := Check(guarded); err != nil || w.Recent(time.Hour) {
+			t.Errorf("a pause was seen: %v", err)
 		}
 		stop()
 	})
--- a/peer/group.go
+++ b/peer/group.go
@@ -14,8 +14,6 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
-
-	"foxtailmux/pause"
 )
 
 // Group is the transport of one entry instance.
@@ -24,7 +22,6 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	tasks   conc.WaitGroup
-	watch   *pause.Watch
 	done    chan struct{}
 
 	mu       sync.Mutex
@@ -41,7 +38,6 @@
 		options:  o.withDefaults(),
 		ctx:      ctx,
 		cancel:   cancel,
-		watch:    pause.NewWatch(),
 		done:     make(chan struct{}),
 		handlers: map[string]Handler{},
 		links:    map[string]*link{},
@@ -69,7 +65,7 @@
 		return &Error{Op: "start", Kind: NotSent, Err: errClosed}
 	}
 	g.listener = listener
-	g.tasks.Go(func() { g.watch.Run(g.ctx) })
+	g.tasks.Go(func() { g.options.Watch.Run(g.ctx) })
 	g.tasks.Go(func() { g.accept(listener) })
 	return nil
 }
--- a/peer/options.go
+++ b/peer/options.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/pause"
 )
 
 // Directions that OnBytes reports.
@@ -22,6 +23,10 @@
 	Listen func(addr string) (net.Listener, error)
 	Dial   func(ctx context.Context, addr string) (net.Conn, error)
 
+	// Watch ends the requests that were read before a pause of the process.
+	// The group runs it; nil takes one of its own.
+	Watch *pause.Watch
+
 	// OnBytes is called with the bytes of every read and write.
 	OnBytes func(direction string, n int)
 
@@ -71,6 +76,9 @@
 		o.OnBytes = func(string, int) {}
 	}
 
+	if o.Watch == nil {
+		o.Watch = pause.NewWatch()
+	}
 	if o.OnReach == nil {
 		o.OnReach = func(string, bool) {}
 	}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -31,7 +31,7 @@
 
 // serve answers requests until the connection ends.
 func (g *Group) serve(ctx context.Context, c net.Conn) {
-	ctx, cancel := g.watch.Guard(ctx)
+	ctx, cancel := g.options.Watch.Guard(ctx)
 	defer cancel()
 
 	s := &server{group: g, slots: make(chan struct{}, g.options.MaxServed)}
