relay: move waiting tasks to peers that turn idle

Cause: a task was placed once, by heartbeats up to 500 ms old, so jobs queued at one home while others had free slots. The tasks in flight to a peer were also counted twice, since its heartbeat holds them too, so it looked full.

A batch reply now carries the peer's load, at no extra message; the newest of heartbeat and reply counts, plus what was forwarded since. Whenever a job arrives or a forward ends, tasks that wait here go to peers with free slots, those that would wait longest first. A task that came from a peer or was given back by one is pinned, so it is forwarded at most once. A task that no instance has room for fails its job as overloaded, not as past its deadline.

--- a/queue/item.go
+++ b/queue/item.go
@@ -21,11 +21,13 @@
 }
 
 // Outcome is how an item ended: a worker's reply, or an error without one.
-// NotRun tells that no attempt at the task was or will be started.
+// NotRun tells that no attempt at the task was or will be started, Refused that
+// this is so since no instance had room for it.
 type Outcome struct {
-	Reply  model.TaskReply
-	Err    error
-	NotRun bool
+	Reply   model.TaskReply
+	Err     error
+	NotRun  bool
+	Refused bool
 }
 
 // Job is a job with waiting tasks. Its context ends when the job's deadline
@@ -40,6 +42,9 @@
 	Deadline time.Time
 	Items    []*Item
 
+	// Pinned keeps the tasks on this instance, since a peer forwarded them.
+	Pinned bool
+
 	remaining time.Duration
 	team      *teamUsage
 }
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -124,6 +124,46 @@
 	q.jobs = slices.Delete(q.jobs, index, index+1)
 }
 
+// TakeLast removes up to max items of the jobs that are not pinned, those of
+// the job that comes last in the order first. Each returned job is a copy that
+// holds the items taken from it.
+func (q *Queue) TakeLast(now time.Time, max int) []*Job {
+	var taken []*Job
+	for max > 0 {
+		last := q.last(now)
+		if last < 0 {
+			return taken
+		}
+
+		j := q.jobs[last]
+		keep := len(j.Items) - min(max, len(j.Items))
+		part := *j
+		part.Items = slices.Clone(j.Items[keep:])
+		part.remaining = 0
+		for _, it := range part.Items {
+			q.discount(j, it)
+		}
+		j.Items = j.Items[:keep]
+		if keep == 0 {
+			q.leave(last)
+		}
+		max -= len(part.Items)
+		taken = append(taken, &part)
+	}
+	return taken
+}
+
+// last returns the index of the last job that is not pinned, or -1.
+func (q *Queue) last(now time.Time) int {
+	last := -1
+	for i, j := range q.jobs {
+		if !j.Pinned && (last < 0 || q.order.Before(q.jobs[last], j, now)) {
+			last = i
+		}
+	}
+	return last
+}
+
 // Remove takes out all waiting items of a job and returns them.
 func (q *Queue) Remove(j *Job) []*Item {
 	i := slices.Index(q.jobs, j)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -217,3 +217,29 @@
 		})
 	}
 }
+
+func TestTakeLastTakesWhatWouldWaitLongest(t *testing.T) {
+	q := New(fifo{})
+	now := time.Now()
+	for i, name := range []string{"first", "second", "pinned"} {
+		j := &Job{ID: name, Arrived: now.Add(time.Duration(i)), Pinned: name == "pinned"}
+		for range 3 {
+			j.Items = append(j.Items, &Item{Expected: time.Second})
+		}
+		q.Push(j)
+	}
+
+	var got []string
+	for _, j := range q.TakeLast(now, 4) {
+		got = append(got, fmt.Sprint(j.ID, " ", len(j.Items), " ", j.Remaining()))
+	}
+	if diff := cmp.Diff([]string{"second 3 0s", "first 1 0s"}, got); diff != "" {
+		t.Errorf("taken (-want +got):\n%s", diff)
+	}
+	if q.Len() != 5 || q.Jobs() != 2 || q.Waiting("").Work != 5*time.Second {
+		t.Errorf("left: %d tasks of %d jobs, %v", q.Len(), q.Jobs(), q.Waiting(""))
+	}
+	if taken := q.TakeLast(now, 9); len(taken) != 1 || q.Len() != 3 {
+		t.Errorf("%d jobs taken, %d tasks left, want 1 and the 3 pinned", len(taken), q.Len())
+	}
+}
--- a/relay/batch.go
+++ b/relay/batch.go
@@ -30,9 +30,11 @@
 	ExpectedMillis int64              `json:"expectedMillis"`
 }
 
-// BatchReply holds an outcome for each task of a batch, in its order.
+// BatchReply holds an outcome for each task of a batch, in its order, and the
+// load of the peer after them.
 type BatchReply struct {
 	Outcomes []TaskOutcome `json:"outcomes"`
+	Load     *model.Load   `json:"load,omitempty"`
 }
 
 // TaskOutcome is how a forwarded task ended. NotRun promises that it was not
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -22,17 +22,19 @@
 // share is what one instance takes of a job. The ID of this instance is
 // empty.
 type share struct {
-	id    string
-	slots int
-	busy  int
-	items []*queue.Item
+	id      string
+	slots   int
+	busy    int
+	waiting int
+	items   []*queue.Item
 }
 
 func newShare(id string, load model.Load, extra int) *share {
 	return &share{
-		id:    id,
-		slots: load.Slots,
-		busy:  load.Slots - load.FreeSlots + load.QueuedTasks + extra,
+		id:      id,
+		slots:   load.Slots,
+		busy:    load.Slots - load.FreeSlots + load.QueuedTasks + extra,
+		waiting: load.QueuedTasks,
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,10 @@
 	Submit(j *queue.Job) error
 	NeverFits(pool string, needs model.Needs) bool
 	Load() model.Load
+
+	// Take removes up to max waiting tasks that may run elsewhere, those that
+	// would wait longest first. Each is returned with its job.
+	Take(max int) []*queue.Job
 }
 
 // Peers reaches the other entry instances.
@@ -49,10 +53,11 @@
 	Observer   Observer
 	SpillOver  func() bool
 
-	mu       sync.Mutex
-	inFlight map[string]int
-	running  map[string]map[int]context.CancelFunc
-	batches  int
+	loads loads
+
+	mu      sync.Mutex
+	running map[string]map[int]context.CancelFunc
+	batches int
 
 	forwards conc.WaitGroup
 }
@@ -77,9 +82,27 @@
 			r.forward(j, p.id, p.items)
 		}
 	}
+	r.rebalance()
 	return nil
 }
 
+// rebalance forwards tasks that wait here to the peers with free slots. What
+// is known of a peer may be newer than the tasks.
+func (r *Relay) rebalance() {
+	here, peers := r.shares()
+	for best := emptiest(peers); best != nil && best.free() && here.waiting > 0; best = emptiest(peers) {
+		taken := r.Local.Take(min(here.waiting, best.slots-best.busy))
+		if len(taken) == 0 {
+			return
+		}
+		for _, j := range taken {
+			here.waiting -= len(j.Items)
+			best.busy += len(j.Items)
+			r.forward(j, best.id, j.Items)
+		}
+	}
+}
+
 func (r *Relay) submitHere(j *queue.Job, here *share) error {
 	if len(here.items) == 0 {
 		return nil
@@ -111,13 +134,14 @@
 }
 
 func (r *Relay) peerShares(wanted func(Member) bool) []*share {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	members := r.Peers.Members()
+	r.loads.keep(members)
 
 	var shares []*share
-	for _, m := range r.Peers.Members() {
+	for _, m := range members {
 		if wanted(m) {
-			shares = append(shares, newShare(m.ID, m.Load, r.inFlight[m.ID]))
+			load, since := r.loads.of(m)
+			shares = append(shares, newShare(m.ID, load, since))
 		}
 	}
 	return shares
@@ -125,16 +149,18 @@
 
 // forward sends items to a peer in one call and delivers what comes back.
 func (r *Relay) forward(j *queue.Job, peerID string, items []*queue.Item) {
-	r.addInFlight(peerID, len(items))
+	r.loads.forwarded(peerID, len(items))
 	r.forwards.Go(func() {
-		defer r.addInFlight(peerID, -len(items))
-
 		ctx, cancel := r.outlive(j, peerID)
 		defer cancel()
 
 		var reply BatchReply
 		err := r.Peers.Call(ctx, peerID, MethodRun, batchOf(j, items), &reply)
+		if reply.Load != nil {
+			r.loads.tell(peerID, *reply.Load)
+		}
 		r.settle(j, items, reply, err)
+		r.rebalance()
 	})
 }
 
@@ -152,16 +178,6 @@
 	}
 }
 
-func (r *Relay) addInFlight(peerID string, n int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-
-	if r.inFlight == nil {
-		r.inFlight = map[string]int{}
-	}
-	r.inFlight[peerID] += n
-}
-
 func (r *Relay) settle(j *queue.Job, items []*queue.Item, reply BatchReply, err error) {
 	switch {
 	case err == nil && len(reply.Outcomes) == len(items):
@@ -184,7 +200,8 @@
 	return !errors.As(err, &e) || e.Sent()
 }
 
-// deliver hands on the outcomes. Tasks that the peer did not run are run here.
+// deliver hands on the outcomes. Tasks that the peer did not run are run here
+// and nowhere else.
 func (r *Relay) deliver(j *queue.Job, items []*queue.Item, outcomes []TaskOutcome) {
 	var back []*queue.Item
 	for i, o := range outcomes {
@@ -207,6 +224,7 @@
 
 	local := *j
 	local.Items = items
+	local.Pinned = true
 	if err := r.Local.Submit(&local); err != nil {
 		deliverNotRun(items, err)
 	}
@@ -215,7 +233,7 @@
 func deliverNotRun(items []*queue.Item, cause error) {
 	err := &Error{Op: "forward", Kind: KindNotRun, Err: cause}
 	for _, it := range items {
-		it.Deliver(queue.Outcome{Err: err, NotRun: true})
+		it.Deliver(queue.Outcome{Err: err, NotRun: true, Refused: true})
 	}
 }
 
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -20,11 +20,31 @@
 	load    model.Load
 	refuses bool
 
-	mu  sync.Mutex
-	ran []string
+	mu      sync.Mutex
+	ran     []string
+	pinned  []string
+	waiting []*queue.Job
+}
+
+func (l *fakeLocal) Load() model.Load {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	load := l.load
+	load.QueuedTasks += len(l.waiting)
+	return load
+}
+
+// Take returns jobs of one task each.
+func (l *fakeLocal) Take(max int) []*queue.Job {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	taken := l.waiting[:min(max, len(l.waiting))]
+	l.waiting = l.waiting[len(taken):]
+	return taken
 }
 
-func (l *fakeLocal) Load() model.Load                   { return l.load }
 func (l *fakeLocal) NeverFits(string, model.Needs) bool { return false }
 
 func (l *fakeLocal) Submit(j *queue.Job) error {
@@ -34,6 +54,9 @@
 	for _, it := range j.Items {
 		l.mu.Lock()
 		l.ran = append(l.ran, it.Request.TaskID)
+		if j.Pinned {
+			l.pinned = append(l.pinned, it.Request.TaskID)
+		}
 		l.mu.Unlock()
 		it.Deliver(done())
 	}
@@ -238,3 +261,78 @@
 		t.Errorf("tasks on the peer (-want +got):\n%s", diff)
 	}
 }
+
+// waitingJobs returns jobs of one task each and a group that ends with them.
+func waitingJobs(t *testing.T, count int) ([]*queue.Job, *sync.WaitGroup) {
+	var ended sync.WaitGroup
+	ended.Add(count)
+	var jobs []*queue.Job
+	for i := range count {
+		j := &queue.Job{Context: t.Context(), ID: fmt.Sprint("w", i), Deadline: time.Now().Add(time.Minute)}
+		j.Items = []*queue.Item{{
+			Request: model.StartRequest{TaskID: j.ID},
+			Deliver: func(queue.Outcome) { ended.Done() },
+		}}
+		jobs = append(jobs, j)
+	}
+	return jobs, &ended
+}
+
+func TestWaitingTasksMoveToAPeerThatTurnedIdle(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 1}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 3}}
+	near, peers := newPair(here, there)
+	peers.members[0].Load = model.Load{Slots: 8, QueuedTasks: 100}
+	peers.members[0].LastHeard = time.Now()
+	jobs, ended := waitingJobs(t, 3)
+	here.waiting = jobs
+
+	near.rebalance()
+	if len(there.ran) > 0 {
+		t.Fatalf("%v went to a peer without a free slot", there.ran)
+	}
+
+	near.loads.tell("e2", there.load)
+	near.rebalance()
+	ended.Wait()
+	if len(there.ran) != 3 || len(here.ran) != 0 {
+		t.Errorf("%v ran there, %v here", there.ran, here.ran)
+	}
+}
+
+func TestTaskThatAPeerGaveBackStaysHere(t *testing.T) {
+	here := &fakeLocal{load: model.Load{Slots: 1}}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}, refuses: true}
+	near, _ := newPair(here, there)
+	jobs, ended := waitingJobs(t, 2)
+	here.waiting = jobs
+
+	near.rebalance()
+	ended.Wait()
+	if len(here.pinned) != 2 {
+		t.Errorf("pinned here: %v, want both", here.pinned)
+	}
+}
+
+func TestLoadOfAPeerIsTheNewestPlusWhatWentThereSince(t *testing.T) {
+	var l loads
+	began := time.Now()
+	m := Member{ID: "e2", Load: model.Load{Slots: 8, FreeSlots: 8}, LastHeard: began}
+
+	check := func(step string, wantFree, wantSince int) {
+		t.Helper()
+		load, since := l.of(m)
+		if load.FreeSlots != wantFree || since != wantSince {
+			t.Errorf("%s: %d free, %d since, want %d and %d", step, load.FreeSlots, since, wantFree, wantSince)
+		}
+	}
+	check("first heartbeat", 8, 0)
+	l.forwarded("e2", 3)
+	check("forwarded", 8, 3)
+	l.tell("e2", model.Load{Slots: 8, FreeSlots: 2})
+	check("told by a reply", 2, 0)
+	l.forwarded("e2", 1)
+	check("older heartbeat", 2, 1)
+	m.Load.FreeSlots, m.LastHeard = 5, time.Now().Add(time.Second)
+	check("newer heartbeat", 5, 0)
+}
--- a/relay/serve.go
+++ b/relay/serve.go
@@ -29,7 +29,10 @@
 	defer cancel()
 	defer r.track(b.JobID, cancel)()
 
-	return r.runBatch(ctx, b, deadline), nil
+	reply := r.runBatch(ctx, b, deadline)
+	load := r.Local.Load()
+	reply.Load = &load
+	return reply, nil
 }
 
 func (r *Relay) runBatch(ctx context.Context, b Batch, deadline time.Time) BatchReply {
@@ -45,6 +48,7 @@
 		Weight:   b.Weight,
 		Arrived:  time.Now(),
 		Deadline: deadline,
+		Pinned:   true,
 	}
 	for i, t := range b.Tasks {
 		j.Items = append(j.Items, &queue.Item{
--- a/runner/gather.go
+++ b/runner/gather.go
@@ -48,6 +48,8 @@
 
 func (g *gather) note(index int, o queue.Outcome) {
 	switch {
+	case o.Refused:
+		g.fail(model.FailOverloaded, "no instance has room for a task")
 	case o.NotRun:
 		g.fail(model.FailNoWorker, "no worker takes a task: "+o.Err.Error())
 	case o.Err != nil:
--- a/runner/gather_test.go
+++ b/runner/gather_test.go
@@ -19,3 +19,18 @@
 		t.Errorf("result (-want +got):\n%s", diff)
 	}
 }
+
+func TestTaskWithoutRoomAnywhereIsAnOverloadNotADeadline(t *testing.T) {
+	for want, o := range map[model.FailureKind]queue.Outcome{
+		model.FailOverloaded: {NotRun: true, Refused: true},
+		model.FailDeadline:   {NotRun: true},
+	} {
+		g := newGather("j", 1)
+		g.add(0, o)
+
+		a := g.answer()
+		if a.Ran != model.RanNo || a.Error.Kind != want {
+			t.Errorf("ran %q, kind %q, want no and %q", a.Ran, a.Error.Kind, want)
+		}
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -122,6 +122,20 @@
 	return nil
 }
 
+// Take removes up to max waiting tasks that may run on another instance, those
+// of the job that comes last first. Each is returned with a copy of its job.
+func (s *Scheduler) Take(max int) []*queue.Job {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.queue == nil {
+		return nil
+	}
+	taken := s.queue.TakeLast(time.Now(), max)
+	s.observer.QueueLength(s.queue.Len())
+	return taken
+}
+
 // slots counts the slots of the workers of a pool that take new work.
 func (s *Scheduler) slots(pool string) int {
 	var sum int
