--- a/config/chain_test.go
+++ b/config/chain_test.go
@@ -65,6 +65,9 @@
 			all := lead(e, between, between, last)
 			return []Entry{all[0], all[2]}
 		}, 1},
+		"a broken link": {func(e Entry) []Entry {
+			return []Entry{entryOf(2, between, e.Hash), entryOf(3, last, "elsewhere")}
+		}, 1},
 		"a number too high": {func(e Entry) []Entry {
 			all := lead(e, last)
 			all[0].Number = 3
