ticket: give the id of a refused run back

Cause: every answer was kept for its ticket or key, so a refusal with ran "no" (quota, overload, no worker, deadline before the start) refused all later submissions on it too, for the retention or, with a key, until the claim's row was removed.

An answer that says that nothing ran now makes the id unused again, under the store's lock and before anyone who waits can act on it. Those who joined get the refusal; the next submission is the first again. An id whose batch has expired meanwhile, or that was minted alone for a key, lives on for one retention from the refusal. A cancel stays final, before the submission and during the run.

Ruled out: a generation counter in the entry (joiners would have to be told apart); giving back on answers with ran "maybe".

--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -26,23 +26,34 @@
 // ID returns the id of the entry's job.
 func (e *Entry) ID() string { return e.id.String() }
 
-// Finish stores the answer and gives it to all who wait. It reports false,
-// and changes nothing, if the entry had an answer before.
+// Finish gives the answer to all who wait. Unless it says that nothing ran,
+// it is kept for those who ask later; else the id is unused again. An id that
+// was cancelled keeps either. Finish reports false, and changes nothing, if
+// the entry had an answer before.
 func (e *Entry) Finish(answer model.Answer) bool {
+	limits := e.store.limits()
+	e.store.mu.Lock()
+	defer e.store.mu.Unlock()
+
+	if !e.settle(answer) {
+		return false
+	}
+	e.store.finished(e, limits)
+	return true
+}
+
+func (e *Entry) settle(answer model.Answer) bool {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	if e.answer != nil {
-		e.mu.Unlock()
 		return false
 	}
-
 	e.answer = &answer
 	e.cancel = nil
 	if e.done != nil {
 		close(e.done)
 	}
-	e.mu.Unlock()
-
-	e.store.finished(e)
 	return true
 }
 
@@ -82,15 +93,21 @@
 	}
 }
 
-func (e *Entry) stop() {
+// markCanceled returns what stops the job, which may be nil.
+func (e *Entry) markCanceled() (cancel func()) {
 	e.mu.Lock()
+	defer e.mu.Unlock()
+
 	e.canceled = true
-	cancel := e.cancel
-	e.mu.Unlock()
+	return e.cancel
+}
 
-	if cancel != nil {
-		cancel()
-	}
+// reusable reports whether the answer leaves the id to a later submission.
+func (e *Entry) reusable() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	return e.answer.Ran == model.RanNo && !e.canceled
 }
 
 func (e *Entry) status() model.JobStatus {
@@ -108,6 +125,13 @@
 	return e.expires
 }
 
+func (e *Entry) setExpires(at time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	e.expires = at
+}
+
 func (e *Entry) expired(now time.Time) bool {
 	expires := e.expiresAt()
 	return !expires.IsZero() && !now.Before(expires)
--- a/ticket/space.go
+++ b/ticket/space.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -42,6 +43,29 @@
 	return &s.batches[i]
 }
 
+// giveBack makes a begun id unused again. One whose batch is gone, or that was
+// minted alone, lives on until the given time.
+func (s *space) giveBack(counter uint64, expires time.Time) {
+	delete(s.entries, counter)
+	b := s.batchOf(counter)
+	if b == nil {
+		s.insert(batch{first: counter, end: counter + 1, expires: expires})
+		return
+	}
+
+	b.begun--
+	if b.end-b.first == 1 {
+		b.expires = expires
+	}
+}
+
+func (s *space) insert(b batch) {
+	i, _ := slices.BinarySearchFunc(s.batches, b.first, func(b batch, first uint64) int {
+		return cmp.Compare(b.first, first)
+	})
+	s.batches = slices.Insert(s.batches, i, b)
+}
+
 // held counts the ids that take up memory.
 func (s *space) held() uint64 {
 	total := uint64(len(s.entries))
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -215,13 +215,16 @@
 		s.open++
 		e = s.use(sp, parsed, "")
 	}
+	stop := e.markCanceled()
 	s.mu.Unlock()
 
 	if unused {
 		e.Finish(model.Fail(id, model.RanNo, model.FailCancelled, "cancelled before it was submitted"))
 		return nil
 	}
-	e.stop()
+	if stop != nil {
+		stop()
+	}
 	return nil
 }
 
@@ -246,21 +249,21 @@
 }
 
 // finished accounts for an entry that was answered.
-func (s *Store) finished(e *Entry) {
-	expires := time.Now().Add(s.limits().Retention)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	if e.transient {
-		delete(s.spaces[e.id.Incarnation].entries, e.id.Counter)
+func (s *Store) finished(e *Entry, limits Limits) {
+	sp := s.spaces[e.id.Incarnation]
+	expires := time.Now().Add(limits.Retention)
+	switch {
+	case e.transient:
+		delete(sp.entries, e.id.Counter)
 		s.held--
 		return
+	case e.reusable():
+		sp.giveBack(e.id.Counter, expires)
+	default:
+		e.setExpires(expires)
+		s.answered = append(s.answered, e)
 	}
 
-	e.mu.Lock()
-	e.expires = expires
-	e.mu.Unlock()
-	s.answered = append(s.answered, e)
 	s.open--
 	if s.open == 0 && s.idle != nil {
 		close(s.idle)
