worker: prove an idle connection before it carries a start

Cause: something between the two ends can lose track of a kept connection. A start on it cost the job its whole deadline. A connection that was idle for more than 100 ms now answers GET /status first; a silent one empties the pool, and the start goes over a new connection. A task is still sent once.

Ruled out: a second connection while a start waits, since it can't tell whether the first arrived.

--- a/proof/member_lost_test.go
+++ b/proof/member_lost_test.go
@@ -33,7 +33,8 @@
 // submission is one job of a storm as its caller saw it.
 type submission struct {
 	id      string
-	sentAt  time.Time
+	begunAt time.Time // when it was first sent
+	sentAt  time.Time // when it was last sent
 	endedAt time.Time
 	answer  model.Answer
 	err     error // no answer came
@@ -88,7 +89,9 @@
 
 	sub := s.post(id, job)
 	if ticketed && !sub.complete() {
+		begunAt := sub.begunAt
 		sub = s.post(id, job)
+		sub.begunAt = begunAt
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -96,7 +99,8 @@
 }
 
 func (s *storm) post(id string, job model.Job) submission {
-	sub := submission{id: id, sentAt: time.Now()}
+	now := time.Now()
+	sub := submission{id: id, begunAt: now, sentAt: now}
 	sub.err = s.caller.postTo(s.balancer.pick(), "/v1/jobs", job, &sub.answer)
 	sub.endedAt = time.Now()
 	return sub
@@ -131,7 +135,7 @@
 	})
 }
 
-// summary counts the jobs that were sent in a span of time.
+// summary counts the jobs that were first sent in a span of time.
 type summary struct {
 	jobs, failed, unanswered int
 	recovered                time.Duration // from the begin to when the last job that wasn't complete was sent
@@ -140,7 +144,7 @@
 func summarise(list []submission, from, to time.Time) summary {
 	var sum summary
 	for _, sub := range list {
-		if sub.sentAt.Before(from) || sub.sentAt.After(to) {
+		if sub.begunAt.Before(from) || sub.begunAt.After(to) {
 			continue
 		}
 		sum.jobs++
@@ -151,7 +155,7 @@
 			sum.failed++
 		}
 		if !sub.complete() {
-			sum.recovered = max(sum.recovered, sub.sentAt.Sub(from))
+			sum.recovered = max(sum.recovered, sub.begunAt.Sub(from))
 		}
 	}
 	return sum
--- a/worker/client.go
+++ b/worker/client.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -16,9 +17,20 @@
 )
 
 const (
+	statusPath = "/status"
+
 	dialTimeout    = time.Second
 	controlTimeout = 2 * time.Second
 
+	// defaultMaxIdle holds for a client that is made before a configuration is
+	// in force.
+	defaultMaxIdle = 5 * time.Second
+
+	// A connection that was idle for longer than probeAfter answers a request
+	// for the status before it carries a start.
+	probeAfter   = 100 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+
 	// cancelGrace is how long a cancelled attempt may still report its outcome.
 	cancelGrace = time.Second
 )
@@ -39,6 +51,8 @@
 	dial    Dialer
 	maxIdle time.Duration
 
+	statusBytes atomic.Int64
+
 	mu     sync.Mutex
 	idle   []*conn
 	open   int
@@ -46,8 +60,11 @@
 }
 
 // NewClient returns a client of the worker at addr. A connection that was
-// idle for longer than maxIdle carries no further request.
+// idle for longer than maxIdle carries no further request; 0 takes a default.
 func NewClient(addr string, dial Dialer, maxIdle time.Duration) *Client {
+	if maxIdle <= 0 {
+		maxIdle = defaultMaxIdle
+	}
 	return &Client{addr: addr, dial: dial, maxIdle: maxIdle}
 }
 
@@ -94,7 +111,7 @@
 // Status asks the worker for its load.
 func (c *Client) Status(ctx context.Context) (model.WorkerStatus, error) {
 	var reply model.WorkerStatus
-	err := c.do(ctx, fasthttp.MethodGet, "/status", nil, &reply, time.Now().Add(controlTimeout))
+	err := c.do(ctx, fasthttp.MethodGet, statusPath, nil, &reply, time.Now().Add(controlTimeout))
 	return reply, err
 }
 
@@ -119,6 +136,9 @@
 		c.drop(k, deadline)
 		return err
 	}
+	if path == statusPath {
+		c.countStatus(req, resp)
+	}
 
 	err = json.Unmarshal(resp.Body(), reply)
 	if err != nil {
@@ -141,7 +161,9 @@
 	}
 }
 
-// get returns an idle connection that still lives, or a new one.
+// get returns an idle connection that still lives, or a new one. It proves
+// the former when that was idle for long: something between the two ends may
+// have lost track of it.
 func (c *Client) get(ctx context.Context) (*conn, error) {
 	for {
 		k, err := c.popIdle()
@@ -151,11 +173,45 @@
 		if k == nil {
 			return c.connect(ctx)
 		}
-		if k.alive(c.maxIdle) {
+		if !k.alive(c.maxIdle) {
+			c.discard(k)
+			continue
+		}
+		if time.Since(k.lastUsed) <= probeAfter || c.probe(k) {
 			return k, nil
 		}
+	}
+}
+
+// probe asks for the status on a connection, and drops one that is silent.
+func (c *Client) probe(k *conn) bool {
+	req := fasthttp.AcquireRequest()
+	resp := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+
+	c.fill(req, fasthttp.MethodGet, statusPath, nil)
+	deadline := time.Now().Add(probeTimeout)
+	if err := k.exchange(req, resp, deadline); err != nil {
+		c.drop(k, deadline)
+		return false
+	}
+	c.countStatus(req, resp)
+	if resp.ConnectionClose() {
 		c.discard(k)
+		return false
 	}
+	return true
+}
+
+func (c *Client) countStatus(req *fasthttp.Request, resp *fasthttp.Response) {
+	c.statusBytes.Add(int64(len(req.Header.Header()) + len(resp.Header.Header()) + len(resp.Body())))
+}
+
+// TakeStatusBytes returns the bytes that requests for the status took since
+// the last call, sent and received, with their HTTP headers.
+func (c *Client) TakeStatusBytes() int {
+	return int(c.statusBytes.Swap(0))
 }
 
 func (c *Client) popIdle() (*conn, error) {
