meter: count control traffic apart from data

Cause: foxtailmux_control_bytes_total counted every byte between peers, jobs included, and none of the polls. It now counts heartbeats with the headers of their packets, polls of the configuration and of the list, and status probes, by kind; foxtailmux_peer_bytes_total counts what peers exchange in all.

Logs of peer and member go to the logger of the instance. The jsonrpc2 library reports each connection that the other end closed; that is a debug line now.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -2,12 +2,14 @@
 
 import (
 	"net"
+	"strings"
 
 	"foxtailmux/admin"
 	"foxtailmux/config"
 	"foxtailmux/entry"
 	"foxtailmux/learn"
 	"foxtailmux/member"
+	"foxtailmux/meter"
 	"foxtailmux/model"
 	"foxtailmux/peer"
 	"foxtailmux/place"
@@ -16,10 +18,23 @@
 	"foxtailmux/roster"
 	"foxtailmux/runner"
 	"foxtailmux/sched"
+	"foxtailmux/table"
 	"foxtailmux/worker"
 )
 
+// countPlatformBytes counts what the polls of the platform take. Claims are
+// data.
+func (d *Daemon) countPlatformBytes(path string, n int) {
+	switch {
+	case path == table.InstancesPath:
+		d.meter.ControlBytes(meter.ListPoll, n)
+	case strings.HasPrefix(path, table.RowsPath), strings.HasPrefix(path, table.ObjectsPath):
+		d.meter.ControlBytes(meter.ConfigPoll, n)
+	}
+}
+
 func (d *Daemon) buildConfiguration() {
+	d.table.OnBytes = d.countPlatformBytes
 	d.watcher = config.NewWatcher(config.WatcherOptions{
 		Store: d.table,
 		Fetch: d.fetchFromPeer,
@@ -35,13 +50,16 @@
 		Self:    d.self,
 		Listen:  func(string) (net.Listener, error) { return d.listeners.peers, nil },
 		Watch:   d.watch,
-		OnBytes: d.meter.ControlBytes,
+		OnBytes: d.meter.PeerBytes,
+		Log:     d.log,
 		OnReach: func(id string, reached bool) { d.members.Reached(id, reached) },
 	})
 	d.members = member.New(member.Options{
 		Self:      d.self,
 		Seeds:     d.settings.Peers.Seeds,
 		Transport: d.peers,
+		OnBytes:   func(n int) { d.meter.ControlBytes(meter.Heartbeat, n) },
+		Log:       d.log,
 		Load:      d.load,
 		Config:    d.configInForce,
 		MinPeriod: d.document().Intervals.Heartbeat,
@@ -110,6 +128,7 @@
 		Scheduler: d.sched,
 		Intervals: func() config.Intervals { return d.document().Intervals },
 		OnEntries: d.members.Feed,
+		OnBytes:   func(n int) { d.meter.ControlBytes(meter.StatusProbe, n) },
 	})
 }
 
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 )
 
@@ -18,7 +17,7 @@
 
 	err := g.send(ctx, t)
 	if err != nil {
-		log.Debug().Err(err).Str("peer", t.id).Str("addr", t.addr).Msg("heartbeat was not answered")
+		g.options.Log.Debug().Err(err).Str("peer", t.id).Str("addr", t.addr).Msg("heartbeat was not answered")
 	}
 
 	g.mu.Lock()
@@ -78,10 +77,17 @@
 	sentAt := time.Now()
 	var answer json.RawMessage
 	err := g.options.Transport.Ask(ctx, peerID, heartbeatMethod, raw, &answer)
-	g.budget.spend(len(raw) + len(answer) + requestOverhead + answerOverhead + packetOverhead)
+	g.spend(len(raw) + len(answer))
 	return answer, sentAt, err
 }
 
+// spend counts an exchange by the bytes of the two heartbeats.
+func (g *Group) spend(heartbeats int) {
+	n := heartbeats + requestOverhead + answerOverhead + packetOverhead
+	g.budget.spend(n)
+	g.options.OnBytes(n)
+}
+
 // metSelf handles an answer under the own id: from the own address, or from
 // another process that was given the same id.
 func (g *Group) metSelf(t target, h *heartbeat) error {
@@ -107,7 +113,7 @@
 	if err != nil {
 		return nil, &Error{Op: "encode heartbeat", Kind: Invalid, Err: err}
 	}
-	g.budget.spend(len(params) + len(answer) + requestOverhead + answerOverhead + packetOverhead)
+	g.spend(len(params) + len(answer))
 	return json.RawMessage(answer), nil
 }
 
--- a/member/network_test.go
+++ b/member/network_test.go
@@ -15,7 +15,6 @@
 
 	"foxtailmux/model"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 )
 
@@ -26,11 +25,6 @@
 // 100 of JSON-RPC and 52 of TCP and IP headers for each of three packets.
 const frameOverhead = 100 + 3*52
 
-func TestMain(m *testing.M) {
-	log.DefaultLogger.SetLevel(log.WarnLevel)
-	os.Exit(m.Run())
-}
-
 // seed returns the seed of the run, from FOXTAILMUX_SEED when that is set.
 func seed(t testing.TB) uint64 {
 	t.Helper()
--- a/member/options.go
+++ b/member/options.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"foxtailmux/model"
 )
 
@@ -16,6 +18,11 @@
 	RemovePeer(id string)
 }
 
+// Logger takes what is of use when a fault is looked for.
+type Logger interface {
+	Debug() *log.Entry
+}
+
 // Options configure a Group. Load and Config are called several times a
 // second. MinPeriod is the shortest time between two heartbeats to a member.
 type Options struct {
@@ -24,6 +31,12 @@
 	Transport Transport
 	Load      func() model.Load
 	Config    func() (number int64, digest string)
+
+	// OnBytes is called with the bytes that an exchange took, sent and
+	// received, with the headers of its packets.
+	OnBytes func(n int)
+
+	Log       Logger // nil discards
 	MinPeriod time.Duration
 	Seed      uint64 // of the start delay; 0 draws one
 }
@@ -78,6 +91,12 @@
 	if o.MinPeriod == 0 {
 		o.MinPeriod = defaultMinPeriod
 	}
+	if o.OnBytes == nil {
+		o.OnBytes = func(int) {}
+	}
+	if o.Log == nil {
+		o.Log = &log.Logger{Level: log.PanicLevel}
+	}
 	if o.Load == nil {
 		o.Load = func() model.Load { return model.Load{} }
 	}
--- a/meter/count.go
+++ b/meter/count.go
@@ -9,7 +9,15 @@
 	Wasted = "wasted"
 )
 
-// The directions of control traffic.
+// The kinds of control traffic.
+const (
+	Heartbeat   = "heartbeat"
+	ConfigPoll  = "configPoll"
+	ListPoll    = "listPoll"
+	StatusProbe = "statusProbe"
+)
+
+// The directions of the traffic with peers.
 const (
 	Sent     = "sent"
 	Received = "received"
@@ -36,9 +44,14 @@
 // Unauthorized counts an operator's request without a valid key.
 func (m *Meter) Unauthorized() { m.unauthorized.Inc() }
 
-// ControlBytes counts n bytes Sent or Received for control.
-func (m *Meter) ControlBytes(direction string, n int) {
-	m.controlBytes.WithLabelValues(direction).Add(float64(n))
+// ControlBytes counts n bytes sent or received for one kind of control.
+func (m *Meter) ControlBytes(kind string, n int) {
+	m.controlBytes.WithLabelValues(kind).Add(float64(n))
+}
+
+// PeerBytes counts n bytes Sent to or Received from peers.
+func (m *Meter) PeerBytes(direction string, n int) {
+	m.peerBytes.WithLabelValues(direction).Add(float64(n))
 }
 
 // QueueLength sets the number of tasks that wait for a slot.
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -23,6 +23,7 @@
 	messages     *prometheus.CounterVec
 	unauthorized prometheus.Counter
 	controlBytes *prometheus.CounterVec
+	peerBytes    *prometheus.CounterVec
 
 	queue         prometheus.Gauge
 	configVersion prometheus.Gauge
@@ -62,7 +63,8 @@
 	m.messages = counters("messages_total", "Messages sent, by whether they were needed, and by kind.", "purpose", "kind")
 	m.messages.WithLabelValues("needed", "start") // shown as 0 before the first one
 	m.unauthorized = counter("unauthorized_total", "Requests of operators without a valid key.")
-	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, by direction.", "direction")
+	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, sent and received, by kind.", "kind")
+	m.peerBytes = counters("peer_bytes_total", "Bytes of all connections with peers, data included, by direction.", "direction")
 }
 
 func (m *Meter) makeGauges() {
@@ -86,6 +88,7 @@
 		m.messages,
 		m.unauthorized,
 		m.controlBytes,
+		m.peerBytes,
 		m.queue,
 		m.configVersion,
 		m.queueWait,
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -23,7 +23,8 @@
 	m.Message(meter.Needed, "start")
 	m.Message(meter.Wasted, "cancel")
 	m.Unauthorized()
-	m.ControlBytes(meter.Sent, 512)
+	m.ControlBytes(meter.Heartbeat, 512)
+	m.PeerBytes(meter.Sent, 2048)
 	m.QueueLength(7)
 	m.ConfigVersion(12)
 	m.QueueWait(3 * time.Millisecond)
@@ -44,10 +45,11 @@
 
 const want = `foxtailmux_answers_total{data_centre="kochi",instance_id="entry-1",ran="no",result="failed"} 1
 foxtailmux_config_version{data_centre="kochi",instance_id="entry-1"} 12
-foxtailmux_control_bytes_total{data_centre="kochi",direction="sent",instance_id="entry-1"} 512
+foxtailmux_control_bytes_total{data_centre="kochi",instance_id="entry-1",kind="heartbeat"} 512
 foxtailmux_forwards_total{data_centre="kochi",instance_id="entry-1",outcome="accepted"} 1
 foxtailmux_messages_total{data_centre="kochi",instance_id="entry-1",kind="cancel",purpose="wasted"} 1
 foxtailmux_messages_total{data_centre="kochi",instance_id="entry-1",kind="start",purpose="needed"} 1
+foxtailmux_peer_bytes_total{data_centre="kochi",direction="sent",instance_id="entry-1"} 2048
 foxtailmux_queue_tasks{data_centre="kochi",instance_id="entry-1"} 7
 foxtailmux_queue_wait_seconds_sum{data_centre="kochi",instance_id="entry-1"} 0.003
 foxtailmux_queue_wait_seconds_count{data_centre="kochi",instance_id="entry-1"} 1
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -5,9 +5,9 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 
-	"github.com/phuslu/log"
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -31,7 +31,7 @@
 
 func newConn(ctx context.Context, c net.Conn, o *Options) *conn {
 	s := newStream(c, o, o.IdleTimeout)
-	rpc := jsonrpc2.NewConn(ctx, s, refuseAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.SetLogger(rpcLogger{}))
+	rpc := jsonrpc2.NewConn(ctx, s, refuseAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.SetLogger(rpcLogger{o.Log}))
 	return &conn{stream: s, rpc: rpc}
 }
 
@@ -46,11 +46,14 @@
 	_ = c.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: CodeNoMethod, Message: "no requests on this connection"})
 }
 
-type rpcLogger struct{}
+type rpcLogger struct {
+	log Logger
+}
 
-// Printf logs a message of the jsonrpc2 library.
-func (rpcLogger) Printf(format string, v ...any) {
-	log.Warn().Msgf(format, v...)
+// Printf logs a message of the jsonrpc2 library. It reports each connection
+// that the other end closed, and a call on it fails with an error of its own.
+func (l rpcLogger) Printf(format string, v ...any) {
+	l.log.Debug().Msgf(strings.TrimSpace(format), v...)
 }
 
 func (c *conn) closed() bool {
--- a/peer/options.go
+++ b/peer/options.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"foxtailmux/model"
 	"foxtailmux/pause"
 )
@@ -15,6 +17,11 @@
 	Received = "received"
 )
 
+// Logger takes what is of use when a fault is looked for.
+type Logger interface {
+	Debug() *log.Entry
+}
+
 // Options configure a Group. Fields left zero take their defaults.
 type Options struct {
 	Self       model.Entry
@@ -34,6 +41,8 @@
 	// none to it could be opened. It must not block.
 	OnReach func(peerID string, reached bool)
 
+	Log Logger // nil discards
+
 	MaxFrame  int // bytes of one message
 	MaxCalls  int // open calls to one peer
 	MaxServed int // requests in progress of one incoming connection
@@ -76,6 +85,9 @@
 		o.OnBytes = func(string, int) {}
 	}
 
+	if o.Log == nil {
+		o.Log = &log.Logger{Level: log.PanicLevel}
+	}
 	if o.Watch == nil {
 		o.Watch = pause.NewWatch()
 	}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -37,7 +37,7 @@
 	s := &server{group: g, slots: make(chan struct{}, g.options.MaxServed)}
 	// The dialling end closes idle connections first.
 	idle := 2 * g.options.IdleTimeout
-	rpc := jsonrpc2.NewConn(ctx, newStream(c, &g.options, idle), s, jsonrpc2.SetLogger(rpcLogger{}))
+	rpc := jsonrpc2.NewConn(ctx, newStream(c, &g.options, idle), s, jsonrpc2.SetLogger(rpcLogger{g.options.Log}))
 	<-rpc.DisconnectNotify()
 	s.end()
 }
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -43,6 +43,9 @@
 	Scheduler Scheduler
 	Intervals func() config.Intervals
 	OnEntries func([]model.Entry)
+
+	// OnBytes is called with the bytes that requests for the status took.
+	OnBytes func(n int)
 }
 
 // State is what a dump of the process shows of the roster.
@@ -168,6 +171,7 @@
 
 func (r *Roster) probeOne(ctx context.Context, p Probe) {
 	status, err := p.Client.Status(ctx)
+	r.options.OnBytes(p.Client.TakeStatusBytes())
 	if err == nil && status.Leaving {
 		r.options.Scheduler.SetLeaving(p.ID)
 	}
--- a/table/call.go
+++ b/table/call.go
@@ -129,6 +129,7 @@
 		return answer{}, &Error{Op: r.op, Kind: sendKind(err), Err: eris.Wrap(err, r.method)}
 	}
 
+	c.OnBytes(r.uri, len(req.Header.Header())+len(r.body)+len(resp.Header.Header())+len(resp.Body()))
 	return answer{
 		status: resp.StatusCode(),
 		body:   append([]byte(nil), resp.Body()...),
--- a/table/client.go
+++ b/table/client.go
@@ -25,6 +25,10 @@
 // Client calls the platform. No request is ever sent again by the client
 // itself. It is safe for concurrent use.
 type Client struct {
+	// OnBytes is called with the bytes of each exchange, headers included. It
+	// is set before the first call.
+	OnBytes func(path string, n int)
+
 	host    *fasthttp.HostClient
 	timeout time.Duration
 	slots   chan struct{}
@@ -41,6 +45,7 @@
 
 func newClient(addr string, timeout time.Duration, dial fasthttp.DialFuncWithTimeout) *Client {
 	return &Client{
+		OnBytes: func(string, int) {},
 		host: &fasthttp.HostClient{
 			Addr:                      addr,
 			DialTimeout:               markDialErrors(dial),
