sched: eject workers that are much slower than the others

Cause: a worker ten times slower keeps the slots that it was given, and each of its tasks is the last one of its job. Its run times also spoilt the learned ones. Ruled out: the other jobs did not suffer (their p99 was 905 and 895 ms).

A worker whose decaying mean of run time over expectation is above 3 times the median of its pool is ejected like one that fails; it is probed when the others are full. The load told to peers leaves out the slots of ejected workers. The load tool reports how long refusals took.

--- a/load/exper.go
+++ b/load/exper.go
@@ -244,12 +244,13 @@
 }
 
 func (c Comparison) writeRuns(w io.Writer) {
-	fmt.Fprintln(w, "variant\tround\tseed\tload\tjobs\tlag p99\toverhead p50\tp99\tp99.9\twork in time\tlost\tneeded\twasted\tJain\tworst/best\tno answer\tviolations")
+	fmt.Fprintln(w, "variant\tround\tseed\tload\tjobs\tlag p99\toverhead p50\tp99\tp99.9\twork in time\trefused after p50\tp99\tlost\tneeded\twasted\tJain\tworst/best\tno answer\tviolations")
 	for _, v := range c.Variants {
 		for round, r := range v.Runs {
-			fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.4f\t%.4f\t%s\t%s\t%.4f\t%.4f\t%d\t%d\n",
+			fmt.Fprintf(w, "%s\t%d\t%d\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.4f\t%.2f\t%.2f\t%.4f\t%s\t%s\t%.4f\t%.4f\t%d\t%d\n",
 				v.Name, round+1, r.Seed, r.Utilisation, r.Jobs, r.SenderLag.P99,
-				r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.WorkInTimeShare, r.LostShare,
+				r.Overhead.P50, r.Overhead.P99, r.Overhead.P999, r.WorkInTimeShare,
+				r.RefusedAfter.P50, r.RefusedAfter.P99, r.LostShare,
 				r.perTask(r.NeededPerTask), r.perTask(r.WastedPerTask),
 				r.Jain, r.WorstOverBest, sum(r.TransportErrors), sum(r.Violations))
 		}
--- a/load/record.go
+++ b/load/record.go
@@ -26,6 +26,7 @@
 	ratio    histogram
 	others   histogram // responses without a task on a faulty worker
 	faulty   map[string]bool
+	refused  histogram // until the answer that nothing ran
 	lag      histogram
 	teams    map[string]*teamRecord
 	total    good
@@ -58,6 +59,7 @@
 		overhead: newHistogram(),
 		ratio:    newHistogram(),
 		others:   newHistogram(),
+		refused:  newHistogram(),
 		lag:      newHistogram(),
 		teams:    map[string]*teamRecord{},
 	}
@@ -114,6 +116,9 @@
 	if complete {
 		team.overhead.record(o.response - o.submission.Ideal)
 	}
+	if o.refused() {
+		r.refused.record(o.response)
+	}
 	deadline := time.Duration(o.submission.Job.DeadlineMillis) * time.Millisecond
 	inTime := complete && o.response <= deadline
 	team.add(o.submission, inTime)
@@ -141,6 +146,11 @@
 	return o.err != nil || o.answer.Result == model.Failed && o.answer.Ran != model.RanNo
 }
 
+// refused tells whether the answer says that the job did not run.
+func (o outcome) refused() bool {
+	return o.err == nil && o.answer.Result == model.Failed && o.answer.Ran == model.RanNo
+}
+
 // ranOn tells whether a task ran on one of the workers.
 func (o outcome) ranOn(workers map[string]bool) bool {
 	if len(workers) == 0 {
@@ -243,6 +253,7 @@
 	report.Overhead = r.overhead.quantiles()
 	report.Ratio = r.ratio.quantiles()
 	report.Others = r.others.quantiles()
+	report.RefusedAfter = r.refused.quantiles()
 	report.LostShare = share(float64(r.total.lost), float64(r.total.jobs))
 	report.SenderLag = r.lag.quantiles()
 	report.InTimeShare = share(float64(r.total.jobsInTime), float64(r.total.jobs))
--- a/load/report.go
+++ b/load/report.go
@@ -44,6 +44,10 @@
 	Others    Quantiles `json:"others"`    // responses without a task on a faulty worker
 	SenderLag Quantiles `json:"senderLag"` // of the tool itself
 
+	// RefusedAfter is the response time of the answers that nothing ran, but
+	// for jobs that can never run or were cancelled.
+	RefusedAfter Quantiles `json:"refusedAfter"`
+
 	InTimeShare     float64 `json:"inTimeShare"`     // of jobs that can run and weren't cancelled
 	WorkInTimeShare float64 `json:"workInTimeShare"` // the same, weighed by slot time
 	LostShare       float64 `json:"lostShare"`       // of the same jobs, failed after they may have run
@@ -109,6 +113,7 @@
 	writeQuantiles(w, "response ms", r.Response)
 	writeQuantiles(w, "overhead ms", r.Overhead)
 	writeQuantiles(w, "response/ideal", r.Ratio)
+	writeQuantiles(w, "refused after ms", r.RefusedAfter)
 	writeQuantiles(w, "sender lag ms", r.SenderLag)
 	for _, t := range r.Teams {
 		writeQuantiles(w, "overhead ms "+t.Name, t.Overhead)
--- a/sched/attempt.go
+++ b/sched/attempt.go
@@ -58,8 +58,7 @@
 		w.Heard = time.Now()
 	}
 	if err == nil && reply.Outcome == model.OutcomeDone {
-		run := time.Duration(reply.RunMillis) * time.Millisecond
-		s.estimator.Observe(it.Request.Service, run)
+		s.learn(w, it, time.Duration(reply.RunMillis)*time.Millisecond)
 	}
 	if reply.Leaving {
 		w.Leaving = true
@@ -103,6 +102,8 @@
 		return true
 	case reply.Outcome == model.OutcomeFailed:
 		s.punish(w, now)
+	case reply.Outcome == model.OutcomeDone && s.straggles(w):
+		s.eject(w, now, 1)
 	case reply.Outcome == model.OutcomeDone:
 		w.Health.Succeeded()
 	}
@@ -127,8 +128,13 @@
 
 // punish counts a failure against a worker and ejects it when they repeat.
 func (s *Scheduler) punish(w *worker.Worker, now time.Time) {
+	s.eject(w, now, s.document.Ejection.Failures)
+}
+
+// eject takes a worker out of the placement once it has that many failures.
+func (s *Scheduler) eject(w *worker.Worker, now time.Time, failures int) {
 	e := s.document.Ejection
-	rules := worker.Rules{Failures: e.Failures, Backoff: e.Backoff, MaxBackoff: e.MaxBackoff}
+	rules := worker.Rules{Failures: failures, Backoff: e.Backoff, MaxBackoff: e.MaxBackoff}
 
 	if w.Health.Failed(rules, s.mayEject(now), now) {
 		time.AfterFunc(w.Health.Backoff, s.wake)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -163,6 +164,14 @@
 	}
 }
 
+// timed is after with the run time in the reply.
+func timed(d time.Duration) func(model.StartRequest) model.TaskReply {
+	return func(model.StartRequest) model.TaskReply {
+		time.Sleep(d)
+		return model.TaskReply{Outcome: model.OutcomeDone, RunMillis: d.Milliseconds()}
+	}
+}
+
 func always(o model.TaskOutcome) func(model.StartRequest) model.TaskReply {
 	return func(model.StartRequest) model.TaskReply { return model.TaskReply{Outcome: o} }
 }
@@ -423,3 +432,50 @@
 		})
 	}
 }
+
+func TestStragglerIsEjectedAndReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		var recovered atomic.Bool
+		slow := b.add("w1", 8, func(r model.StartRequest) model.TaskReply {
+			if recovered.Load() {
+				return timed(100 * time.Millisecond)(r)
+			}
+			return timed(time.Second)(r)
+		})
+		for _, id := range []string{"w2", "w3", "w4"} {
+			b.add(id, 8, timed(100*time.Millisecond))
+		}
+
+		run := func(jobs, tasks int) (onSlow int) {
+			before := len(slow.started())
+			for i := range jobs {
+				j, outcomes := b.job(fmt.Sprint(i), tasks, time.Minute)
+				b.submit(j)
+				for range tasks {
+					<-outcomes
+				}
+			}
+			return len(slow.started()) - before
+		}
+
+		run(20, 16)
+		if got := run(20, 16); got > 4 {
+			t.Errorf("the straggler got %d of 320 tasks, want some probes at most", got)
+		}
+		if load := b.sched.Load(); load.Slots > 25 {
+			t.Errorf("%d slots are offered with a worker ejected", load.Slots)
+		}
+
+		// It is probed when the others are full.
+		recovered.Store(true)
+		for range 4 {
+			time.Sleep(time.Minute)
+			run(1, 32)
+		}
+		if got := run(20, 32); got < 100 {
+			t.Errorf("the recovered worker got %d of 640 tasks", got)
+		}
+	})
+}
--- a/sched/update.go
+++ b/sched/update.go
@@ -138,13 +138,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
+	now := time.Now()
 	var load model.Load
 	for _, w := range s.owned {
-		if w.Leaving {
-			continue
-		}
-		load.Slots += w.Info.Slots
-		load.FreeSlots += max(0, w.Info.Slots-w.Running)
+		slots := w.Usable(now)
+		load.Slots += slots
+		load.FreeSlots += max(0, slots-w.Running)
 	}
 	if s.queue != nil {
 		load.QueuedTasks = s.queue.Len()
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -27,14 +27,53 @@
 	FullUntil time.Time
 
 	Health Health
+
+	// Slowness is a decaying mean of run times over what was expected of them;
+	// 0 before the first.
+	Slowness float64
+}
+
+const (
+	// maxSlowness bounds what one long task may show of its worker.
+	maxSlowness = 10.0
+
+	// slownessDecay is the weight of a new run time, probeDecay that of one on
+	// a worker that is being probed.
+	slownessDecay = 0.15
+	probeDecay    = 0.5
+)
+
+// ObserveRun records how long a task ran and what was expected of it.
+func (w *Worker) ObserveRun(run, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := min(maxSlowness, run.Seconds()/expected.Seconds())
+	if w.Slowness == 0 {
+		w.Slowness = 1
+	}
+	weight := slownessDecay
+	if w.Health.probing {
+		weight = probeDecay
+	}
+	w.Slowness += weight * (ratio - w.Slowness)
 }
 
 // Free returns the number of slots that this instance may still fill.
 func (w *Worker) Free(now time.Time) int {
-	if w.Leaving || now.Before(w.FullUntil) {
+	if now.Before(w.FullUntil) {
+		return 0
+	}
+	return max(0, w.Usable(now)-w.Running)
+}
+
+// Usable returns the number of slots that the worker's health leaves to new
+// tasks, whether they are free or not.
+func (w *Worker) Usable(now time.Time) int {
+	if w.Leaving {
 		return 0
 	}
-	return max(0, w.Health.Allowed(w.Info.Slots, now)-w.Running)
+	return w.Health.Allowed(w.Info.Slots, now)
 }
 
 // Fits reports whether the worker has room for needs beside what runs.
