runner: tell a task without a worker from one without room

A task that an instance with slots had no room for is refused as overloaded at once; one whose instance has no worker of the pool any more is submitted again; one that waited until its deadline failed by the deadline.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -226,14 +226,17 @@
 	local.Items = items
 	local.Pinned = true
 	if err := r.Local.Submit(&local); err != nil {
-		deliverNotRun(items, err)
+		r.deliverNotRun(items, err)
 	}
 }
 
-func deliverNotRun(items []*queue.Item, cause error) {
+// deliverNotRun gives tasks back. Where this instance has slots they were
+// refused for want of room, else they may find a worker elsewhere.
+func (r *Relay) deliverNotRun(items []*queue.Item, cause error) {
 	err := &Error{Op: "forward", Kind: KindNotRun, Err: cause}
+	refused := r.Local.Load().Slots > 0
 	for _, it := range items {
-		it.Deliver(queue.Outcome{Err: err, NotRun: true, Refused: true})
+		it.Deliver(queue.Outcome{Err: err, NotRun: true, Refused: refused})
 	}
 }
 
--- a/runner/gather.go
+++ b/runner/gather.go
@@ -50,6 +50,8 @@
 	switch {
 	case o.Refused:
 		g.fail(model.FailOverloaded, "no instance has room for a task")
+	case o.NotRun && o.Err == nil:
+		g.fail(model.FailDeadline, "a task got no slot in time")
 	case o.NotRun:
 		g.fail(model.FailNoWorker, "no worker takes a task: "+o.Err.Error())
 	case o.Err != nil:
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -161,7 +161,7 @@
 	if j.Context.Err() != nil {
 		g.refuse(endedFailure(j.Context))
 	}
-	if o.NotRun && j.Context.Err() == nil && it.Moves < maxMoves {
+	if o.NotRun && !o.Refused && j.Context.Err() == nil && it.Moves < maxMoves {
 		it.Moves++
 		time.AfterFunc(moveDelay, func() { r.move(g, j, it, index, o) })
 		return
