--- a/proof/config_cut_test.go
+++ b/proof/config_cut_test.go
@@ -18,6 +18,7 @@
 
 // A data centre without the platform and without the others.
 func TestCutOffDataCentreServesOnAndCatchesUp(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 1)
 	far := startWire(t, c.platform.Addr())
 	cutOff := startFarEntry(t, c, far)
@@ -91,6 +92,7 @@
 }
 
 func TestInstanceCutOffFromThePlatformFollowsItsPeers(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 1)
 	far := startWire(t, c.platform.Addr())
 	cutOff := startEntry(t, "entry-3", far.addr(), "--peers.seeds", c.entries[0].field("peers"))
--- a/proof/config_help_test.go
+++ b/proof/config_help_test.go
@@ -288,6 +288,7 @@
 	target   string
 	listener net.Listener
 	isCut    atomic.Bool
+	bytes    atomic.Int64 // both ways, without the headers of packets
 	group    conc.WaitGroup
 
 	mu    sync.Mutex
@@ -356,6 +357,7 @@
 	if l.wire.isCut.Load() {
 		return len(p), nil
 	}
+	l.wire.bytes.Add(int64(len(p)))
 	return l.Conn.Write(p)
 }
 
--- a/proof/config_peer_test.go
+++ b/proof/config_peer_test.go
@@ -97,6 +97,7 @@
 }
 
 func TestPeerCannotBringAFalseVersionIntoForce(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 1, 1)
 	p := c.entries[0]
 	w := watchConfig(t, p)
--- a/proof/config_test.go
+++ b/proof/config_test.go
@@ -20,6 +20,7 @@
 const raceRounds = 6
 
 func TestRacingOperatorsHaveOneWinner(t *testing.T) {
+	t.Parallel()
 	r := seeded(t)
 	c := startCell(t, 2, 1)
 	w := watchConfig(t, c.entries...)
@@ -90,6 +91,7 @@
 }
 
 func TestApplyWhoseAnswersAreLostIsSettled(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 1)
 	w := watchConfig(t, c.entries...)
 	store := startForgetful(t, c.platform.Addr())
@@ -111,6 +113,7 @@
 }
 
 func TestStoreDownAtApplyChangesNothing(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 1, 1)
 	w := watchConfig(t, c.entries...)
 	folder := numbered(t, 1)
@@ -129,6 +132,7 @@
 }
 
 func TestStoreDownAtStartKeepsAnInstanceUnready(t *testing.T) {
+	t.Parallel()
 	platform, err := fakes.StartPlatform(fakes.PlatformOptions{Faults: fakes.PlatformFaults{Down: true}})
 	if err != nil {
 		t.Fatal(err)
@@ -160,6 +164,7 @@
 }
 
 func TestNewInstanceTakesTheVersionOfItsPeersWhileTheStoreIsDown(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 1)
 	w := watchConfig(t, c.entries...)
 	number := mustApply(t, c.platform.Addr(), numbered(t, 1))
@@ -173,6 +178,7 @@
 }
 
 func TestInstancesServeOnWhileTheStoreIsDownAndCatchUp(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 2)
 	w := watchConfig(t, c.entries...)
 	for _, f := range []fakes.PlatformFaults{{Down: true}, {SlowMillis: 20_000}} {
@@ -200,6 +206,7 @@
 // A writer that stores a document in part, or another one, and moves the
 // version on all the same.
 func TestCorruptObjectIsNeverInForce(t *testing.T) {
+	t.Parallel()
 	c := startCell(t, 2, 1)
 	w := watchConfig(t, c.entries...)
 	store := table.NewClient(c.platform.Addr(), time.Second)
