ticket, config: bound kept answers by their own retention and by bytes

Cause: an answer was kept whole for the retention of tickets (10 min), so MaxOpenTickets bounded an instance to about 166 ticketed or keyed jobs a second, and 250 a second of 1 to 2 KB would have taken 150 to 300 MB.

Limits gain answerRetention (2 min) and maxAnswerMB (48): the oldest answers go first. A bit in the id's batch remembers that the id is spent, so that a resubmission is answered failed, ran "maybe", this attempt "no", kind keyUsed, and never starts; it is not handed over as unused either. Batches whose ids are all spent are dropped. At 250 answers a second, 2 min are 30,000 ids of the 100,000.

TestIDsExpireButNeverBecomeUnusedAgain demanded that an answer outlives its retention while its batch lives; it now demands that the id counts as dropped for begin and cancel, and never as unused.

--- a/config/default.go
+++ b/config/default.go
@@ -49,6 +49,24 @@
 	defaultWeight = 1
 )
 
+// Defaults of the bounds on kept answers. They are not part of Default, so
+// that documents written before these fields keep their digests.
+const (
+	defaultAnswerRetention = 2 * time.Minute
+	defaultMaxAnswerMB     = 48
+)
+
+// WithDefaults fills the bounds on kept answers that are left out.
+func (l Limits) WithDefaults() Limits {
+	if l.AnswerRetention == 0 {
+		l.AnswerRetention = defaultAnswerRetention
+	}
+	if l.MaxAnswerMB == 0 {
+		l.MaxAnswerMB = defaultMaxAnswerMB
+	}
+	return l
+}
+
 // WithDefaults fills the fields that a service leaves out.
 func (s Service) WithDefaults() Service {
 	if s.MaxTasks == 0 {
--- a/config/document.go
+++ b/config/document.go
@@ -82,11 +82,15 @@
 	IdleConn   time.Duration `yaml:"idleConn" json:"idleConn"`
 }
 
-// Limits bound what callers may hold open.
+// Limits bound what callers may hold open on one instance. Answers to jobs
+// with a ticket or key are kept for AnswerRetention, and the oldest go earlier
+// when they take up more than MaxAnswerMB; 0 takes 2 min and 48 MB.
 type Limits struct {
 	MaxOpenJobs     int           `yaml:"maxOpenJobs" json:"maxOpenJobs"`
 	MaxOpenTickets  int           `yaml:"maxOpenTickets" json:"maxOpenTickets"`
 	TicketRetention time.Duration `yaml:"ticketRetention" json:"ticketRetention"`
+	AnswerRetention time.Duration `yaml:"answerRetention" json:"answerRetention,omitzero"`
+	MaxAnswerMB     int           `yaml:"maxAnswerMB" json:"maxAnswerMB,omitzero"`
 	KeyRetention    time.Duration `yaml:"keyRetention" json:"keyRetention"`
 }
 
--- a/config/rules.go
+++ b/config/rules.go
@@ -20,6 +20,7 @@
 	maxEjectFailures  = 1000
 	maxInstanceJobs   = 1_000_000
 	maxInstanceTicket = 10_000_000
+	maxAnswerMB       = 100_000
 
 	minRun = time.Millisecond
 	maxRun = time.Hour
@@ -72,6 +73,8 @@
 	"limits.maxOpenJobs":         within(1, maxInstanceJobs),
 	"limits.maxOpenTickets":      within(1, maxInstanceTicket),
 	"limits.ticketRetention":     within(time.Second, 24*time.Hour),
+	"limits.answerRetention":     within(0, 24*time.Hour),
+	"limits.maxAnswerMB":         within(0, maxAnswerMB),
 	"limits.keyRetention":        within(time.Minute, 30*24*time.Hour),
 	"access[].name":              named,
 	"access[].sha256":            hashed,
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -15,8 +15,13 @@
 
 func (d *Daemon) buildIntake() {
 	d.tickets = ticket.NewStore(d.self.Incarnation, func() ticket.Limits {
-		l := d.document().Limits
-		return ticket.Limits{MaxOpen: l.MaxOpenTickets, Retention: l.TicketRetention}
+		l := d.document().Limits.WithDefaults()
+		return ticket.Limits{
+			MaxOpen:         l.MaxOpenTickets,
+			Retention:       l.TicketRetention,
+			AnswerRetention: l.AnswerRetention,
+			MaxAnswerBytes:  int64(l.MaxAnswerMB) << 20,
+		}
 	})
 	d.claimer = claim.New(d.table, claim.Options{
 		Interval: func() time.Duration { return d.document().Intervals.ClaimGroup },
--- a/intake/query.go
+++ b/intake/query.go
@@ -50,7 +50,7 @@
 		return status, nil
 	case ticket.KindHandedOver:
 		return i.queryMoved(ctx, method, p, id.Incarnation)
-	case ticket.KindExpired:
+	case ticket.KindExpired, ticket.KindDropped:
 		return status, &Error{Op: method, Kind: model.FailKeyUsed, Err: err}
 	}
 	return status, &Error{Op: method, Kind: model.FailUnknownID, Err: err}
--- a/intake/submit.go
+++ b/intake/submit.go
@@ -147,6 +147,8 @@
 		return model.Fail(s.id, model.RanNo, model.FailUnknownID, err.Error())
 	case ticket.KindConflict:
 		return notThis(s.id, model.FailKeyConflict, err.Error())
+	case ticket.KindDropped:
+		return notThis(s.id, model.FailKeyUsed, err.Error())
 	case ticket.KindExpired:
 		if s.keyed {
 			return notThis(s.id, model.FailKeyUsed, "the key was used, and its answer is no longer kept")
--- a/ticket/entry.go
+++ b/ticket/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"time"
+	"unsafe"
 
 	"foxtailmux/model"
 )
@@ -102,6 +103,25 @@
 	return e.cancel
 }
 
+// entryBytes is about the memory of an entry and its answer without the
+// answer's texts.
+const entryBytes = 512
+
+// bytes returns about the memory that an answered entry takes up.
+func (e *Entry) bytes() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+
+	n := entryBytes
+	for _, task := range e.answer.Tasks {
+		n += cap(task) + int(unsafe.Sizeof(task))
+	}
+	if e.answer.Error != nil {
+		n += len(e.answer.Error.Reason)
+	}
+	return int64(n)
+}
+
 // reusable reports whether the answer leaves the id to a later submission.
 func (e *Entry) reusable() bool {
 	e.mu.Lock()
--- a/ticket/error.go
+++ b/ticket/error.go
@@ -8,6 +8,7 @@
 	KindMalformed  Kind = "malformed"  // not an id of any instance
 	KindUnknown    Kind = "unknown"    // never minted, or minted by an instance that is not held here
 	KindExpired    Kind = "expired"    // minted and forgotten; its job may have run
+	KindDropped    Kind = "dropped"    // used, and its answer is no longer kept
 	KindConflict   Kind = "conflict"   // used before with another job
 	KindFull       Kind = "full"       // the bound on held ids is reached
 	KindHandedOver Kind = "handedOver" // another instance answers for the id, or soon will
--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -111,7 +111,7 @@
 	var spans []Span
 	first := b.first
 	for counter := b.first; counter <= b.end; counter++ {
-		if counter < b.end && s.entries[counter] == nil {
+		if counter < b.end && s.entries[counter] == nil && !b.isSpent(counter) {
 			continue
 		}
 		if first < counter {
@@ -126,7 +126,8 @@
 // changes nothing. KindFull and KindHandedOver tell that nothing of it was
 // adopted, KindMalformed that it contradicts itself.
 func (s *Store) Import(h Handover) error {
-	limit := maxAdoptedShare * s.limits().MaxOpen
+	limits := s.limits()
+	limit := maxAdoptedShare * limits.MaxOpen
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -148,6 +149,7 @@
 	for _, q := range h.Spaces {
 		s.adopt(q, h.Part, now)
 	}
+	s.evict(limits.MaxAnswerBytes)
 	return nil
 }
 
@@ -175,7 +177,7 @@
 	for _, a := range q.Answered {
 		e := s.adopted(q.Incarnation, a, now)
 		sp.entries[a.Counter] = e
-		s.answered = append(s.answered, e)
+		s.keep(e)
 	}
 	s.held += int(sp.held() - before)
 }
--- a/ticket/space.go
+++ b/ticket/space.go
@@ -20,8 +20,29 @@
 	first, end uint64
 	begun      uint64
 	expires    time.Time // zero if released
+	spent      []uint64  // a bit for each begun id whose answer was dropped
+	spentCount uint64
 }
 
+const wordBits = 64
+
+func (b *batch) isSpent(counter uint64) bool {
+	i := counter - b.first
+	return b.spent != nil && b.spent[i/wordBits]&(1<<(i%wordBits)) != 0
+}
+
+func (b *batch) spend(counter uint64) {
+	if b.spent == nil {
+		b.spent = make([]uint64, (b.end-b.first+wordBits-1)/wordBits)
+	}
+	i := counter - b.first
+	b.spent[i/wordBits] |= 1 << (i % wordBits)
+	b.spentCount++
+}
+
+// used reports whether no id of the batch needs it any longer.
+func (b *batch) used() bool { return b.spentCount == b.end-b.first }
+
 func newSpace() *space {
 	return &space{entries: make(map[uint64]*Entry)}
 }
@@ -43,6 +64,14 @@
 	return &s.batches[i]
 }
 
+// spend forgets the entry of an answered id.
+func (s *space) spend(counter uint64) {
+	delete(s.entries, counter)
+	if b := s.batchOf(counter); b != nil {
+		b.spend(counter)
+	}
+}
+
 // giveBack makes a begun id unused again. One whose batch is gone, or that was
 // minted alone, lives on until the given time.
 func (s *space) giveBack(counter uint64, expires time.Time) {
@@ -75,11 +104,12 @@
 	return total
 }
 
-// expire drops the batches past their time and returns how many ids went.
+// expire drops the batches that are used up or past their time and returns how
+// many unused ids went.
 func (s *space) expire(now time.Time) int {
 	gone := 0
 	s.batches = slices.DeleteFunc(s.batches, func(b batch) bool {
-		if now.Before(b.expires) {
+		if now.Before(b.expires) && !b.used() {
 			return false
 		}
 		gone += int(b.end - b.first - b.begun)
--- a/ticket/store.go
+++ b/ticket/store.go
@@ -12,10 +12,20 @@
 const sweepInterval = time.Second
 
 // Limits bound what a store holds. Retention counts from the minting of an
-// unused id and from the answer of a used one.
+// unused id, AnswerRetention from the answer of a used one; 0 takes Retention.
+// Above MaxAnswerBytes, the oldest answers go first; 0 means no bound.
 type Limits struct {
-	MaxOpen   int
-	Retention time.Duration
+	MaxOpen         int
+	Retention       time.Duration
+	AnswerRetention time.Duration
+	MaxAnswerBytes  int64
+}
+
+func (l Limits) answerRetention() time.Duration {
+	if l.AnswerRetention == 0 {
+		return l.Retention
+	}
+	return l.AnswerRetention
 }
 
 // Store keeps the ids of one entry instance and those it adopted.
@@ -29,6 +39,7 @@
 	mu       sync.Mutex
 	spaces   map[string]*space
 	answered []*Entry // in the order of their answers
+	bytes    int64    // of these answers
 	held     int
 	open     int           // begun ids that wait for their answer
 	idle     chan struct{} // made by an export, closed when open is 0
@@ -166,9 +177,13 @@
 	if e := sp.entries[id.Counter]; e != nil {
 		return sp, e, nil
 	}
-	if b := sp.batchOf(id.Counter); b == nil || b.expires.IsZero() {
+	b := sp.batchOf(id.Counter)
+	if b == nil || b.expires.IsZero() {
 		return nil, nil, &Error{Op: op, Kind: KindExpired, Err: eris.Errorf("id %s is past its retention", id)}
 	}
+	if b.isSpent(id.Counter) {
+		return nil, nil, &Error{Op: op, Kind: KindDropped, Err: eris.Errorf("id %s was used, and its answer is no longer kept", id)}
+	}
 	if s.sealed {
 		return nil, nil, handedOver(op, id.String())
 	}
@@ -251,17 +266,18 @@
 // finished accounts for an entry that was answered.
 func (s *Store) finished(e *Entry, limits Limits) {
 	sp := s.spaces[e.id.Incarnation]
-	expires := time.Now().Add(limits.Retention)
+	now := time.Now()
 	switch {
 	case e.transient:
 		delete(sp.entries, e.id.Counter)
 		s.held--
 		return
 	case e.reusable():
-		sp.giveBack(e.id.Counter, expires)
+		sp.giveBack(e.id.Counter, now.Add(limits.Retention))
 	default:
-		e.setExpires(expires)
-		s.answered = append(s.answered, e)
+		e.setExpires(now.Add(limits.answerRetention()))
+		s.keep(e)
+		s.evict(limits.MaxAnswerBytes)
 	}
 
 	s.open--
@@ -294,18 +310,31 @@
 		s.held -= sp.expire(now)
 	}
 
-	// An entry outlives the batch that covers it: without the entry, its id
-	// would look unused.
-	gone := 0
-	for _, e := range s.answered {
-		sp := s.spaces[e.id.Incarnation]
-		if !e.expired(now) || sp.batchOf(e.id.Counter) != nil {
-			break
-		}
-		delete(sp.entries, e.id.Counter)
-		gone++
+	for len(s.answered) > 0 && s.answered[0].expired(now) {
+		s.dropOldest()
 	}
-	clear(s.answered[:gone])
-	s.answered = s.answered[gone:]
-	s.held -= gone
+}
+
+// keep adds an answered entry to those that are kept.
+func (s *Store) keep(e *Entry) {
+	s.answered = append(s.answered, e)
+	s.bytes += e.bytes()
+}
+
+// evict drops the oldest answers above the bound.
+func (s *Store) evict(maxBytes int64) {
+	for maxBytes > 0 && s.bytes > maxBytes {
+		s.dropOldest()
+	}
+}
+
+// dropOldest forgets an answer. Its id never becomes unused again: the batch
+// that covers it, if there still is one, remembers that it is spent.
+func (s *Store) dropOldest() {
+	e := s.answered[0]
+	s.answered[0] = nil
+	s.answered = s.answered[1:]
+	s.bytes -= e.bytes()
+	s.held--
+	s.spaces[e.id.Incarnation].spend(e.id.Counter)
 }
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -1,6 +1,7 @@
 package ticket
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -140,10 +141,19 @@
 
 		// The answer's retention ends long before the batch's.
 		open := begin(t, s, ids[0], true)
-		limits.Retention = time.Second
+		limits.AnswerRetention = 2 * time.Second
 		begin(t, s, ids[1], true).Finish(complete(ids[1], "1"))
-		time.Sleep(10 * time.Second)
+		time.Sleep(time.Second)
 		begin(t, s, ids[1], false)
+		time.Sleep(9 * time.Second)
+		for range 2 {
+			_, _, err = s.Begin(ids[1], "d")
+			wantKind(t, err, KindDropped)
+			wantKind(t, s.Cancel(ids[1]), KindDropped)
+		}
+		if held, _ := s.Size(); held != 2 {
+			t.Fatalf("%d ids held, want 2", held)
+		}
 
 		time.Sleep(time.Minute)
 		for _, id := range ids[1:] {
@@ -435,24 +445,46 @@
 
 func BenchmarkBytesPerTicket(b *testing.B) {
 	const tickets = 100_000
-	for name, use := range map[string]bool{"unused": false, "open": true} {
+	nothing := func(*Store, string) {}
+	open := func(s *Store, id string) { begin(b, s, id, true) }
+	answered := func(s *Store, id string) { begin(b, s, id, true).Finish(answerOf(id, 1500)) }
+	for name, c := range map[string]struct {
+		use    func(*Store, string)
+		limits Limits
+	}{
+		"unused":   {nothing, Limits{}},
+		"open":     {open, Limits{}},
+		"answered": {answered, Limits{}},
+		"dropped":  {answered, Limits{MaxAnswerBytes: 1}},
+	} {
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
+				c.limits.MaxOpen, c.limits.Retention = tickets, time.Hour
 				before := heap()
-				s := NewStore(minter, fixed(Limits{MaxOpen: tickets, Retention: time.Hour}))
+				s := NewStore(minter, fixed(c.limits))
 				for range tickets / 100 {
 					ids, _ := s.Mint(100)
-					for i := 0; use && i < len(ids); i++ {
-						begin(b, s, ids[i], true)
+					for _, id := range ids {
+						c.use(s, id)
 					}
 				}
 				b.ReportMetric(float64(heap()-before)/tickets, "B/ticket")
+				b.ReportMetric(float64(s.bytes)/tickets, "counted-B/ticket")
 				s.Close()
 			}
 		})
 	}
 }
 
+// answerOf returns a complete answer of three tasks and about n bytes.
+func answerOf(id string, n int) model.Answer {
+	a := model.Answer{JobID: id, Result: model.Complete, Ran: model.RanYes}
+	for range 3 {
+		a.Tasks = append(a.Tasks, json.RawMessage(bytes.Repeat([]byte("1"), n/3)))
+	}
+	return a
+}
+
 func heap() int64 {
 	runtime.GC()
 	var stats runtime.MemStats
