intake: wait a bounded time for a minter that is not known yet

Cause: an instance that had just started answered minterLost for tickets of peers it had not heard of yet; it asked only peers that it knew after a hand-over.

A submission whose minter is not found now looks again every 20 ms, for at most 500 ms from the first search after that incarnation, and asks the peers after a hand-over once in that time. A search that failed is not repeated within 5 s, so a minter that is gone costs one such wait.

Ruled out: a wait for each submission (a killed minter would delay every resubmission); a wait for forwarded ones (they follow only hand-overs).

Seen to fail: with a single look (2 tests).

--- a/intake/holder.go
+++ b/intake/holder.go
@@ -14,6 +14,11 @@
 	maxAsked     = 8    // peers that are asked for an unknown holder
 	askTimeout   = 500 * time.Millisecond
 	askInterval  = 5 * time.Second // between two questions after one incarnation
+
+	// Within locateWait of the first question after an incarnation, it may
+	// still turn up: an instance that has just started learns of its peers.
+	locateWait   = 500 * time.Millisecond
+	locatePeriod = 20 * time.Millisecond
 )
 
 // holders remembers who took over the ids of an incarnation.
@@ -21,6 +26,24 @@
 	mu    sync.Mutex
 	next  map[string]string
 	asked map[string]time.Time
+	began map[string]time.Time // of searches
+}
+
+// maySearch reports whether the search after the incarnation, which the first
+// caller begins, goes on. It begins anew after askInterval.
+func (h *holders) maySearch(incarnation string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+
+	began, ok := h.began[incarnation]
+	if !ok || time.Since(began) >= askInterval {
+		if len(h.began) >= maxHolders {
+			clear(h.began)
+		}
+		began = time.Now()
+		h.began[incarnation] = began
+	}
+	return time.Since(began) < locateWait
 }
 
 // mayAsk reports whether the peers were not asked after the incarnation
@@ -75,19 +98,38 @@
 	if peerID, ok := i.peers.Find(holder); ok {
 		return peerID, true
 	}
-	if hops > 0 || !i.holders.mayAsk(holder) {
+	if hops > 0 {
 		return "", false
 	}
+	return i.search(ctx, holder)
+}
 
-	holder, ok = i.askHolder(ctx, holder)
-	if !ok {
-		return "", false
+// search waits, for a bounded time, until the holder is found among the peers
+// or one of them names another.
+func (i *Intake) search(ctx context.Context, holder string) (peerID string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, locateWait)
+	defer cancel()
+
+	for i.holders.maySearch(holder) {
+		if len(i.peers.Others()) > 0 && i.holders.mayAsk(holder) {
+			i.askHolder(ctx, holder)
+		}
+		current, _ := i.holders.of(holder)
+		if peerID, ok := i.peers.Find(current); ok {
+			return peerID, true
+		}
+
+		select {
+		case <-time.After(locatePeriod):
+		case <-ctx.Done():
+			return "", false
+		}
 	}
-	return i.peers.Find(holder)
+	return "", false
 }
 
 // askHolder asks some peers who took over from an incarnation that is gone.
-func (i *Intake) askHolder(ctx context.Context, incarnation string) (string, bool) {
+func (i *Intake) askHolder(ctx context.Context, incarnation string) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 
@@ -108,9 +150,7 @@
 	select {
 	case holder := <-found:
 		i.holders.set(incarnation, holder)
-		return holder, true
 	default:
-		return "", false
 	}
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -127,7 +127,7 @@
 		claimer: claimer,
 		runner:  runner,
 		peers:   peers,
-		holders: holders{next: make(map[string]string), asked: make(map[string]time.Time)},
+		holders: holders{next: make(map[string]string), asked: make(map[string]time.Time), began: make(map[string]time.Time)},
 		ctx:     ctx,
 		stop:    stop,
 		done:    make(chan struct{}),
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -337,6 +337,49 @@
 	}
 }
 
+func TestMinterThatTurnsUpSoonAfterTheStartIsFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := cluster(t, 3)
+		id := tickets(t, nodes[0], 1)[0]
+		nodes[0].dead = true // not yet heard of
+		go func() {
+			time.Sleep(200 * time.Millisecond)
+			net.mu.Lock()
+			defer net.mu.Unlock()
+			nodes[0].dead = false
+		}()
+		got := make([]model.Answer, 4)
+		for k := range got {
+			go func() { got[k] = nodes[1+k%2].intake.Submit(t.Context(), job(id, "")) }()
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		for _, a := range got {
+			want(t, complete, a)
+		}
+		wantStarts(t, net, id, 1)
+	})
+}
+
+func TestSearchForAMinterThatIsGoneEndsAndIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, nodes := cluster(t, 3)
+		id := tickets(t, nodes[0], 1)[0]
+		nodes[0].dead = true
+		for _, limit := range []time.Duration{locateWait, 0, 0} {
+			began := time.Now()
+			want(t, failed(model.RanMaybe, model.RanNo, model.FailMinterLost), nodes[1].intake.Submit(t.Context(), job(id, "")))
+			if took := time.Since(began); took != limit {
+				t.Fatalf("the search took %v, want %v", took, limit)
+			}
+		}
+		if diff := cmp.Diff(1, net.calls[methodHolder]); diff != "" {
+			t.Fatalf("questions (-want +got):\n%s", diff)
+		}
+	})
+}
+
 func TestForwardedSubmissionIsNotForwardedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		net, nodes := cluster(t, 2)
