--- a/ticket/handover.go
+++ b/ticket/handover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"time"
 
@@ -175,6 +176,9 @@
 	}
 	slices.SortFunc(sp.batches, func(a, b batch) int { return int(int64(a.first) - int64(b.first)) })
 	for _, a := range q.Answered {
+		if sp.entries[a.Counter] != nil {
+			continue
+		}
 		e := s.adopted(q.Incarnation, a, now)
 		sp.entries[a.Counter] = e
 		s.keep(e)
@@ -207,21 +211,45 @@
 			}
 			end = u.End
 		}
-		for _, a := range q.Answered {
-			if a.Counter >= q.Next {
-				return &Error{Op: "import", Kind: KindMalformed, Err: eris.Errorf("counter %d was never minted", a.Counter)}
-			}
+		if err := q.checkAnswered(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkAnswered refuses answered ids that are out of order, were never minted
+// or are unused at the same time. The spans are in order.
+func (q Sequence) checkAnswered() error {
+	least := uint64(0)
+	unused := q.Unused
+	for _, a := range q.Answered {
+		if a.Counter < least || a.Counter >= q.Next {
+			return &Error{Op: "import", Kind: KindMalformed, Err: eris.Errorf("answered id %d of %d is out of order", a.Counter, q.Next)}
 		}
+		for len(unused) > 0 && unused[0].End <= a.Counter {
+			unused = unused[1:]
+		}
+		if len(unused) > 0 && unused[0].First <= a.Counter {
+			return &Error{Op: "import", Kind: KindMalformed, Err: eris.Errorf("id %d is answered and unused", a.Counter)}
+		}
+		least = a.Counter + 1
 	}
 	return nil
 }
 
+// ids returns how many ids the hand-over holds, or math.MaxInt if they are
+// more.
 func (h Handover) ids() int {
 	total := 0
 	for _, q := range h.Spaces {
 		total += len(q.Answered)
 		for _, u := range q.Unused {
-			total += int(u.End - u.First)
+			size := u.End - u.First
+			if size > uint64(math.MaxInt-total) {
+				return math.MaxInt
+			}
+			total += int(size)
 		}
 	}
 	return total
--- a/ticket/ticket_test.go
+++ b/ticket/ticket_test.go
@@ -338,6 +338,8 @@
 		{Incarnation: minter, Next: 1, Unused: []Span{{First: 0, End: 2}}},
 		{Incarnation: minter, Next: 9, Unused: []Span{{First: 3, End: 5}, {First: 4, End: 6}}},
 		{Incarnation: minter, Next: 1, Answered: []Answered{{Counter: 1}}},
+		{Incarnation: minter, Next: 9, Answered: []Answered{{Counter: 3}, {Counter: 3}}},
+		{Incarnation: minter, Next: 9, Unused: []Span{{End: 2}, {First: 3, End: 5}}, Answered: []Answered{{Counter: 2}, {Counter: 4}}},
 	} {
 		wantKind(t, s.Import(Handover{Spaces: []Sequence{q}}), KindMalformed)
 	}
