relay: place and forward by the slots of the job's pool

Cause: the load of an instance counted all pools together, so that an instance with free slots of one pool kept a job of another that it had no worker for and refused it as noWorker although a peer had workers. Slots of a pool are now counted here, and those of the peers by the homes of the workers, which every instance of a data centre knows; heartbeats stay as small as they were. Ruled out: a load for each pool in the heartbeats, which grows with the pools. TestJobGoesWhereItsPoolHasWorkers and TestLoadTellsTheRoomOfOnePool.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -124,13 +124,13 @@
 	q.jobs = slices.Delete(q.jobs, index, index+1)
 }
 
-// TakeLast removes up to max items of the jobs that are not pinned, those of
+// TakeLast removes up to max items of a pool's jobs that are not pinned, those of
 // the job that comes last in the order first. Each returned job is a copy that
 // holds the items taken from it.
-func (q *Queue) TakeLast(now time.Time, max int) []*Job {
+func (q *Queue) TakeLast(pool string, now time.Time, max int) []*Job {
 	var taken []*Job
 	for max > 0 {
-		last := q.last(now)
+		last := q.last(pool, now)
 		if last < 0 {
 			return taken
 		}
@@ -153,11 +153,11 @@
 	return taken
 }
 
-// last returns the index of the last job that is not pinned, or -1.
-func (q *Queue) last(now time.Time) int {
+// last returns the index of the last job of a pool that is not pinned, or -1.
+func (q *Queue) last(pool string, now time.Time) int {
 	last := -1
 	for i, j := range q.jobs {
-		if !j.Pinned && (last < 0 || q.order.Before(q.jobs[last], j, now)) {
+		if j.Pool == pool && !j.Pinned && (last < 0 || q.order.Before(q.jobs[last], j, now)) {
 			last = i
 		}
 	}
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -230,7 +230,7 @@
 	}
 
 	var got []string
-	for _, j := range q.TakeLast(now, 4) {
+	for _, j := range q.TakeLast("", now, 4) {
 		got = append(got, fmt.Sprint(j.ID, " ", len(j.Items), " ", j.Remaining()))
 	}
 	if diff := cmp.Diff([]string{"second 3 0s", "first 1 0s"}, got); diff != "" {
@@ -239,7 +239,7 @@
 	if q.Len() != 5 || q.Jobs() != 2 || q.Waiting("").Work != 5*time.Second {
 		t.Errorf("left: %d tasks of %d jobs, %v", q.Len(), q.Jobs(), q.Waiting(""))
 	}
-	if taken := q.TakeLast(now, 9); len(taken) != 1 || q.Len() != 3 {
+	if taken := q.TakeLast("", now, 9); len(taken) != 1 || q.Len() != 3 {
 		t.Errorf("%d jobs taken, %d tasks left, want 1 and the 3 pinned", len(taken), q.Len())
 	}
 }
--- a/relay/plan.go
+++ b/relay/plan.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// narrow scales a peer's load over all pools down to the slots that it has of
+// one pool. A load that tells of no slots is older than the peer's workers.
+func narrow(load model.Load, slots int) model.Load {
+	if load.Slots == 0 {
+		return model.Load{Slots: slots, FreeSlots: slots}
+	}
+	return model.Load{
+		Slots:       slots,
+		FreeSlots:   load.FreeSlots * slots / load.Slots,
+		QueuedTasks: load.QueuedTasks * slots / load.Slots,
+	}
+}
+
 // fullness returns the tasks for each slot after one more task.
 func (s *share) fullness() float64 {
 	return float64(s.busy+1) / float64(s.slots)
@@ -64,9 +77,6 @@
 	}
 
 	best := emptiest(peers)
-	if best == nil && here.slots == 0 && len(peers) > 0 {
-		return peers[0] // its heartbeat may be older than its workers
-	}
 	if best == nil {
 		return here
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -28,9 +28,14 @@
 	NeverFits(pool string, needs model.Needs) bool
 	Load() model.Load
 
+	// PoolLoad is the part of Load that concerns one pool. HomeSlots counts
+	// the slots of a pool's workers by the instances that are their homes.
+	PoolLoad(pool string) model.Load
+	HomeSlots(pool string) map[string]int
+
 	// Take removes up to max waiting tasks that may run elsewhere, those that
 	// would wait longest first. Each is returned with its job.
-	Take(max int) []*queue.Job
+	Take(pool string, max int) []*queue.Job
 }
 
 // Peers reaches the other entry instances.
@@ -70,7 +75,7 @@
 // Submit spreads the items of a job. Until it returns an error every item's
 // Deliver is called exactly once, after an error none is.
 func (r *Relay) Submit(j *queue.Job) error {
-	here, peers := r.shares()
+	here, peers := r.shares(j.Pool)
 	split(j.Items, here, peers)
 
 	// What stays here is submitted first: its refusal must leave nothing sent.
@@ -82,16 +87,16 @@
 			r.forward(j, p.id, p.items)
 		}
 	}
-	r.rebalance()
+	r.rebalance(j.Pool)
 	return nil
 }
 
-// rebalance forwards tasks that wait here to the peers with free slots. What
-// is known of a peer may be newer than the tasks.
-func (r *Relay) rebalance() {
-	here, peers := r.shares()
+// rebalance forwards tasks of a pool that wait here to the peers with free
+// slots. What is known of a peer may be newer than the tasks.
+func (r *Relay) rebalance(pool string) {
+	here, peers := r.shares(pool)
 	for best := emptiest(peers); best != nil && best.free() && here.waiting > 0; best = emptiest(peers) {
-		taken := r.Local.Take(min(here.waiting, best.slots-best.busy))
+		taken := r.Local.Take(pool, min(here.waiting, best.slots-best.busy))
 		if len(taken) == 0 {
 			return
 		}
@@ -119,7 +124,7 @@
 		return refusal
 	}
 
-	best := emptiest(r.peerShares(func(m Member) bool { return m.DataCentre != r.DataCentre }))
+	best := emptiest(r.elsewhere())
 	if best == nil || best.busy+len(j.Items) > best.slots {
 		return refusal
 	}
@@ -127,21 +132,41 @@
 	return nil
 }
 
-func (r *Relay) shares() (here *share, peers []*share) {
-	here = newShare("", r.Local.Load(), 0)
-	peers = r.peerShares(func(m Member) bool { return m.DataCentre == r.DataCentre })
+func (r *Relay) shares(pool string) (here *share, peers []*share) {
+	here = newShare("", r.Local.PoolLoad(pool), 0)
+
+	homes := r.Local.HomeSlots(pool)
+	peers = r.peerShares(func(m Member, load model.Load) model.Load {
+		if m.DataCentre != r.DataCentre {
+			return model.Load{}
+		}
+		return narrow(load, homes[m.ID])
+	})
 	return here, peers
 }
 
-func (r *Relay) peerShares(wanted func(Member) bool) []*share {
+// elsewhere returns the instances of other data centres, of which only the
+// total of all pools is known.
+func (r *Relay) elsewhere() []*share {
+	return r.peerShares(func(m Member, load model.Load) model.Load {
+		if m.DataCentre == r.DataCentre {
+			return model.Load{}
+		}
+		load.Slots = max(load.Slots, load.FreeSlots)
+		return load
+	})
+}
+
+// peerShares returns the peers that have slots by their load as seen by view.
+func (r *Relay) peerShares(view func(Member, model.Load) model.Load) []*share {
 	members := r.Peers.Members()
 	r.loads.keep(members)
 
 	var shares []*share
 	for _, m := range members {
-		if wanted(m) {
-			load, since := r.loads.of(m)
-			shares = append(shares, newShare(m.ID, load, since))
+		load, since := r.loads.of(m)
+		if seen := view(m, load); seen.Slots > 0 {
+			shares = append(shares, newShare(m.ID, seen, since))
 		}
 	}
 	return shares
@@ -160,7 +185,7 @@
 			r.loads.tell(peerID, *reply.Load)
 		}
 		r.settle(j, items, reply, err)
-		r.rebalance()
+		r.rebalance(j.Pool)
 	})
 }
 
@@ -226,15 +251,15 @@
 	local.Items = items
 	local.Pinned = true
 	if err := r.Local.Submit(&local); err != nil {
-		r.deliverNotRun(items, err)
+		r.deliverNotRun(j.Pool, items, err)
 	}
 }
 
 // deliverNotRun gives tasks back. Where this instance has slots they were
 // refused for want of room, else they may find a worker elsewhere.
-func (r *Relay) deliverNotRun(items []*queue.Item, cause error) {
+func (r *Relay) deliverNotRun(pool string, items []*queue.Item, cause error) {
 	err := &Error{Op: "forward", Kind: KindNotRun, Err: cause}
-	refused := r.Local.Load().Slots > 0
+	refused := r.Local.PoolLoad(pool).Slots > 0
 	for _, it := range items {
 		it.Deliver(queue.Outcome{Err: err, NotRun: true, Refused: refused})
 	}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,6 +17,7 @@
 
 // fakeLocal answers every task at once, or refuses all.
 type fakeLocal struct {
+	homes   map[string]int
 	load    model.Load
 	refuses bool
 
@@ -36,7 +37,7 @@
 }
 
 // Take returns jobs of one task each.
-func (l *fakeLocal) Take(max int) []*queue.Job {
+func (l *fakeLocal) Take(_ string, max int) []*queue.Job {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
@@ -45,6 +46,9 @@
 	return taken
 }
 
+func (l *fakeLocal) PoolLoad(string) model.Load      { return l.Load() }
+func (l *fakeLocal) HomeSlots(string) map[string]int { return l.homes }
+
 func (l *fakeLocal) NeverFits(string, model.Needs) bool { return false }
 
 func (l *fakeLocal) Submit(j *queue.Job) error {
@@ -118,6 +122,9 @@
 		members: []Member{{ID: "e2", DataCentre: "dc1", Load: there.load}},
 		relays:  map[string]*Relay{"e2": far},
 	}
+	if here.homes == nil {
+		here.homes = map[string]int{"e2": max(1, there.load.Slots)}
+	}
 	near := &Relay{
 		DataCentre: "dc1", Local: here, Peers: peers, Observer: nothing{},
 		SpillOver: func() bool { return true },
@@ -287,13 +294,13 @@
 	jobs, ended := waitingJobs(t, 3)
 	here.waiting = jobs
 
-	near.rebalance()
+	near.rebalance("p")
 	if len(there.ran) > 0 {
 		t.Fatalf("%v went to a peer without a free slot", there.ran)
 	}
 
 	near.loads.tell("e2", there.load)
-	near.rebalance()
+	near.rebalance("p")
 	ended.Wait()
 	if len(there.ran) != 3 || len(here.ran) != 0 {
 		t.Errorf("%v ran there, %v here", there.ran, here.ran)
@@ -307,7 +314,7 @@
 	jobs, ended := waitingJobs(t, 2)
 	here.waiting = jobs
 
-	near.rebalance()
+	near.rebalance("p")
 	ended.Wait()
 	if len(here.pinned) != 2 {
 		t.Errorf("pinned here: %v, want both", here.pinned)
@@ -336,3 +343,21 @@
 	m.Load.FreeSlots, m.LastHeard = 5, time.Now().Add(time.Second)
 	check("newer heartbeat", 5, 0)
 }
+
+func TestJobGoesWhereItsPoolHasWorkers(t *testing.T) {
+	// This instance and the second have free slots of another pool only.
+	here := &fakeLocal{load: model.Load{}, homes: map[string]int{"e3": 8}, refuses: true}
+	there := &fakeLocal{load: model.Load{Slots: 8, FreeSlots: 8}}
+	r, peers := newPair(here, there)
+	peers.members = []Member{
+		{ID: "e2", DataCentre: "dc1", Load: model.Load{Slots: 64, FreeSlots: 64}},
+		{ID: "e3", DataCentre: "dc1", Load: model.Load{Slots: 16, FreeSlots: 16}},
+	}
+	peers.relays["e3"] = peers.relays["e2"]
+	delete(peers.relays, "e2")
+
+	submit(t, r, 4)
+	if diff := cmp.Diff(4, len(there.ran)); diff != "" {
+		t.Errorf("tasks on the instance with the pool (-want +got):\n%s", diff)
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -124,14 +124,14 @@
 
 // Take removes up to max waiting tasks that may run on another instance, those
 // of the job that comes last first. Each is returned with a copy of its job.
-func (s *Scheduler) Take(max int) []*queue.Job {
+func (s *Scheduler) Take(pool string, max int) []*queue.Job {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	if s.queue == nil {
 		return nil
 	}
-	taken := s.queue.TakeLast(time.Now(), max)
+	taken := s.queue.TakeLast(pool, time.Now(), max)
 	s.observer.QueueLength(s.queue.Len())
 	return taken
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -479,3 +479,25 @@
 		}
 	})
 }
+
+func TestLoadTellsTheRoomOfOnePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		b.add("w1", 3, after(time.Second))
+		b.add("w2", 5, after(time.Second))
+		b.list[1].Pool = "other"
+		b.sched.Update(b.list)
+
+		got := map[string]model.Load{"p": b.sched.PoolLoad("p"), "other": b.sched.PoolLoad("other"), "none": b.sched.PoolLoad("none")}
+		want := map[string]model.Load{"p": {Slots: 3, FreeSlots: 3}, "other": {Slots: 5, FreeSlots: 5}, "none": {}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("load of each pool (-want +got):\n%s", diff)
+		}
+
+		b.sched.SetOwner(func(id string) string { return map[string]string{"w1": "e1", "w2": "e2"}[id] })
+		if diff := cmp.Diff(map[string]int{"e2": 5}, b.sched.HomeSlots("other")); diff != "" {
+			t.Errorf("slots by home (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/sched/update.go
+++ b/sched/update.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/queue"
 	"foxtailmux/roster"
 	"foxtailmux/worker"
 )
@@ -135,18 +136,46 @@
 
 // Load returns the room that this instance has.
 func (s *Scheduler) Load() model.Load {
+	return s.loadWhere(func(*worker.Worker) bool { return true }, func(q *queue.Queue) int { return q.Len() })
+}
+
+// PoolLoad returns the room that this instance has for one pool.
+func (s *Scheduler) PoolLoad(pool string) model.Load {
+	ofPool := func(w *worker.Worker) bool { return w.Info.Pool == pool }
+	return s.loadWhere(ofPool, func(q *queue.Queue) int { return q.Waiting(pool).Tasks })
+}
+
+func (s *Scheduler) loadWhere(wanted func(*worker.Worker) bool, waiting func(*queue.Queue) int) model.Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	now := time.Now()
 	var load model.Load
 	for _, w := range s.owned {
+		if !wanted(w) {
+			continue
+		}
 		slots := w.Usable(now)
 		load.Slots += slots
 		load.FreeSlots += max(0, slots-w.Running)
 	}
 	if s.queue != nil {
-		load.QueuedTasks = s.queue.Len()
+		load.QueuedTasks = waiting(s.queue)
 	}
 	return load
 }
+
+// HomeSlots counts the slots of a pool's workers in this data centre by the
+// instances that are their homes.
+func (s *Scheduler) HomeSlots(pool string) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	slots := map[string]int{}
+	for id, w := range s.workers {
+		if w.Info.Pool == pool && !w.Leaving {
+			slots[s.owner(id)] += w.Info.Slots
+		}
+	}
+	return slots
+}
