intake: read the history of a test under its lock

Cause: the racing test read the list of starts while a late attempt could still write it; the race detector said so in 1 of 30 runs.

--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -855,7 +855,10 @@
 		wg.Wait()
 		time.Sleep(10 * time.Second)
 
-		if !porcupine.CheckOperations(runModel, slices.Concat(history, net.history)) {
+		net.mu.Lock()
+		runs := slices.Clone(net.history)
+		net.mu.Unlock()
+		if !porcupine.CheckOperations(runModel, slices.Concat(history, runs)) {
 			t.Error("the answers and starts of a ticket or key contradict one another")
 		}
 		notRun := map[string]bool{}
@@ -868,7 +871,7 @@
 			others, seen := notRun[name]
 			notRun[name] = a.Ran == model.RanNo && (others || !seen)
 		}
-		for _, op := range net.history {
+		for _, op := range runs {
 			if notRun[op.Input.(string)] {
 				t.Errorf("%s started, though each of its answers says that nothing ran", op.Input)
 			}
