daemon: bound the claim transactions of all instances together

Cause: one transaction each 20 ms and instance is 350 a second with seven instances, above the bound of 300 in all; the measured 195 a second held for four only. The interval now grows with the number of known instances, to 250 a second at most (by arithmetic; measured with four).

--- a/cmd/fakeworker/main.go
+++ b/cmd/fakeworker/main.go
@@ -7,17 +7,16 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"os/signal"
 	"strings"
-	"sync"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
 	"foxtailmux/fakes"
+	"foxtailmux/logger"
 )
 
 // Exit codes.
@@ -90,7 +89,7 @@
 			return err
 		}
 		defer file.Close()
-		s.Fleet.EventWriter = &lockedWriter{inner: file}
+		s.Fleet.EventWriter = &logger.LockedWriter{Writer: file}
 	}
 
 	fleet, err := fakes.StartFleet(s.Fleet)
@@ -116,16 +115,3 @@
 	}
 	return json.NewEncoder(os.Stdout).Encode(bound{ID: worker.ID, Addr: worker.Addr, ControlAddr: w.ControlAddr()})
 }
-
-// lockedWriter lets several workers share a file.
-type lockedWriter struct {
-	mu    sync.Mutex
-	inner io.Writer
-}
-
-// Write writes the whole line under the lock.
-func (w *lockedWriter) Write(b []byte) (int, error) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.inner.Write(b)
-}
--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -10,6 +10,16 @@
 	"foxtailmux/ticket"
 )
 
+// maxClaimRate bounds the transactions a second that the claims of all
+// instances together put on the table.
+const maxClaimRate = 250
+
+// claimInterval returns the time between two transactions of one instance,
+// which grows with the number of instances.
+func claimInterval(configured time.Duration, instances int) time.Duration {
+	return max(configured, time.Duration(instances)*time.Second/maxClaimRate)
+}
+
 // sweepInterval is the time between two pages of the removal of old claims.
 const sweepInterval = time.Minute
 
@@ -24,7 +34,9 @@
 		}
 	})
 	d.claimer = claim.New(d.table, claim.Options{
-		Interval: func() time.Duration { return d.document().Intervals.ClaimGroup },
+		Interval: func() time.Duration {
+			return claimInterval(d.document().Intervals.ClaimGroup, len(d.members.Members()))
+		},
 	})
 	d.sweeper = claim.NewSweeper(d.table,
 		func() time.Duration { return sweepInterval },
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -58,7 +58,7 @@
 }
 
 func newWriter(format setup.Format, w io.Writer) (log.Writer, error) {
-	w = &lockedWriter{w: w}
+	w = &LockedWriter{Writer: w}
 	switch format {
 	case setup.JSON:
 		return log.IOWriter{Writer: w}, nil
@@ -68,15 +68,15 @@
 	return nil, &Error{Op: "new", Kind: KindFormat, Err: eris.Errorf("format %q is unknown", format)}
 }
 
-// lockedWriter keeps the lines of concurrent events apart.
-type lockedWriter struct {
-	mu sync.Mutex
-	w  io.Writer
+// LockedWriter lets several goroutines write whole lines to one writer.
+type LockedWriter struct {
+	Writer io.Writer
+	mu     sync.Mutex
 }
 
 // Write passes one line on.
-func (l *lockedWriter) Write(line []byte) (int, error) {
+func (l *LockedWriter) Write(line []byte) (int, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.w.Write(line)
+	return l.Writer.Write(line)
 }
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -61,6 +63,9 @@
 
 	p := &process{t: t, name: name, exit: make(chan struct{})}
 	p.cmd = exec.Command(filepath.Join(binaries, program), args...)
+	p.cmd.Env = slices.DeleteFunc(os.Environ(), func(v string) bool {
+		return strings.HasPrefix(v, "FOXTAILMUX_") // settings of the tests, not of the program
+	})
 	stdout, err := p.cmd.StdoutPipe()
 	if err != nil {
 		t.Fatal(err)
