roster, table, worker: cut the control traffic of an instance

Cause: the whole list of workers was read each second (190 B/s for each known worker) and every quiet worker was asked for its status each second (430 B/s for each).

The list is now asked for with its entity tag, one quiet worker is probed each period, the one not asked for the longest time, and a worker that was not heard of for a second is asked right before it gets a start, so that a leaving one gets none. Ruled out: a longer list period, which delays leaving; no probes, which would leave a worker's own word unread while the list lags.

--- a/fakes/handle.go
+++ b/fakes/handle.go
@@ -31,7 +31,7 @@
 	case strings.HasPrefix(path, table.ObjectsPath):
 		p.serveObject(w, r)
 	case path == table.InstancesPath && r.Method == http.MethodGet:
-		p.serveList(w)
+		p.serveList(w, r)
 	case strings.HasPrefix(path, workersPath):
 		p.serveWorker(w, r)
 	case strings.HasPrefix(path, entriesPath):
--- a/fakes/listing.go
+++ b/fakes/listing.go
@@ -1,13 +1,18 @@
 package fakes
 
 import (
+	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailmux/model"
 )
 
-func (p *Platform) serveList(w http.ResponseWriter) {
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
 	faults := p.Faults()
 	if faults.ListDown {
 		abort()
@@ -19,7 +24,26 @@
 		return
 	}
 	lag := time.Duration(faults.ListLagMillis) * time.Millisecond
-	writeJSON(w, http.StatusOK, p.instances.at(time.Now().Add(-lag)))
+	writeTagged(w, r, p.instances.at(time.Now().Add(-lag)))
+}
+
+// writeTagged writes a value with its entity tag, or status 304 if the request
+// names that tag.
+func writeTagged(w http.ResponseWriter, r *http.Request, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+
+	tag := fmt.Sprintf("%q", strconv.FormatUint(xxhash.Sum64(data), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(data) // a reader that is gone needs no list
 }
 
 func (p *Platform) serveWorker(w http.ResponseWriter, r *http.Request) {
--- a/member/options.go
+++ b/member/options.go
@@ -47,7 +47,7 @@
 
 	// The bytes a second that heartbeats may take, sent and received, with
 	// the headers of their packets.
-	trafficBudget = 2800
+	trafficBudget = 2300
 
 	exchangeTimeout = 2 * time.Second
 	leaveTimeout    = time.Second
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -7,15 +7,15 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
-	"github.com/sourcegraph/conc/pool"
 
 	"foxtailmux/config"
 	"foxtailmux/model"
 	"foxtailmux/worker"
 )
 
-// maxProbes bounds the status requests that are open at once.
-const maxProbes = 16
+// minProbePeriod is the shortest time between two status requests, which are
+// part of the control traffic of an instance.
+const minProbePeriod = 2 * time.Second
 
 // Source reads the platform's list.
 type Source interface {
@@ -62,6 +62,8 @@
 	mu    sync.Mutex
 	state State
 
+	probed map[string]time.Time // of the quiet workers, by the polling goroutine
+
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -145,28 +147,40 @@
 	return nil
 }
 
-// pollWorkers asks the workers that were quiet whether they are leaving, so
-// that this is known without the list.
+// pollWorkers asks a quiet worker each period whether it is leaving, so that
+// this is known without the list. A worker that is about to get a start after
+// a quiet time is asked then.
 func (r *Roster) pollWorkers(ctx context.Context) {
 	for {
-		period := r.options.Intervals().StatusPoll
+		period := max(r.options.Intervals().StatusPoll, minProbePeriod)
 		select {
 		case <-time.After(period):
 		case <-ctx.Done():
 			return
 		}
 
-		r.probe(ctx, time.Now().Add(-period))
+		if p, ok := r.nextProbe(r.options.Scheduler.Quiet(time.Now().Add(-period))); ok {
+			r.probeOne(ctx, p)
+		}
 		r.options.Scheduler.CloseIdle()
 	}
 }
 
-func (r *Roster) probe(ctx context.Context, since time.Time) {
-	probes := pool.New().WithMaxGoroutines(maxProbes)
-	for _, p := range r.options.Scheduler.Quiet(since) {
-		probes.Go(func() { r.probeOne(ctx, p) })
+// nextProbe returns the quiet worker that was asked the longest time ago.
+func (r *Roster) nextProbe(quiet []Probe) (next Probe, ok bool) {
+	probed := make(map[string]time.Time, len(quiet))
+	for _, p := range quiet {
+		probed[p.ID] = r.probed[p.ID]
+		if !ok || probed[p.ID].Before(probed[next.ID]) {
+			next, ok = p, true
+		}
+	}
+
+	if ok {
+		probed[next.ID] = time.Now()
 	}
-	probes.Wait()
+	r.probed = probed
+	return next, ok
 }
 
 func (r *Roster) probeOne(ctx context.Context, p Probe) {
--- a/table/call.go
+++ b/table/call.go
@@ -17,10 +17,12 @@
 	method string
 	uri    string
 	body   []byte
+	etag   string // asks for a body only if its tag differs
 }
 
 type answer struct {
 	status int
+	etag   string
 	body   []byte
 	object bool
 }
@@ -117,6 +119,9 @@
 
 	req.SetRequestURI("http://" + c.host.Addr + r.uri)
 	req.Header.SetMethod(r.method)
+	if r.etag != "" {
+		req.Header.Set(fasthttp.HeaderIfNoneMatch, r.etag)
+	}
 	if r.body != nil {
 		req.Header.SetContentType("application/json")
 		req.SetBody(r.body)
@@ -132,6 +137,7 @@
 	c.OnBytes(r.uri, len(req.Header.Header())+len(r.body)+len(resp.Header.Header())+len(resp.Body()))
 	return answer{
 		status: resp.StatusCode(),
+		etag:   string(resp.Header.Peek(fasthttp.HeaderETag)),
 		body:   append([]byte(nil), resp.Body()...),
 		object: strings.HasPrefix(r.uri, ObjectsPath),
 	}, nil
--- a/table/client.go
+++ b/table/client.go
@@ -25,6 +25,7 @@
 // Client calls the platform. No request is ever sent again by the client
 // itself. It is safe for concurrent use.
 type Client struct {
+	list atomic.Pointer[taggedList]
 	// OnBytes is called with the bytes of each exchange, headers included. It
 	// is set before the first call.
 	OnBytes func(path string, n int)
@@ -144,13 +145,38 @@
 
 // Instances reads the platform's list of instances.
 func (c *Client) Instances(ctx context.Context) (model.InstanceList, error) {
-	a, err := c.read(ctx, "instances", InstancesPath)
+	last := c.list.Load()
+	a, err := c.call(ctx, request{op: "instances", method: http.MethodGet, uri: InstancesPath, etag: last.tag()})
 	if err != nil {
 		return model.InstanceList{}, err
 	}
+	if a.status == http.StatusNotModified && last != nil {
+		return last.list, nil
+	}
+	if a.status != http.StatusOK {
+		return model.InstanceList{}, refusal("instances", a, false)
+	}
 
 	list, err := parseInstances(a.body)
-	return list, unusable("instances", err)
+	if err != nil {
+		return list, unusable("instances", err)
+	}
+	c.list.Store(&taggedList{etag: a.etag, list: list})
+	return list, nil
+}
+
+// taggedList is the last list and its entity tag, so that a list that did not
+// change is not sent again.
+type taggedList struct {
+	etag string
+	list model.InstanceList
+}
+
+func (l *taggedList) tag() string {
+	if l == nil {
+		return ""
+	}
+	return l.etag
 }
 
 func (c *Client) read(ctx context.Context, op, uri string) (answer, error) {
--- a/worker/client.go
+++ b/worker/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/url"
 	"sync"
@@ -31,6 +32,10 @@
 	probeAfter   = 100 * time.Millisecond
 	probeTimeout = 200 * time.Millisecond
 
+	// A worker that was not heard of for unheardAfter is asked for its status
+	// before it gets a start, since it may be leaving.
+	unheardAfter = time.Second
+
 	// cancelGrace is how long a cancelled attempt may still report its outcome.
 	cancelGrace = time.Second
 )
@@ -57,8 +62,12 @@
 	idle   []*conn
 	open   int
 	closed bool
+
+	heard atomic.Int64 // when the worker last answered, in Unix nanoseconds
 }
 
+var errLeaving = eris.New("the worker is leaving")
+
 // NewClient returns a client of the worker at addr. A connection that was
 // idle for longer than maxIdle carries no further request; 0 takes a default.
 func NewClient(addr string, dial Dialer, maxIdle time.Duration) *Client {
@@ -82,7 +91,11 @@
 	defer stop()
 
 	deadline := time.Now().Add(time.Duration(start.LeaseMillis)*time.Millisecond + cancelGrace)
-	if err := c.do(ctx, fasthttp.MethodPost, "/tasks", body, &reply, deadline); err != nil {
+	err = c.do(ctx, fasthttp.MethodPost, "/tasks", body, &reply, deadline)
+	if errors.Is(err, errLeaving) {
+		return model.TaskReply{TaskID: start.TaskID, Outcome: model.OutcomeNotRun, Reason: errLeaving.Error(), Leaving: true}, nil
+	}
+	if err != nil {
 		return reply, err
 	}
 	if reply.TaskID != start.TaskID {
@@ -116,10 +129,14 @@
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, reply any, deadline time.Time) error {
-	k, err := c.get(ctx)
+	k, status, err := c.get(ctx)
 	if err != nil {
 		return err
 	}
+	if status != nil && status.Leaving && method == fasthttp.MethodPost {
+		c.put(k)
+		return &Error{Op: "send", Kind: KindNotSent, Err: errLeaving}
+	}
 
 	if err := pause.Check(ctx); err != nil {
 		c.put(k)
@@ -146,6 +163,7 @@
 		return &Error{Op: "decode reply", Kind: KindUnknown, Err: err}
 	}
 
+	c.heard.Store(time.Now().UnixNano())
 	c.keep(k, resp.ConnectionClose())
 	return nil
 }
@@ -164,27 +182,51 @@
 // get returns an idle connection that still lives, or a new one. It proves
 // the former when that was idle for long: something between the two ends may
 // have lost track of it.
-func (c *Client) get(ctx context.Context) (*conn, error) {
+//
+// The status is returned if the worker was asked for it. That is also done on
+// a new connection when the worker was not heard of for some time.
+func (c *Client) get(ctx context.Context) (*conn, *model.WorkerStatus, error) {
 	for {
 		k, err := c.popIdle()
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
 		if k == nil {
-			return c.connect(ctx)
+			return c.getNew(ctx)
 		}
 		if !k.alive(c.maxIdle) {
 			c.discard(k)
 			continue
 		}
-		if time.Since(k.lastUsed) <= probeAfter || c.probe(k) {
-			return k, nil
+		if time.Since(k.lastUsed) <= probeAfter {
+			return k, nil, nil
+		}
+		if status, ok := c.probe(k); ok {
+			return k, status, nil
 		}
 	}
 }
 
+func (c *Client) getNew(ctx context.Context) (*conn, *model.WorkerStatus, error) {
+	k, err := c.connect(ctx)
+	if err != nil || c.heardLately() {
+		return k, nil, err
+	}
+
+	status, ok := c.probe(k)
+	if !ok {
+		err := eris.New("the worker does not tell its status")
+		return nil, nil, &Error{Op: "probe", Kind: KindNotSent, Err: err}
+	}
+	return k, status, nil
+}
+
+func (c *Client) heardLately() bool {
+	return time.Since(time.Unix(0, c.heard.Load())) <= unheardAfter
+}
+
 // probe asks for the status on a connection, and drops one that is silent.
-func (c *Client) probe(k *conn) bool {
+func (c *Client) probe(k *conn) (*model.WorkerStatus, bool) {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -194,14 +236,21 @@
 	deadline := time.Now().Add(probeTimeout)
 	if err := k.exchange(req, resp, deadline); err != nil {
 		c.drop(k, deadline)
-		return false
+		return nil, false
 	}
 	c.countStatus(req, resp)
 	if resp.ConnectionClose() {
 		c.discard(k)
-		return false
+		return nil, false
+	}
+
+	// A status that can't be read proves the connection all the same.
+	var status model.WorkerStatus
+	if json.Unmarshal(resp.Body(), &status) != nil {
+		return nil, true
 	}
-	return true
+	c.heard.Store(time.Now().UnixNano())
+	return &status, true
 }
 
 func (c *Client) countStatus(req *fasthttp.Request, resp *fasthttp.Response) {
--- a/worker/client_test.go
+++ b/worker/client_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -110,7 +111,8 @@
 	go acceptAll(server, accepted)
 
 	c := newTestClient(t, addr)
-	k, err := c.get(t.Context())
+	c.heard.Store(time.Now().UnixNano()) // the server tells no status
+	k, _, err := c.get(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +122,7 @@
 	_ = first.Close()
 	waitFor(t, func() bool { return k.peek() != nil })
 
-	fresh, err := c.get(t.Context())
+	fresh, _, err := c.get(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -199,8 +201,13 @@
 		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 31\r\n\r\n" + `{"taskId":"b","outcome":"done"}`))
 	}()
 
-	_, err := newTestClient(t, addr).Start(t.Context(), request(t, "a", time.Second))
+	c := newTestClient(t, addr)
+	c.heard.Store(time.Now().UnixNano()) // the server tells no status
+	_, err := c.Start(t.Context(), request(t, "a", time.Second))
 	wantKind(t, err, KindUnknown)
+	if !strings.Contains(err.Error(), `reply is for task "b"`) {
+		t.Errorf("error is %v, want one about the other task", err)
+	}
 }
 
 func listen(t *testing.T) (net.Listener, string) {
@@ -227,7 +234,7 @@
 func mustGet(t *testing.T, c *Client) *conn {
 	t.Helper()
 
-	k, err := c.get(t.Context())
+	k, _, err := c.get(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/worker/probe_test.go
+++ b/worker/probe_test.go
@@ -92,3 +92,22 @@
 		})
 	}
 }
+
+func TestWorkerThatLeftWhileItWasQuietGetsNoStart(t *testing.T) {
+	w := startFake(t)
+	if err := w.SetFaults(fakes.WorkerFaults{Leaving: true, LeavingAccepts: true}); err != nil {
+		t.Fatal(err)
+	}
+
+	reply, err := newTestClient(t, w.Addr()).Start(t.Context(), request(t, "a", time.Second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := model.TaskReply{TaskID: "a", Outcome: model.OutcomeNotRun, Reason: "the worker is leaving", Leaving: true}
+	if diff := cmp.Diff(want, reply); diff != "" {
+		t.Errorf("reply (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(0, starts(w, "a")); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+}
