--- a/worker/client.go
+++ b/worker/client.go
@@ -128,21 +128,29 @@
 	return reply, err
 }
 
+// do sends a request at most once and decodes the reply to it.
 func (c *Client) do(ctx context.Context, method, path string, body []byte, reply any, deadline time.Time) error {
 	k, status, err := c.get(ctx)
 	if err != nil {
 		return err
 	}
-	if status != nil && status.Leaving && method == fasthttp.MethodPost {
+	if err := refuse(ctx, method, status); err != nil {
 		c.put(k)
-		return &Error{Op: "send", Kind: KindNotSent, Err: errLeaving}
+		return &Error{Op: "send", Kind: KindNotSent, Err: err}
 	}
+	return c.exchange(k, method, path, body, reply, deadline)
+}
 
-	if err := pause.Check(ctx); err != nil {
-		c.put(k)
-		return &Error{Op: "send", Kind: KindNotSent, Err: err}
+// refuse returns why a request must not be sent any more. The status is that
+// of the worker if it was asked for.
+func refuse(ctx context.Context, method string, status *model.WorkerStatus) error {
+	if status != nil && status.Leaving && method == fasthttp.MethodPost {
+		return errLeaving
 	}
+	return pause.Check(ctx)
+}
 
+func (c *Client) exchange(k *conn, method, path string, body []byte, reply any, deadline time.Time) error {
 	req := fasthttp.AcquireRequest()
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -156,9 +164,7 @@
 	if path == statusPath {
 		c.countStatus(req, resp)
 	}
-
-	err = json.Unmarshal(resp.Body(), reply)
-	if err != nil {
+	if err := json.Unmarshal(resp.Body(), reply); err != nil {
 		c.discard(k)
 		return &Error{Op: "decode reply", Kind: KindUnknown, Err: err}
 	}
@@ -178,187 +184,3 @@
 		req.SetBodyRaw(body)
 	}
 }
-
-// get returns an idle connection that still lives, or a new one. It proves
-// the former when that was idle for long: something between the two ends may
-// have lost track of it.
-//
-// The status is returned if the worker was asked for it. That is also done on
-// a new connection when the worker was not heard of for some time.
-func (c *Client) get(ctx context.Context) (*conn, *model.WorkerStatus, error) {
-	for {
-		k, err := c.popIdle()
-		if err != nil {
-			return nil, nil, err
-		}
-		if k == nil {
-			return c.getNew(ctx)
-		}
-		if !k.alive(c.maxIdle) {
-			c.discard(k)
-			continue
-		}
-		if time.Since(k.lastUsed) <= probeAfter {
-			return k, nil, nil
-		}
-		if status, ok := c.probe(k); ok {
-			return k, status, nil
-		}
-	}
-}
-
-func (c *Client) getNew(ctx context.Context) (*conn, *model.WorkerStatus, error) {
-	k, err := c.connect(ctx)
-	if err != nil || c.heardLately() {
-		return k, nil, err
-	}
-
-	status, ok := c.probe(k)
-	if !ok {
-		err := eris.New("the worker does not tell its status")
-		return nil, nil, &Error{Op: "probe", Kind: KindNotSent, Err: err}
-	}
-	return k, status, nil
-}
-
-func (c *Client) heardLately() bool {
-	return time.Since(time.Unix(0, c.heard.Load())) <= unheardAfter
-}
-
-// probe asks for the status on a connection, and drops one that is silent.
-func (c *Client) probe(k *conn) (*model.WorkerStatus, bool) {
-	req := fasthttp.AcquireRequest()
-	resp := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-
-	c.fill(req, fasthttp.MethodGet, statusPath, nil)
-	deadline := time.Now().Add(probeTimeout)
-	if err := k.exchange(req, resp, deadline); err != nil {
-		c.drop(k, deadline)
-		return nil, false
-	}
-	c.countStatus(req, resp)
-	if resp.ConnectionClose() {
-		c.discard(k)
-		return nil, false
-	}
-
-	// A status that can't be read proves the connection all the same.
-	var status model.WorkerStatus
-	if json.Unmarshal(resp.Body(), &status) != nil {
-		return nil, true
-	}
-	c.heard.Store(time.Now().UnixNano())
-	return &status, true
-}
-
-func (c *Client) countStatus(req *fasthttp.Request, resp *fasthttp.Response) {
-	c.statusBytes.Add(int64(len(req.Header.Header()) + len(resp.Header.Header()) + len(resp.Body())))
-}
-
-// TakeStatusBytes returns the bytes that requests for the status took since
-// the last call, sent and received, with their HTTP headers.
-func (c *Client) TakeStatusBytes() int {
-	return int(c.statusBytes.Swap(0))
-}
-
-func (c *Client) popIdle() (*conn, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.closed {
-		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: net.ErrClosed}
-	}
-
-	last := len(c.idle) - 1
-	if last < 0 {
-		c.open++
-		return nil, nil
-	}
-	k := c.idle[last]
-	c.idle = c.idle[:last]
-	return k, nil
-}
-
-func (c *Client) connect(ctx context.Context) (*conn, error) {
-	raw, err := c.dial(ctx, c.addr)
-	if err != nil {
-		c.mu.Lock()
-		c.open--
-		c.mu.Unlock()
-		return nil, &Error{Op: "connect", Kind: KindNotSent, Err: err}
-	}
-	return newConn(raw), nil
-}
-
-func (c *Client) keep(k *conn, closing bool) {
-	if closing {
-		c.discard(k)
-		return
-	}
-	c.put(k)
-}
-
-func (c *Client) put(k *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.closed {
-		c.open--
-		_ = k.Close()
-		return
-	}
-	c.idle = append(c.idle, k)
-}
-
-// drop closes a connection that failed. After a timeout the other idle ones
-// are suspect too, since something between may have lost track of them all.
-func (c *Client) drop(k *conn, deadline time.Time) {
-	c.discard(k)
-	if !time.Now().Before(deadline) {
-		c.CloseIdle(0)
-	}
-}
-
-func (c *Client) discard(k *conn) {
-	_ = k.Close()
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open--
-}
-
-// CloseIdle closes the connections that were idle for longer than age.
-func (c *Client) CloseIdle(age time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	kept := c.idle[:0]
-	for _, k := range c.idle {
-		if time.Since(k.lastUsed) < age {
-			kept = append(kept, k)
-			continue
-		}
-		c.open--
-		_ = k.Close()
-	}
-	c.idle = kept
-}
-
-// Open returns the number of open connections.
-func (c *Client) Open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return c.open
-}
-
-// Close closes the idle connections; those in use close after their request.
-func (c *Client) Close() {
-	c.CloseIdle(0)
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed = true
-}
