config, member, sched: let no setting be without effect

Cause, found by reading every field and its uses: intervals.heartbeat was read before the first configuration only, limits.queuedTasks was checked and then ignored, and retry.hedgeShare was accepted though nothing hedges. The period is now taken over while running, the queue of all pools is bounded, and a share above 0 is refused with its place.

--- a/config/document.go
+++ b/config/document.go
@@ -56,7 +56,8 @@
 	SpillOver       bool   `yaml:"spillOver" json:"spillOver"`
 }
 
-// Retry bounds repeated starts. Shares are of first attempts.
+// Retry bounds repeated starts. Shares are of first attempts. HedgeShare and
+// HedgeAfter are reserved for hedged starts; HedgeShare must be 0.
 type Retry struct {
 	BudgetShare float64       `yaml:"budgetShare" json:"budgetShare"`
 	HedgeShare  float64       `yaml:"hedgeShare" json:"hedgeShare"`
--- a/config/load_test.go
+++ b/config/load_test.go
@@ -40,7 +40,7 @@
 		{"retry:\n  maxAttempts: 11", "20.yaml:2:16: retry.maxAttempts: must be from 1 to 10, is 11"},
 		{"retry:\n  hedgeAfter: 250", "20.yaml:2:15: retry.hedgeAfter: must be a duration such as 250ms, found 250"},
 		{"retry:\n  hedgeAfter: 12x", "20.yaml:2:15: retry.hedgeAfter: must be a duration such as 250ms, found the string 12x"},
-		{"retry:\n  hedgeShare: 0.1", "20.yaml:2:15: retry.hedgeShare: needs a hedgeAfter above 0"},
+		{"retry:\n  hedgeShare: 0.1", "20.yaml:2:15: retry.hedgeShare: must be 0: this release does not hedge"},
 		{"retry:\n  maxAttempts: 1\n  maxAttempts: 2", `20.yaml:3:3: must be valid YAML: mapping key "maxAttempts" already defined at [2:3]`},
 		{"ejection:\n  backoff: 1m", "20.yaml:2:12: ejection.backoff: must be at most maxBackoff (30s), is 1m0s"},
 		{"intervals:\n  configPoll: 10s", "20.yaml:2:15: intervals.configPoll: must be from 100ms to 3s, is 10s"},
--- a/config/rules.go
+++ b/config/rules.go
@@ -179,8 +179,8 @@
 	if d.Ejection.Backoff > d.Ejection.MaxBackoff {
 		add("ejection.backoff", fmt.Sprintf("must be at most maxBackoff (%v), is %v", d.Ejection.MaxBackoff, d.Ejection.Backoff))
 	}
-	if d.Retry.HedgeShare > 0 && d.Retry.HedgeAfter == 0 {
-		add("retry.hedgeShare", "needs a hedgeAfter above 0")
+	if d.Retry.HedgeShare > 0 {
+		add("retry.hedgeShare", "must be 0: this release does not hedge")
 	}
 }
 
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -105,6 +105,7 @@
 
 func (d *Daemon) buildDispatch() {
 	d.sched = sched.New(d.self.ID, d.self.DataCentre, worker.DialTCP, d.meter, &learn.Estimator{})
+	d.sched.SetMaxQueued(d.settings.Limits.QueuedTasks)
 	d.relay = &relay.Relay{
 		DataCentre: d.self.DataCentre,
 		Local:      d.sched,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -132,6 +132,7 @@
 		d.log.Error().Err(err).Int64("version", v.Number).Msg("configuration not applied")
 		return
 	}
+	d.members.SetMinPeriod(v.Document.Intervals.Heartbeat)
 	d.budget.SetShare(v.Document.Retry.BudgetShare)
 	d.meter.ConfigVersion(v.Number)
 	d.log.Info().Int64("version", v.Number).Str("digest", v.Digest).Msg("configuration in force")
--- a/member/exchange.go
+++ b/member/exchange.go
@@ -122,7 +122,7 @@
 func (g *Group) overslept(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return now.Sub(g.tickedAt) > g.options.MinPeriod+pauseThreshold
+	return now.Sub(g.tickedAt) > g.minPeriod()+pauseThreshold
 }
 
 // receive takes in a heartbeat, and its hints when their ages can be trusted.
--- a/member/group.go
+++ b/member/group.go
@@ -9,6 +9,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"foxtailmux/model"
@@ -48,6 +49,8 @@
 	tasks   conc.WaitGroup
 	done    chan struct{}
 
+	shortest atomic.Int64 // period in nanoseconds
+
 	mu          sync.Mutex
 	self        Member
 	records     map[string]*record // by member id
@@ -80,10 +83,22 @@
 		adaptedAt:  time.Now(),
 	}
 	g.self.Entry.State = model.Live
+	g.SetMinPeriod(o.MinPeriod)
 	o.Transport.Handle(heartbeatMethod, g.handle)
 	return g
 }
 
+// SetMinPeriod changes the shortest time between two heartbeats to a member;
+// 0 takes the default.
+func (g *Group) SetMinPeriod(d time.Duration) {
+	if d == 0 {
+		d = defaultMinPeriod
+	}
+	g.shortest.Store(int64(d))
+}
+
+func (g *Group) minPeriod() time.Duration { return time.Duration(g.shortest.Load()) }
+
 // Start begins to send heartbeats.
 func (g *Group) Start() {
 	go g.run()
--- a/member/judge.go
+++ b/member/judge.go
@@ -23,7 +23,7 @@
 	if r.member.Entry.DataCentre != g.self.Entry.DataCentre {
 		return remoteSuspectAfter, remoteDeadAfter
 	}
-	suspectAfter = missedPeriods * max(r.period, g.period, g.options.MinPeriod)
+	suspectAfter = missedPeriods * max(r.period, g.period, g.minPeriod())
 	return suspectAfter, 2 * suspectAfter
 }
 
--- a/member/options.go
+++ b/member/options.go
@@ -24,7 +24,7 @@
 }
 
 // Options configure a Group. Load and Config are called several times a
-// second. MinPeriod is the shortest time between two heartbeats to a member.
+// second. MinPeriod is at first the shortest time between two heartbeats to a member.
 type Options struct {
 	Self      model.Entry
 	Seeds     []string // peer addresses, IP:port
--- a/member/round.go
+++ b/member/round.go
@@ -13,7 +13,7 @@
 	defer close(g.done)
 	defer g.tasks.Wait()
 
-	interval := g.options.MinPeriod / ticksPerPeriod
+	interval := g.minPeriod() / ticksPerPeriod
 	select {
 	case <-g.ctx.Done():
 		return
@@ -73,7 +73,7 @@
 		return
 	}
 	g.adaptedAt = now
-	wanted := max(g.budget.period(), g.options.MinPeriod)
+	wanted := max(g.budget.period(), g.minPeriod())
 	g.period = min(wanted, maxGrowth*g.period, maxPeriod)
 }
 
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -17,6 +17,11 @@
 		return &Error{Op: "submit", Kind: KindNoWorker, Err: err}
 	}
 
+	if s.maxQueued > 0 && s.queue.Len()+len(j.Items) > s.maxQueued {
+		err := eris.Errorf("%d tasks wait on this instance, the limit is %d", s.queue.Len(), s.maxQueued)
+		return &Error{Op: "submit", Kind: KindQueueFull, Err: err}
+	}
+
 	limit := slots * s.document.Placement.MaxQueuePerSlot
 	waiting := s.queue.Waiting(j.Pool)
 	if waiting.Tasks+len(j.Items) > limit+slots {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -41,6 +41,7 @@
 
 	mu        sync.Mutex
 	document  config.Document
+	maxQueued int
 	policy    place.Policy
 	owner     place.Owner
 	queue     *queue.Queue
@@ -67,6 +68,15 @@
 	}
 }
 
+// SetMaxQueued bounds the tasks of all pools that wait on this instance; 0 is
+// no bound.
+func (s *Scheduler) SetMaxQueued(tasks int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.maxQueued = tasks
+}
+
 // Apply brings a configuration into force.
 func (s *Scheduler) Apply(document config.Document) error {
 	policy, err := place.Policies.Get(document.Placement.Policy)
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -355,6 +355,27 @@
 	})
 }
 
+func TestQueueOfAllPoolsIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		b.add("w1", 2, after(time.Second))
+		b.sched.SetMaxQueued(2)
+
+		first, outcomes := b.job("a", 2, time.Minute)
+		b.submit(first)
+		second, more := b.job("b", 2, time.Minute)
+		b.submit(second)
+		third, _ := b.job("c", 1, time.Minute)
+		wantKind(t, b.sched.Submit(third), KindQueueFull)
+
+		for range 2 {
+			<-outcomes
+			<-more
+		}
+	})
+}
+
 func TestJobWithoutWorkersIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t)
