sched, relay, model: say once what stood several times

The home of each worker was hashed anew for every worker at every submission; it is now kept with the worker and changes with the members or the list. A submission asked for all peers' shares a second time though nothing waited. The three resource fields were listed in four places, the two waits for attempts and forwards were the same, and the two loops of NeverFits too. Behaviour and tests are unchanged; no measurement was made.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc"
 
+	"foxtailmux/kernel"
 	"foxtailmux/model"
 	"foxtailmux/queue"
 )
@@ -94,6 +95,10 @@
 // rebalance forwards tasks of a pool that wait here to the peers with free
 // slots. What is known of a peer may be newer than the tasks.
 func (r *Relay) rebalance(pool string) {
+	if r.Local.PoolLoad(pool).QueuedTasks == 0 {
+		return
+	}
+
 	here, peers := r.shares(pool)
 	for best := emptiest(peers); best != nil && best.free() && here.waiting > 0; best = emptiest(peers) {
 		taken := r.Local.Take(pool, min(here.waiting, best.slots-best.busy))
@@ -289,18 +294,10 @@
 
 // Wait returns when every forward has ended or the context is done.
 func (r *Relay) Wait(ctx context.Context) error {
-	ended := make(chan struct{})
-	go func() {
-		r.forwards.Wait()
-		close(ended)
-	}()
-
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return &Error{Op: "wait for forwards", Kind: KindUnknown, Err: ctx.Err()}
+	if err := kernel.Await(ctx, r.forwards.Wait); err != nil {
+		return &Error{Op: "wait for forwards", Kind: KindUnknown, Err: err}
 	}
+	return nil
 }
 
 func decode(params json.RawMessage, value any) error {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailmux/config"
+	"foxtailmux/kernel"
 	"foxtailmux/model"
 	"foxtailmux/place"
 	"foxtailmux/queue"
@@ -254,16 +255,8 @@
 
 // Wait returns when every attempt has ended or the context is done.
 func (s *Scheduler) Wait(ctx context.Context) error {
-	ended := make(chan struct{})
-	go func() {
-		s.attempts.Wait()
-		close(ended)
-	}()
-
-	select {
-	case <-ended:
-		return nil
-	case <-ctx.Done():
-		return &Error{Op: "wait for attempts", Kind: KindEnded, Err: ctx.Err()}
+	if err := kernel.Await(ctx, s.attempts.Wait); err != nil {
+		return &Error{Op: "wait for attempts", Kind: KindEnded, Err: err}
 	}
+	return nil
 }
--- a/sched/update.go
+++ b/sched/update.go
@@ -97,6 +97,7 @@
 
 	s.owned = s.owned[:0]
 	for id, w := range s.workers {
+		w.Home = s.owner(id)
 		if s.policy.Owns(id, s.self, s.owner) {
 			s.owned = append(s.owned, w)
 		}
@@ -113,25 +114,30 @@
 	defer s.mu.Unlock()
 
 	known := false
-	for _, w := range s.workers {
-		if w.Info.Pool != pool {
+	for info := range s.everyWorker {
+		if info.Pool != pool {
 			continue
 		}
-		if worker.CouldHold(w.Info.Capacity, needs) {
+		if needs.Within(info.Capacity) {
 			return false
 		}
 		known = true
 	}
-	for _, info := range s.elsewhere {
-		if info.Pool != pool {
-			continue
+	return known
+}
+
+// everyWorker yields the workers of all data centres. The lock is held.
+func (s *Scheduler) everyWorker(yield func(model.Worker) bool) {
+	for _, w := range s.workers {
+		if !yield(w.Info) {
+			return
 		}
-		if worker.CouldHold(info.Capacity, needs) {
-			return false
+	}
+	for _, info := range s.elsewhere {
+		if !yield(info) {
+			return
 		}
-		known = true
 	}
-	return known
 }
 
 // Load returns the room that this instance has.
@@ -172,9 +178,9 @@
 	defer s.mu.Unlock()
 
 	slots := map[string]int{}
-	for id, w := range s.workers {
+	for _, w := range s.workers {
 		if w.Info.Pool == pool && !w.Leaving {
-			slots[s.owner(id)] += w.Info.Slots
+			slots[w.Home] += w.Info.Slots
 		}
 	}
 	return slots
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -12,6 +12,9 @@
 	Info   model.Worker
 	Client *Client
 
+	// Home is the instance that is the worker's home.
+	Home string
+
 	// Running counts the attempts of this instance, Used what they claim.
 	Running int
 	Used    model.Needs
@@ -78,31 +81,17 @@
 
 // Fits reports whether the worker has room for needs beside what runs.
 func (w *Worker) Fits(needs model.Needs) bool {
-	capacity := w.Info.Capacity
-	return w.Used.Cores+needs.Cores <= capacity.Cores &&
-		w.Used.MemoryMB+needs.MemoryMB <= capacity.MemoryMB &&
-		w.Used.Accelerators+needs.Accelerators <= capacity.Accelerators
+	return w.Used.Plus(needs).Within(w.Info.Capacity)
 }
 
 // Claim takes a slot and the needs of a task.
 func (w *Worker) Claim(needs model.Needs) {
 	w.Running++
-	w.Used.Cores += needs.Cores
-	w.Used.MemoryMB += needs.MemoryMB
-	w.Used.Accelerators += needs.Accelerators
+	w.Used = w.Used.Plus(needs)
 }
 
 // Release gives back what Claim took.
 func (w *Worker) Release(needs model.Needs) {
 	w.Running--
-	w.Used.Cores -= needs.Cores
-	w.Used.MemoryMB -= needs.MemoryMB
-	w.Used.Accelerators -= needs.Accelerators
-}
-
-// CouldHold reports whether an idle worker of that capacity fits needs.
-func CouldHold(capacity, needs model.Needs) bool {
-	return needs.Cores <= capacity.Cores &&
-		needs.MemoryMB <= capacity.MemoryMB &&
-		needs.Accelerators <= capacity.Accelerators
+	w.Used = w.Used.Minus(needs)
 }
