daemon: show the tickets of an instance in its state

Cause: the dump of a process lacked its tickets, which the store could tell. They are shown as numbers, held and open, so that the dump stays bounded. The proof of a resubmission now reads them: 1 held and 0 open after the answer.

--- a/daemon/state.go
+++ b/daemon/state.go
@@ -15,6 +15,8 @@
 	NotReady      string          `json:"notReady,omitempty"`
 	WaitingCalls  int             `json:"waitingCalls"`
 	OpenJobs      map[string]int  `json:"openJobs"`
+	TicketsHeld   int             `json:"ticketsHeld"`
+	TicketsOpen   int             `json:"ticketsOpen"`
 	Scheduler     sched.State     `json:"scheduler"`
 	Members       []member.Member `json:"members"`
 	Roster        roster.State    `json:"roster"`
@@ -29,11 +31,14 @@
 	document := d.document()
 	document.Access = nil
 
+	held, open := d.tickets.Size()
 	s := State{
 		Self:          d.self,
 		Ready:         true,
 		WaitingCalls:  d.entry.Open(),
 		OpenJobs:      d.gate.Open(),
+		TicketsHeld:   held,
+		TicketsOpen:   open,
 		Scheduler:     d.sched.State(),
 		Members:       d.members.Members(),
 		Roster:        d.roster.State(),
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -153,6 +153,14 @@
 		}
 	}
 
+	s, err := stateOf(c.entries[0].field("operators"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int{1, 0}, []int{s.TicketsHeld, s.TicketsOpen}); diff != "" {
+		t.Errorf("tickets held and open in the state (-want +got):\n%s", diff)
+	}
+
 	after, err := newCaller(c.addrs[1]).submit(job)
 	if err != nil {
 		t.Fatal(err)
