--- /dev/null
+++ b/beat/beat.go
@@ -0,0 +1,279 @@
+// Package beat tells which entry instances live, by heartbeats over UDP that
+// also carry their load and the versions they know.
+package beat
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/model"
+)
+
+const (
+	// interval is the time between heartbeats among instances that depend on
+	// each other: those of one data centre, and homes with all others.
+	interval = 250 * time.Millisecond
+
+	// farInterval is the same for the rest.
+	farInterval = time.Second
+
+	// silence is how long an instance is not heard until it counts as dead:
+	// four heartbeats in a row were lost, or its process does not run.
+	silence    = 1050 * time.Millisecond
+	farSilence = 4 * time.Second
+
+	// maxBytes of a heartbeat; it fits into one packet.
+	maxBytes = 1400
+)
+
+// Beat is one heartbeat.
+type Beat struct {
+	Instance    string                `json:"instance"`
+	Incarnation string                `json:"incarnation"`
+	Leaving     bool                  `json:"leaving,omitempty"`
+	Homes       map[string]model.Room `json:"homes,omitempty"` // by data centre
+	Routing     int64                 `json:"routing"`         // version in force
+}
+
+// Peer is another instance as the store lists it.
+type Peer struct {
+	Instance    string `json:"instance"`
+	Incarnation string `json:"incarnation"`
+	DataCentre  string `json:"dataCentre"`
+	Addr        string `json:"addr"`
+}
+
+// Member is what was heard of an instance.
+type Member struct {
+	Beat
+	HeardAt time.Time
+	refused bool // nothing listens at its address
+}
+
+// Options configure a Group. Own is called for each round of heartbeats. OnBeat
+// is called with each heartbeat that tells something new; it must not block.
+type Options struct {
+	Self   Peer
+	Conn   net.PacketConn
+	Own    func() Beat
+	OnBeat func(b Beat)
+	Log    *log.Logger
+}
+
+// Group sends and takes heartbeats. It is safe for concurrent use.
+type Group struct {
+	options Options
+	tasks   conc.WaitGroup
+	done    chan struct{}
+	now     chan struct{} // asks for a round at once
+
+	mu      sync.Mutex
+	peers   map[string]Peer
+	members map[string]Member
+	sentAt  map[string]time.Time
+	alive   map[string]bool // as last logged
+}
+
+// New returns a group whose Run is still to be called.
+func New(o Options) *Group {
+	return &Group{
+		options: o,
+		done:    make(chan struct{}),
+		now:     make(chan struct{}, 1),
+		peers:   map[string]Peer{},
+		members: map[string]Member{},
+		sentAt:  map[string]time.Time{},
+		alive:   map[string]bool{},
+	}
+}
+
+// Done is closed when Run has returned.
+func (g *Group) Done() <-chan struct{} { return g.done }
+
+// SetPeer makes an instance known.
+func (g *Group) SetPeer(p Peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Instance != g.options.Self.Instance {
+		g.peers[p.Instance] = p
+	}
+}
+
+// RemovePeer forgets an instance.
+func (g *Group) RemovePeer(instance string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.peers, instance)
+	delete(g.members, instance)
+}
+
+// Run sends and takes heartbeats until the context ends.
+func (g *Group) Run(ctx context.Context) {
+	defer close(g.done)
+	g.tasks.Go(g.receive)
+	defer g.tasks.Wait()
+	defer g.options.Conn.Close()
+
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		g.send(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-g.now:
+		}
+	}
+}
+
+// Announce sends a round of heartbeats at once.
+func (g *Group) Announce() {
+	g.mu.Lock()
+	clear(g.sentAt)
+	g.mu.Unlock()
+	select {
+	case g.now <- struct{}{}:
+	default:
+	}
+}
+
+func (g *Group) send(now time.Time) {
+	own := g.options.Own()
+	body, err := json.Marshal(own)
+	if err != nil || len(body) > maxBytes {
+		g.options.Log.Error().Err(err).Int("bytes", len(body)).Msg("heartbeat not encoded")
+		return
+	}
+	for _, p := range g.due(now, len(own.Homes) > 0) {
+		addr, err := net.ResolveUDPAddr("udp", p.Addr)
+		if err == nil {
+			_, err = g.options.Conn.WriteTo(body, addr)
+		}
+		if err != nil {
+			g.options.Log.Debug().Err(err).Str("peer", p.Instance).Msg("heartbeat not sent")
+		}
+	}
+}
+
+// due returns the instances that get a heartbeat now.
+func (g *Group) due(now time.Time, home bool) []Peer {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []Peer
+	for id, p := range g.peers {
+		wait := farInterval
+		if home || g.near(id) {
+			wait = interval
+		}
+		// Rounds come a little early or late.
+		if now.Sub(g.sentAt[id]) < wait-interval/4 {
+			continue
+		}
+		g.sentAt[id] = now
+		list = append(list, p)
+	}
+	return list
+}
+
+// near reports whether heartbeats of an instance come at the short interval.
+func (g *Group) near(id string) bool {
+	return g.peers[id].DataCentre == g.options.Self.DataCentre || len(g.members[id].Homes) > 0
+}
+
+func (g *Group) receive() {
+	buffer := make([]byte, maxBytes)
+	for {
+		n, _, err := g.options.Conn.ReadFrom(buffer)
+		if err != nil {
+			return // the connection is closed
+		}
+		var b Beat
+		if err := json.Unmarshal(buffer[:n], &b); err != nil || b.Instance == "" {
+			g.options.Log.Warn().Err(err).Int("bytes", n).Msg("heartbeat not understood")
+			continue
+		}
+		g.take(b, time.Now())
+	}
+}
+
+func (g *Group) take(b Beat, now time.Time) {
+	g.mu.Lock()
+	old := g.members[b.Instance]
+	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
+	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Routing != b.Routing || now.Sub(old.HeardAt) > silence
+	g.mu.Unlock()
+	if fresh {
+		g.options.OnBeat(b)
+	}
+}
+
+// Refused notes that nothing listens at the address of an instance, whose
+// process is thus gone until it is heard again.
+func (g *Group) Refused(instance string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m, ok := g.members[instance]
+	if ok {
+		m.refused = true
+		g.members[instance] = m
+	}
+}
+
+// Alive reports whether an instance was heard lately.
+func (g *Group) Alive(instance string) bool {
+	if instance == g.options.Self.Instance {
+		return true
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.aliveAt(instance, time.Now())
+}
+
+func (g *Group) aliveAt(instance string, now time.Time) bool {
+	m, ok := g.members[instance]
+	limit := farSilence
+	if g.near(instance) || len(m.Homes) > 0 {
+		limit = silence
+	}
+	return ok && !m.refused && now.Sub(m.HeardAt) < limit
+}
+
+// Member returns what was heard of an instance last.
+func (g *Group) Member(instance string) Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.members[instance]
+}
+
+// Living returns the instances that were heard lately, by name.
+func (g *Group) Living() map[string]Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	list := map[string]Member{}
+	for id, m := range g.members {
+		if g.aliveAt(id, now) {
+			list[id] = m
+		}
+		if alive := g.aliveAt(id, now); alive != g.alive[id] {
+			g.alive[id] = alive
+			g.options.Log.Info().Str("peer", id).Bool("alive", alive).Str("incarnation", m.Incarnation).
+				Int64("heardMillisAgo", now.Sub(m.HeardAt).Milliseconds()).Msg("peer changed")
+		}
+	}
+	return list
+}
+
+// DataCentre returns the data centre of an instance by the store's list.
+func (g *Group) DataCentre(instance string) string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.peers[instance].DataCentre
+}
--- /dev/null
+++ b/fleet/adapter.go
@@ -0,0 +1,39 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"foxtailmux/entry"
+	"foxtailmux/home"
+	"foxtailmux/kernel"
+	"foxtailmux/model"
+	"foxtailmux/table"
+	"foxtailmux/watch"
+)
+
+// Store is the platform's table, which keeps who is home and lists instances.
+type Store interface {
+	watch.Source
+	Commit(ctx context.Context, t table.Transaction) (table.Commit, error)
+}
+
+// Names are the places at which a platform keeps what it tells.
+type Names struct {
+	Workers  string // table that the workers write
+	Operator string // table that the operator writes
+	Config   string // key of the configuration's row
+}
+
+// Adapter speaks one users' platform.
+type Adapter interface {
+	NewStore(addr string, timeout time.Duration) Store
+	NewEndpoint(w model.Worker) home.Endpoint
+	Names() Names
+	DecodeWorker(row table.Row) (model.Worker, error)
+	DecodeRouting(row table.Row) (model.Routing, error)
+	Callers() entry.Protocol
+}
+
+// Adapters are the users' platforms by name.
+var Adapters kernel.Registry[Adapter]
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,193 @@
+// Package fleet is an entry instance on a users' platform: it takes the
+// callers' jobs, hands each to the home of a data centre's workers, and is
+// such a home itself while the platform's store says so.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/beat"
+	"foxtailmux/entry"
+	"foxtailmux/home"
+	"foxtailmux/logger"
+	"foxtailmux/meter"
+	"foxtailmux/model"
+	"foxtailmux/pause"
+	"foxtailmux/peer"
+	"foxtailmux/setup"
+	"foxtailmux/watch"
+)
+
+// incarnationBytes is the length of the random part of an instance's identity
+// that changes with each start.
+const incarnationBytes = 8
+
+// Fleet is one entry instance.
+type Fleet struct {
+	settings  setup.Settings
+	self      beat.Peer
+	adapter   Adapter
+	names     Names
+	listeners *listeners
+	log       *logger.Logger
+	meter     *meter.Meter
+	store     Store
+	paused    *pause.Watch
+
+	workers *watch.Mirror
+	config  *watch.Mirror
+	homes   *watch.Mirror
+	nodes   *watch.Mirror
+
+	peers   *peer.Group
+	beats   *beat.Group
+	front   *entry.QueueServer
+	routing atomic.Pointer[model.Routing]
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+	started time.Time
+	leaving atomic.Bool
+	changed *notifier // rows of homes or the liveness of an instance changed
+
+	mu       sync.Mutex
+	mine     map[string]*home.Home // by data centre
+	fenced   map[string]int64      // tokens that a worker refused, by data centre
+	claiming map[string]bool
+	known    map[string]model.Worker // workers by id
+	missing  map[string]time.Time    // since when a worker is not listed
+	debits   map[string]debit        // by data centre
+}
+
+// New opens the ports of an instance and assembles its parts. Its log goes to
+// w.
+func New(s setup.Settings, w io.Writer) (*Fleet, error) {
+	adapter, err := Adapters.Get(s.Platform.Adapter)
+	if err != nil {
+		return nil, &Error{Op: "pick adapter", Kind: KindSettings, Err: err}
+	}
+	l, err := logger.New(s, w)
+	if err != nil {
+		return nil, &Error{Op: "open log", Kind: KindSettings, Err: err}
+	}
+	opened, err := listen(s)
+	if err != nil {
+		return nil, err
+	}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	f := &Fleet{
+		settings:  s,
+		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr},
+		adapter:   adapter,
+		names:     adapter.Names(),
+		listeners: opened,
+		log:       l,
+		meter:     meter.New(s.Instance, s.DataCentre),
+		store:     adapter.NewStore(s.Platform.Addr, s.Platform.Timeout),
+		paused:    pause.NewWatch(),
+		ctx:       ctx,
+		cancel:    cancel,
+		changed:   newNotifier(),
+		mine:      map[string]*home.Home{},
+		fenced:    map[string]int64{},
+		claiming:  map[string]bool{},
+		known:     map[string]model.Worker{},
+		missing:   map[string]time.Time{},
+		debits:    map[string]debit{},
+	}
+	f.build()
+	return f, nil
+}
+
+func newIncarnation() string {
+	var b [incarnationBytes]byte
+	_, _ = rand.Read(b[:]) // never fails, by its documentation
+	return hex.EncodeToString(b[:])
+}
+
+func (f *Fleet) build() {
+	l := &f.log.Logger
+	f.workers = watch.New(f.names.Workers, f.store, f.onWorkers, l)
+	f.config = watch.New(f.names.Operator, f.store, f.onConfig, l)
+	f.homes = watch.New(homesTable, f.store, f.onHomes, l)
+	f.nodes = watch.New(nodesTable, f.store, f.onNodes, l)
+	f.peers = peer.New(peer.Options{
+		Self:    model.Entry{ID: f.self.Instance, Incarnation: f.self.Incarnation},
+		Listen:  func(string) (net.Listener, error) { return f.listeners.peers, nil },
+		Watch:   f.paused,
+		OnBytes: f.meter.PeerBytes,
+		OnReach: f.onReach,
+		Log:     f.log,
+	})
+	f.beats = beat.New(beat.Options{Self: f.self, Conn: f.listeners.beats, Own: f.ownBeat, OnBeat: f.onBeat, Log: l})
+	f.front = entry.NewQueueServer(entry.QueueOptions{
+		Callers:  f.listeners.callers,
+		Balancer: f.listeners.balancer,
+		Limits: entry.Limits{
+			MaxBody:        f.settings.Callers.MaxBodyBytes,
+			MaxHeader:      f.settings.Callers.MaxHeaderBytes,
+			MaxConnections: f.settings.Callers.MaxConnections,
+			ReadTimeout:    f.settings.Callers.ReadTimeout,
+			IdleTimeout:    f.settings.Callers.IdleTimeout,
+		},
+		Protocol:   f.adapter.Callers(),
+		Dispatcher: f,
+		Observer:   f.meter,
+		Log:        l,
+	})
+	f.peers.Handle(methodRun, f.serveRun)
+	f.peers.Handle(methodCancel, f.serveCancel)
+	f.peers.Handle(methodPending, f.servePending)
+	f.peers.Handle(methodRouting, f.serveRouting)
+}
+
+// Start starts the parts and registers the instance.
+func (f *Fleet) Start(ctx context.Context) error {
+	f.started = time.Now()
+	if err := f.peers.Start(); err != nil {
+		return &Error{Op: "start peers", Kind: KindStart, Err: err}
+	}
+	for _, m := range []*watch.Mirror{f.workers, f.config, f.homes, f.nodes} {
+		go m.Run(f.ctx) // an open request to the store outlives a stop
+	}
+	f.tasks.Go(func() { f.beats.Run(f.ctx) })
+	f.tasks.Go(func() { f.register(f.ctx) })
+	f.tasks.Go(func() { f.tend(f.ctx) })
+	f.serveOperators()
+	if err := f.front.Start(ctx); err != nil {
+		return &Error{Op: "start callers", Kind: KindStart, Err: err}
+	}
+	f.log.Info().Str("callers", f.settings.Callers.Addr).Str("peers", f.self.Addr).
+		Str("incarnation", f.self.Incarnation).Msg("listening")
+	return nil
+}
+
+// Routing returns the configuration in force, or nil before the first.
+func (f *Fleet) Routing() *model.Routing { return f.routing.Load() }
+
+func (f *Fleet) ownBeat() beat.Beat {
+	b := beat.Beat{Instance: f.self.Instance, Incarnation: f.self.Incarnation, Leaving: f.leaving.Load()}
+	if r := f.routing.Load(); r != nil {
+		b.Routing = r.Version
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for dc, h := range f.mine {
+		if b.Homes == nil {
+			b.Homes = map[string]model.Room{}
+		}
+		b.Homes[dc] = h.Load()
+	}
+	return b
+}
--- /dev/null
+++ b/fleet/listen.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"net"
+
+	"foxtailmux/setup"
+)
+
+// listeners are the ports of an instance. Heartbeats come over UDP on the port
+// that peers use over TCP.
+type listeners struct {
+	callers   net.Listener
+	balancer  net.Listener
+	operators net.Listener
+	metrics   net.Listener // nil without an address
+	peers     net.Listener
+	beats     net.PacketConn
+}
+
+func listen(s setup.Settings) (*listeners, error) {
+	l := &listeners{}
+	targets := []struct {
+		into *net.Listener
+		addr string
+	}{
+		{&l.callers, s.Callers.Addr},
+		{&l.balancer, s.Callers.ReadyAddr},
+		{&l.operators, s.Operators.Addr},
+		{&l.metrics, s.Operators.MetricsAddr},
+		{&l.peers, s.Peers.Addr},
+	}
+	for _, t := range targets {
+		if t.addr == "" {
+			continue
+		}
+		opened, err := net.Listen("tcp", t.addr)
+		if err != nil {
+			l.close()
+			return nil, &Error{Op: "listen", Kind: KindStart, Err: err}
+		}
+		*t.into = opened
+	}
+
+	var err error
+	l.beats, err = net.ListenPacket("udp", l.peers.Addr().String())
+	if err != nil {
+		l.close()
+		return nil, &Error{Op: "listen", Kind: KindStart, Err: err}
+	}
+	return l, nil
+}
+
+func (l *listeners) close() {
+	for _, opened := range []net.Listener{l.callers, l.balancer, l.operators, l.metrics, l.peers} {
+		if opened != nil {
+			_ = opened.Close()
+		}
+	}
+	if l.beats != nil {
+		_ = l.beats.Close()
+	}
+}
--- /dev/null
+++ b/fleet/notify.go
@@ -0,0 +1,25 @@
+package fleet
+
+import "sync"
+
+// notifier wakes all who wait for the next change.
+type notifier struct {
+	mu   sync.Mutex
+	next chan struct{}
+}
+
+func newNotifier() *notifier { return &notifier{next: make(chan struct{})} }
+
+// wait returns a channel that is closed at the next change.
+func (n *notifier) wait() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.next
+}
+
+func (n *notifier) fire() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	close(n.next)
+	n.next = make(chan struct{})
+}
--- /dev/null
+++ b/fleet/rooms.go
@@ -0,0 +1,109 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"foxtailmux/home"
+	"foxtailmux/model"
+)
+
+// room returns what the home of a data centre told of its room last.
+func (f *Fleet) room(dataCentre string) model.Room {
+	owner, _ := f.homeOf(dataCentre)
+	if owner.Instance == f.self.Instance {
+		if h := f.localHome(dataCentre); h != nil {
+			return h.Load()
+		}
+		return model.Room{}
+	}
+	m := f.beats.Member(owner.Instance)
+	room := m.Homes[dataCentre]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if d := f.debits[dataCentre]; d.heardAt.Equal(m.HeardAt) {
+		room.Free -= d.processor
+	}
+	return room
+}
+
+// debit is what was sent to a home since its last heartbeat.
+type debit struct {
+	heardAt   time.Time
+	processor int
+}
+
+// debit takes the claim of a job off the room that its home told, so that jobs
+// between two heartbeats do not all go to the same one.
+func (f *Fleet) debit(dataCentre string, s home.Submission) {
+	owner, _ := f.homeOf(dataCentre)
+	heardAt := f.beats.Member(owner.Instance).HeardAt
+	processor := 0
+	for _, step := range s.Batch.Steps {
+		processor += step.Replicas * step.Needs.Processor()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.debits[dataCentre]
+	if !d.heardAt.Equal(heardAt) {
+		d = debit{heardAt: heardAt}
+	}
+	d.processor += processor
+	f.debits[dataCentre] = d
+}
+
+// roomElsewhere returns the data centre that has most room, if it has room for
+// a claim on processors. It runs under the lock of a home, so it asks no home.
+func (f *Fleet) roomElsewhere(except string, processor int) (string, bool) {
+	best, most := "", 0
+	for _, dc := range f.otherCentres(except) {
+		if _, ok := f.inReach(dc); !ok {
+			continue
+		}
+		m, _ := f.homeOf(dc)
+		if m.Instance == f.self.Instance {
+			continue
+		}
+		room := f.room(dc)
+		if spare := room.Free - room.Waiting; spare >= processor && spare > most {
+			best, most = dc, spare
+		}
+	}
+	return best, best != ""
+}
+
+func (f *Fleet) otherCentres(except string) []string {
+	var list []string
+	for _, dc := range f.dataCentres() {
+		if dc != except {
+			list = append(list, dc)
+		}
+	}
+	return list
+}
+
+// routingTimeout bounds the fetch of a configuration from a peer.
+const routingTimeout = time.Second
+
+// fetchRouting takes a newer configuration from a peer, for the time in which
+// the store is out of reach for this instance.
+func (f *Fleet) fetchRouting(instance string) {
+	ctx, cancel := context.WithTimeout(f.ctx, routingTimeout)
+	defer cancel()
+	var r model.Routing
+	if err := f.peers.Call(ctx, instance, methodRouting, struct{}{}, &r); err != nil {
+		f.log.Info().Err(err).Str("peer", instance).Msg("configuration not fetched")
+		return
+	}
+	if r.Version > 0 {
+		f.applyRouting(&r, "peer "+instance)
+	}
+}
+
+func (f *Fleet) serveRouting(context.Context, json.RawMessage) (any, error) {
+	if r := f.routing.Load(); r != nil {
+		return r, nil
+	}
+	return model.Routing{}, nil
+}
--- /dev/null
+++ b/fleet/tend.go
@@ -0,0 +1,323 @@
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sys/unix"
+
+	"foxtailmux/beat"
+	"foxtailmux/home"
+	"foxtailmux/model"
+	"foxtailmux/table"
+)
+
+const (
+	// tendInterval is the time between looks at who is home.
+	tendInterval = 100 * time.Millisecond
+
+	// settleTime is how long a new instance listens for others before it
+	// claims; two heartbeats come in it.
+	settleTime = 600 * time.Millisecond
+
+	// pauseLimit is the longest time between two looks after which the homes
+	// of this instance are kept. Others take them over after a little more.
+	pauseLimit = 900 * time.Millisecond
+)
+
+// tend keeps the homes of this instance in line with the store, and claims
+// those of instances that are gone.
+func (f *Fleet) tend(ctx context.Context) {
+	ticker := time.NewTicker(tendInterval)
+	defer ticker.Stop()
+	last := suspendedClock()
+	for {
+		next := f.changed.wait()
+		now := suspendedClock()
+		if gap := now - last; gap > pauseLimit {
+			f.log.Warn().Int64("gapMillis", gap.Milliseconds()).Msg("process was paused, its homes are given up")
+			f.closeHomes()
+		}
+		last = now
+		f.forgetMissing(time.Now())
+		f.dropSilentOrigins()
+		f.reviewHomes()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-next:
+		}
+	}
+}
+
+// suspendedClock counts the time in which the machine was suspended too.
+func suspendedClock() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return time.Since(processStart)
+	}
+	return time.Duration(ts.Nano())
+}
+
+var processStart = time.Now()
+
+// closeHomes gives up all homes. Their tokens are not used again.
+func (f *Fleet) closeHomes() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for dc, h := range f.mine {
+		f.fenced[dc] = h.Token()
+		h.Close()
+		delete(f.mine, dc)
+	}
+}
+
+// reviewHomes compares who is home by the store with the homes here.
+func (f *Fleet) reviewHomes() {
+	if !f.homes.Read() || !f.workers.Read() {
+		return
+	}
+	for _, dc := range f.dataCentres() {
+		owner, token := f.homeOf(dc)
+		own := owner.Instance == f.self.Instance && owner.Incarnation == f.self.Incarnation
+		switch {
+		case own && f.spent(dc, token):
+			f.claim(dc, token)
+		case own:
+			f.keep(dc, token)
+		default:
+			f.giveUp(dc, token)
+			if f.shouldClaim(dc, owner) {
+				f.claim(dc, token)
+			}
+		}
+	}
+}
+
+// dataCentres returns those that have workers.
+func (f *Fleet) dataCentres() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var list []string
+	for _, w := range f.known {
+		if !slices.Contains(list, w.DataCentre) {
+			list = append(list, w.DataCentre)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// spent reports whether a token of this instance is no longer used.
+func (f *Fleet) spent(dataCentre string, token int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fenced[dataCentre] >= token
+}
+
+// keep makes sure that this instance is the home that the store says.
+func (f *Fleet) keep(dataCentre string, token int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h := f.mine[dataCentre]; h != nil {
+		if h.Token() == token {
+			return
+		}
+		h.Close()
+	}
+	h := home.New(home.Options{
+		DataCentre: dataCentre,
+		Token:      token,
+		MaxLease:   f.settings.Platform.MaxLease,
+		Connect:    func(w model.Worker) home.Endpoint { return f.adapter.NewEndpoint(w) },
+		Elsewhere:  func(processor int) (string, bool) { return f.roomElsewhere(dataCentre, processor) },
+		OnFenced:   func() { f.onFenced(dataCentre, token) },
+		Observer:   f.meter,
+		Log:        &f.log.Logger,
+	})
+	h.SetWorkers(f.workersOf(dataCentre))
+	f.mine[dataCentre] = h
+	f.log.Info().Str("dataCentre", dataCentre).Int64("token", token).Msg("home taken")
+	f.beats.Announce()
+}
+
+// giveUp closes a home that the store gives to another instance.
+func (f *Fleet) giveUp(dataCentre string, token int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.mine[dataCentre]
+	if h == nil || h.Token() >= token {
+		return
+	}
+	h.Close()
+	delete(f.mine, dataCentre)
+	f.log.Info().Str("dataCentre", dataCentre).Int64("token", h.Token()).Int64("laterToken", token).Msg("home given up")
+}
+
+// onFenced closes a home whose workers have a later one.
+func (f *Fleet) onFenced(dataCentre string, token int64) {
+	f.mu.Lock()
+	f.fenced[dataCentre] = max(f.fenced[dataCentre], token)
+	if h := f.mine[dataCentre]; h != nil && h.Token() == token {
+		h.Close()
+		delete(f.mine, dataCentre)
+	}
+	f.mu.Unlock()
+	f.changed.fire()
+}
+
+// shouldClaim reports whether the home of a data centre is gone and this
+// instance is the one to follow.
+func (f *Fleet) shouldClaim(dataCentre string, owner homeRow) bool {
+	if f.leaving.Load() || time.Since(f.started) < settleTime || !f.homes.Reached() {
+		return false
+	}
+	living := f.beats.Living()
+	if owner.Instance != "" {
+		m, ok := living[owner.Instance]
+		if ok && m.Incarnation == owner.Incarnation && !m.Leaving {
+			return false
+		}
+	}
+	return f.successor(dataCentre, living) == f.self.Instance
+}
+
+// candidate is an instance that could be the home of a data centre.
+type candidate struct {
+	instance string
+	near     bool
+	homes    int
+	rank     uint64
+}
+
+// successor picks the instance that follows as the home: one in the data
+// centre if there is one, and of these one with few homes.
+func (f *Fleet) successor(dataCentre string, living map[string]beat.Member) string {
+	own := candidate{instance: f.self.Instance, near: f.self.DataCentre == dataCentre, homes: f.homeCount()}
+	list := []candidate{own}
+	for id, m := range living {
+		if !m.Leaving {
+			list = append(list, candidate{instance: id, near: f.beats.DataCentre(id) == dataCentre, homes: len(m.Homes)})
+		}
+	}
+	for i := range list {
+		list[i].rank = xxhash.Sum64String(dataCentre + "/" + list[i].instance)
+	}
+	best := slices.MinFunc(list, func(a, b candidate) int {
+		if a.near != b.near {
+			if a.near {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.homes, b.homes), cmp.Compare(a.rank, b.rank))
+	})
+	return best.instance
+}
+
+func (f *Fleet) homeCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.mine)
+}
+
+// claim makes this instance the home of a data centre, if the row still has
+// the version that was seen. An answer that is lost is learned from the feed.
+func (f *Fleet) claim(dataCentre string, seen int64) {
+	f.mu.Lock()
+	if f.claiming[dataCentre] {
+		f.mu.Unlock()
+		return
+	}
+	f.claiming[dataCentre] = true
+	f.mu.Unlock()
+
+	f.tasks.Go(func() {
+		f.commitClaim(dataCentre, seen)
+		f.mu.Lock()
+		delete(f.claiming, dataCentre)
+		f.mu.Unlock()
+		f.changed.fire()
+	})
+}
+
+// claimPause follows a claim that failed, so that a store in trouble is not
+// pressed and a late answer of the feed is taken in.
+const claimPause = 250 * time.Millisecond
+
+func (f *Fleet) commitClaim(dataCentre string, seen int64) {
+	value, err := json.Marshal(homeRow{Instance: f.self.Instance, Incarnation: f.self.Incarnation})
+	if err != nil {
+		f.log.Error().Err(err).Msg("claim not encoded")
+		return
+	}
+	key := homeKey(dataCentre)
+	commit, err := f.store.Commit(f.ctx, table.Transaction{
+		Conditions: []table.Condition{{Key: key, Version: seen}},
+		Puts:       []table.Put{{Key: key, Value: value}},
+	})
+	l := f.log.Info()
+	if err != nil {
+		l = f.log.Warn().Err(err)
+	}
+	l.Str("dataCentre", dataCentre).Int64("seen", seen).Bool("committed", commit.Committed).
+		Int64("token", commit.Version).Msg("home claimed")
+
+	switch {
+	case err != nil:
+	case commit.Committed:
+		f.homes.Put(table.Row{Key: key, Value: value, Version: commit.Version})
+		return
+	default:
+		for _, row := range commit.Conflicts {
+			f.homes.Put(row)
+		}
+	}
+	select {
+	case <-time.After(claimPause):
+	case <-f.ctx.Done():
+	}
+}
+
+// onReach takes note of a peer whose port refuses connections: its process is
+// gone, while a partition would leave the dial without an answer.
+func (f *Fleet) onReach(instance string, reached bool) {
+	if !reached {
+		f.log.Debug().Str("peer", instance).Msg("peer not reached")
+	}
+}
+
+func (f *Fleet) onBeat(b beat.Beat) {
+	f.changed.fire()
+	own := int64(0)
+	if r := f.routing.Load(); r != nil {
+		own = r.Version
+	}
+	if b.Routing > own {
+		f.tasks.Go(func() { f.fetchRouting(b.Instance) })
+	}
+}
+
+// dropSilentOrigins cancels the jobs of instances that are no longer heard, so
+// that no run of theirs is left when their callers send the jobs again.
+func (f *Fleet) dropSilentOrigins() {
+	f.mu.Lock()
+	homes := make([]*home.Home, 0, len(f.mine))
+	for _, h := range f.mine {
+		homes = append(homes, h)
+	}
+	f.mu.Unlock()
+	for _, h := range homes {
+		for _, origin := range h.Origins() {
+			if !f.beats.Alive(origin) {
+				f.log.Warn().Str("peer", origin).Msg("jobs of an instance that is not heard are dropped")
+				h.DropOrigin(origin)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/home/dispatch.go
@@ -0,0 +1,305 @@
+package home
+
+import (
+	"slices"
+	"time"
+
+	"foxtailmux/lease"
+	"foxtailmux/model"
+	"foxtailmux/plan"
+)
+
+// takeoverWait is how long after its start a home holds back jobs that an
+// earlier home may have begun, while workers have not told what they run: the
+// leases of the earlier home are over then.
+const takeoverMargin = 250 * time.Millisecond
+
+// dispatch starts waiting tasks where there is room. The lock is held.
+func (h *Home) dispatch(now time.Time) {
+	if h.closed || h.fenced || len(h.waiting) == 0 {
+		return
+	}
+	var open []*unit
+	for _, u := range h.units {
+		if u.usable(now) {
+			open = append(open, u)
+		}
+	}
+	if len(open) == 0 {
+		return
+	}
+	slices.SortFunc(open, func(a, b *unit) int { return compareIDs(a.worker.ID, b.worker.ID) })
+
+	for _, j := range h.inOrder(now) {
+		if j.resumed && !h.listed(now) {
+			continue
+		}
+		h.startTasks(j, open, now)
+	}
+}
+
+func compareIDs(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+func (h *Home) inOrder(now time.Time) []*job {
+	type ranked struct {
+		job   *job
+		entry plan.Waiting
+	}
+	list := make([]ranked, 0, len(h.waiting))
+	for j := range h.waiting {
+		list = append(list, ranked{j, j.waitingEntry()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if c := plan.Compare(a.entry, b.entry, now); c != 0 {
+			return c
+		}
+		return compareIDs(a.job.batch.ID, b.job.batch.ID)
+	})
+	jobs := make([]*job, len(list))
+	for i, r := range list {
+		jobs[i] = r.job
+	}
+	return jobs
+}
+
+// listed reports whether no worker can run a task of an earlier home unseen.
+func (h *Home) listed(now time.Time) bool {
+	if now.Sub(h.began) > h.options.MaxLease+takeoverMargin {
+		return true
+	}
+	for _, u := range h.units {
+		if !u.listed {
+			return false
+		}
+	}
+	return len(h.units) > 0
+}
+
+func (h *Home) startTasks(j *job, open []*unit, now time.Time) {
+	waits := false
+	full := -1 // step that found no room
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.state != taskWaiting {
+			continue
+		}
+		waits = true
+		if t.step == full || !j.ready(t.step) {
+			continue
+		}
+		u := h.place(j, t, open, now)
+		if u == nil {
+			full = t.step
+			continue
+		}
+		h.order(j, t, u, now)
+	}
+	if !waits {
+		delete(h.waiting, j)
+	}
+}
+
+// ready reports whether the steps before one are done.
+func (j *job) ready(step int) bool {
+	for _, earlier := range j.batch.Steps[step].After {
+		if j.left[earlier] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *Home) place(j *job, t *task, open []*unit, now time.Time) *unit {
+	step := j.batch.Steps[t.step]
+	candidates := make([]plan.Candidate, len(open))
+	for i, u := range open {
+		c := plan.Candidate{Free: u.book.Free(), Trust: u.health.Trust(now), Near: step.Rack != "" && step.Rack == u.worker.Rack}
+		switch {
+		case !u.serves(j.route, step), t.tried[u.worker.ID], h.crowded(j, t.step, step.MaxPerWorker, u):
+			c.Trust = plan.Avoided
+		}
+		candidates[i] = c
+	}
+	if best := plan.Place(step.Needs, candidates); best >= 0 {
+		return open[best]
+	}
+	return nil
+}
+
+// crowded reports whether a worker runs as many tasks of a step as it may.
+func (h *Home) crowded(j *job, step, limit int, u *unit) bool {
+	if limit <= 0 {
+		return false
+	}
+	n := 0
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.step == step && u.book.Holds(t.name) {
+			n++
+		}
+	}
+	return n >= limit
+}
+
+// order enters the start of a task and sends it.
+func (h *Home) order(j *job, t *task, u *unit, now time.Time) {
+	t.state, t.unit, t.run, t.startAt = taskRunning, u, h.nextRun(), now
+	j.started = true
+	step := j.batch.Steps[t.step]
+	until := u.book.Until(now)
+	u.book.Order(lease.Held{Task: t.name, Run: t.run, Needs: step.Needs}, until, now)
+	u.health.Started()
+	u.owners[t.name] = owner{job: j, task: t}
+	h.options.Observer.TaskStarted()
+	h.options.Observer.QueueWait(now.Sub(t.readyAt))
+
+	s := lease.Start{Task: t.name, Run: t.run, Spec: j.batch.Spec, Until: until, Token: h.options.Token}
+	h.tasks.Go(func() { u.start(s) })
+	u.wakeUp()
+}
+
+// again puts a task back to those that wait.
+func (h *Home) again(j *job, t *task, now time.Time) {
+	t.state, t.unit, t.readyAt = taskWaiting, nil, now
+	if h.jobs[j.batch.ID] == j {
+		h.waiting[j] = struct{}{}
+	}
+}
+
+// backlog describes what a new job finds.
+func (h *Home) backlog(j *job, now time.Time) plan.Backlog {
+	var b plan.Backlog
+	var runs time.Duration
+	for _, u := range h.units {
+		if !u.usable(now) || u.health.Trust(now) == plan.Avoided {
+			continue
+		}
+		capacity := u.book.Capacity().Processor()
+		b.Capacity += capacity
+		b.Free += h.usableRoom(u, j)
+		for _, p := range u.book.Progress() {
+			o, ok := u.owners[p.Task]
+			if !ok {
+				continue
+			}
+			estimate := o.job.estimates[o.task.step]
+			b.Running = append(b.Running, plan.Freeing{Processor: p.Needs.Processor(), In: max(estimate-now.Sub(p.StartedAt), 0)})
+			runs += estimate
+		}
+	}
+	if len(b.Running) > 0 {
+		b.MeanRun = runs / time.Duration(len(b.Running))
+	}
+
+	mine := j.waitingEntry()
+	for other := range h.waiting {
+		if plan.Compare(other.waitingEntry(), mine, now) <= 0 {
+			b.Ahead += other.waitingProcessor()
+		}
+	}
+	return b
+}
+
+// usableRoom is the free processor time of a worker in whole tasks of a job's
+// first step, since a gap smaller than a task is of no use to it.
+func (h *Home) usableRoom(u *unit, j *job) int {
+	if len(j.batch.Steps) == 0 {
+		return 0
+	}
+	needs := j.batch.Steps[0].Needs
+	if !u.serves(j.route, j.batch.Steps[0]) || needs.Processor() <= 0 {
+		return 0
+	}
+	free, n := u.book.Free(), 0
+	for needs.Within(free) && n < len(j.tasks) {
+		free = free.Minus(needs)
+		n++
+	}
+	return n * needs.Processor()
+}
+
+func (j *job) waitingProcessor() int {
+	total := 0
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.state == taskWaiting {
+			total += j.batch.Steps[t.step].Needs.Processor()
+		}
+	}
+	return total
+}
+
+// adopt takes over the runs and ends of a job that an earlier home left.
+func (h *Home) adopt(j *job, now time.Time) {
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if end, ok := h.orphans[t.name]; ok && end.How == lease.Done {
+			h.complete1(j, t)
+			j.started = true
+			continue
+		}
+		for _, u := range h.units {
+			run, ok := u.book.Claim(t.name, j.batch.Steps[t.step].Needs, now)
+			if !ok {
+				continue
+			}
+			t.state, t.unit, t.run, t.startAt = taskRunning, u, run, now
+			u.owners[t.name] = owner{job: j, task: t}
+			j.started = true
+			u.wakeUp()
+			h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Str("worker", u.worker.ID).
+				Int64("run", run).Msg("run taken over")
+			break
+		}
+	}
+}
+
+func (h *Home) complete1(j *job, t *task) {
+	t.state = taskDone
+	j.left[t.step]--
+}
+
+// Load returns the present load.
+func (h *Home) Load() model.Room {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var l model.Room
+	now := time.Now()
+	for _, u := range h.units {
+		if u.usable(now) && u.health.Trust(now) == plan.Trusted {
+			l.Capacity += u.book.Capacity().Processor()
+			l.Free += max(u.book.Free().Processor(), 0)
+		}
+	}
+	for j := range h.waiting {
+		l.Waiting += j.waitingProcessor()
+	}
+	return l
+}
+
+// Pending returns the number of a queue's jobs of which no task started.
+func (h *Home) Pending(queue string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := 0
+	for j := range h.waiting {
+		if j.route.Name == queue && !j.started {
+			n++
+		}
+	}
+	return n
+}
+
+// serves reports whether a worker is one for a step of a queue.
+func (u *unit) serves(r model.Route, s model.Step) bool {
+	if u.worker.Pool != r.Service {
+		return false
+	}
+	return s.Label == "" || slices.Contains(u.worker.Labels, s.Label)
+}
--- /dev/null
+++ b/home/ends.go
@@ -0,0 +1,72 @@
+package home
+
+import (
+	"fmt"
+	"time"
+
+	"foxtailmux/lease"
+)
+
+// ended takes the ends of runs on a worker. The lock is held.
+func (h *Home) ended(u *unit, ends []lease.End, now time.Time) {
+	for _, e := range ends {
+		o, ok := u.owners[e.Task]
+		if !ok || o.task.run != e.Run || o.task.state != taskRunning {
+			continue
+		}
+		delete(u.owners, e.Task)
+		h.taskEnded(u, o, e, now)
+	}
+	if len(ends) > 0 {
+		h.dispatch(now)
+	}
+}
+
+func (h *Home) taskEnded(u *unit, o owner, e lease.End, now time.Time) {
+	j, t := o.job, o.task
+	switch e.How {
+	case lease.Done:
+		h.taskDone(u, j, t, now)
+	case lease.Failed:
+		h.taskFailed(u, j, t, now)
+	default:
+		h.options.Observer.Retried(string(e.How))
+		h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Int64("run", e.Run).
+			Str("worker", u.worker.ID).Str("ending", string(e.How)).Msg("run ended without a result")
+		h.again(j, t, now)
+	}
+}
+
+func (h *Home) taskDone(u *unit, j *job, t *task, now time.Time) {
+	ran := now.Sub(t.startAt)
+	declared := j.batch.Steps[t.step].Estimate
+	u.health.Done(ran, j.estimates[t.step])
+	h.means.Observe(j.route.Name, ran)
+	if declared > 0 {
+		h.ratios.Observe(j.route.Name, time.Duration(float64(ran)/float64(declared)*float64(ratioUnit)))
+	}
+	h.complete1(j, t)
+	if h.complete(j) {
+		h.finish(j, Outcome{Verdict: Succeeded})
+		return
+	}
+	if j.left[t.step] == 0 {
+		h.waiting[j] = struct{}{} // later steps may start
+	}
+}
+
+func (h *Home) taskFailed(u *unit, j *job, t *task, now time.Time) {
+	u.health.Failed(j.batch.ID, now)
+	t.failures++
+	t.mark(u.worker.ID)
+	h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Int64("run", t.run).Str("worker", u.worker.ID).
+		Int("failures", t.failures).Int("attempts", j.route.Attempts).Msg("run failed")
+	if t.failures < j.route.Attempts {
+		h.options.Observer.Retried("failed")
+		h.again(j, t, now)
+		return
+	}
+	t.state = taskDone
+	reason := fmt.Sprintf("task %s failed %d times", t.name, t.failures)
+	h.abort(j, Outcome{Verdict: Failed, Reason: reason})
+}
--- /dev/null
+++ b/home/home.go
@@ -0,0 +1,241 @@
+// Package home runs the tasks of a data centre's workers for the time that
+// this instance is their home. A home starts tasks under leases and with a
+// fencing token, so that a later home shuts it out, and it answers each job
+// when it has ended.
+package home
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc"
+
+	"foxtailmux/learn"
+	"foxtailmux/lease"
+	"foxtailmux/model"
+)
+
+// Endpoint sends orders to one worker, each once. An error that has a method
+// Sent which returns false promises that nothing reached the worker.
+type Endpoint interface {
+	Start(s lease.Start, timeout time.Duration) (lease.Reply, error)
+	Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error)
+	Hold(h lease.Hold, timeout time.Duration) (lease.Report, error)
+	Close()
+}
+
+// Observer counts what a home does.
+type Observer interface {
+	TaskStarted()
+	Retried(reason string)
+	QueueWait(d time.Duration)
+}
+
+// Options configure a Home. Elsewhere returns the data centre that has most
+// room, if one has room for that many thousandths of a core. OnFenced is
+// called once, when a worker tells that it has a later home.
+type Options struct {
+	DataCentre string
+	Token      int64
+	MaxLease   time.Duration
+	Connect    func(w model.Worker) Endpoint
+	Elsewhere  func(processor int) (dataCentre string, ok bool)
+	OnFenced   func()
+	Observer   Observer
+	Log        *log.Logger
+}
+
+const (
+	// tick is the time between looks at deadlines, leases and progress. It is
+	// small against the shortest objectives, which are about 150 ms.
+	tick = 20 * time.Millisecond
+
+	// keepFinished is how long the outcome of a job is kept for a caller that
+	// lost its answer and sends the job again; callers do so within 1.3 s.
+	keepFinished = 4 * time.Second
+
+	// maxFinished bounds the outcomes that are kept.
+	maxFinished = 4096
+
+	// runBits is the share of a run number below the fencing token: a home
+	// that started a million runs a minute for a fortnight would exceed it.
+	runBits = 24
+)
+
+// Home is the home of one data centre's workers.
+type Home struct {
+	options Options
+	ctx     context.Context
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+	done    chan struct{}
+	began   time.Time
+
+	mu       sync.Mutex
+	closed   bool
+	fenced   bool
+	units    map[string]*unit
+	jobs     map[string]*job
+	waiting  map[*job]struct{} // jobs with tasks to start
+	finished map[string]finished
+	orphans  map[string]lease.End // ends of runs of earlier homes, by task
+	lastRun  int64
+	ratios   learn.Estimator // run time over the declared one, by queue
+	means    learn.Estimator // run time, by queue
+}
+
+type finished struct {
+	outcome Outcome
+	at      time.Time
+}
+
+// New returns a home whose workers are still to be set, and starts it.
+func New(o Options) *Home {
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Home{
+		options:  o,
+		ctx:      ctx,
+		cancel:   cancel,
+		done:     make(chan struct{}),
+		began:    time.Now(),
+		units:    map[string]*unit{},
+		jobs:     map[string]*job{},
+		waiting:  map[*job]struct{}{},
+		finished: map[string]finished{},
+		orphans:  map[string]lease.End{},
+		lastRun:  o.Token << runBits,
+	}
+	h.tasks.Go(h.run)
+	return h
+}
+
+// Token returns the fencing token of the home.
+func (h *Home) Token() int64 { return h.options.Token }
+
+// Done is closed when every goroutine of a closed home has ended.
+func (h *Home) Done() <-chan struct{} { return h.done }
+
+// Close gives the workers up at once. Jobs in progress end as Moved; what runs
+// is left to the next home or to the end of its lease.
+func (h *Home) Close() {
+	h.mu.Lock()
+	first := !h.closed
+	h.closed = true
+	for _, j := range h.jobs {
+		h.finish(j, Outcome{Verdict: Moved, Reason: "the workers have another home", Done: j.doneTasks()})
+	}
+	h.mu.Unlock()
+
+	if first {
+		h.cancel()
+		go func() {
+			defer close(h.done)
+			h.tasks.Wait()
+		}()
+	}
+}
+
+// SetWorkers replaces the workers of the home.
+func (h *Home) SetWorkers(workers map[string]model.Worker) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+
+	now := time.Now()
+	for id, u := range h.units {
+		if _, ok := workers[id]; !ok && !u.gone {
+			u.gone = true
+			h.options.Log.Info().Str("worker", id).Int("runs", u.book.Len()).Msg("worker left the list")
+			u.wakeUp()
+		}
+	}
+	for id, w := range workers {
+		u := h.units[id]
+		if u == nil || u.worker.Addr != w.Addr {
+			h.replace(id, w)
+			continue
+		}
+		if u.worker.State != w.State {
+			h.options.Log.Info().Str("worker", id).Str("state", string(w.State)).Msg("worker changed its state")
+		}
+		u.worker, u.gone = w, false
+		u.book.SetCapacity(w.Capacity)
+	}
+	h.dispatch(now)
+}
+
+// replace takes a worker into use, in place of one with its id elsewhere.
+func (h *Home) replace(id string, w model.Worker) {
+	if old := h.units[id]; old != nil {
+		h.ended(old, old.book.Crashed(), time.Now())
+		old.cancel()
+	}
+	u := newUnit(h, w)
+	h.units[id] = u
+	h.tasks.Go(u.run)
+}
+
+// run looks at what is due until the home is closed.
+func (h *Home) run() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case now := <-ticker.C:
+			h.check(now)
+		}
+	}
+}
+
+func (h *Home) check(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return
+	}
+
+	for id, u := range h.units {
+		h.ended(u, u.book.Lapse(now), now)
+		u.checkProgress(now)
+		if u.gone && u.book.Len() == 0 {
+			u.cancel()
+			delete(h.units, id)
+		}
+	}
+	for _, j := range h.jobs {
+		h.expire(j, now)
+	}
+	for id, f := range h.finished {
+		if now.Sub(f.at) > keepFinished {
+			delete(h.finished, id)
+		}
+	}
+	if len(h.waiting) > 0 {
+		h.dispatch(now)
+	}
+}
+
+// fence gives the home up after a worker told of a later one.
+func (h *Home) fence(worker string) {
+	if h.fenced {
+		return
+	}
+	h.fenced = true
+	h.options.Log.Warn().Str("dataCentre", h.options.DataCentre).Str("worker", worker).
+		Int64("token", h.options.Token).Msg("a worker has a later home")
+	go h.options.OnFenced()
+}
+
+func (h *Home) nextRun() int64 {
+	h.lastRun++
+	return h.lastRun
+}
+
+func draw() float64 { return rand.Float64() }
--- /dev/null
+++ b/lease/order.go
@@ -0,0 +1,101 @@
+package lease
+
+import "foxtailmux/model"
+
+// Start orders one run of a task. Until is the end of the lease on the
+// worker's clock, in milliseconds. Run rises with each start of a task.
+type Start struct {
+	Task  string
+	Run   int64
+	Spec  string
+	Until int64
+	Token int64 // fencing token of the home
+}
+
+// Stop orders the end of a run, or that it never starts.
+type Stop struct {
+	Task  string
+	Run   int64
+	Token int64
+}
+
+// Hold renews the lease of all that runs on a worker, acknowledges the ends up
+// to Seen and asks for the later ones. Until 0 leaves the lease as it is. The
+// worker may wait WaitMillis for an end before it answers.
+type Hold struct {
+	Until      int64
+	Token      int64
+	Seen       int64
+	WaitMillis int64
+}
+
+// Refusal is why a worker did not carry an order out.
+type Refusal string
+
+// The refusals. Fenced: the worker saw a higher fencing token. Outdated: a run
+// with this number or a higher one was stopped or ended. Late: the lease was
+// over on arrival. NoRoom: the worker's capacity is taken. Unhealthy: the
+// worker takes no work. OtherWorker: another worker answers at the address.
+const (
+	Accepted    Refusal = ""
+	Fenced      Refusal = "fenced"
+	Outdated    Refusal = "outdated"
+	Late        Refusal = "late"
+	NoRoom      Refusal = "noRoom"
+	Unhealthy   Refusal = "unhealthy"
+	OtherWorker Refusal = "otherWorker"
+	Rejected    Refusal = "rejected" // for another reason
+)
+
+// Reply is the answer to a start or a stop. Clock is the worker's clock in
+// milliseconds, 0 if the answer did not tell it.
+type Reply struct {
+	Clock   int64
+	Refusal Refusal
+}
+
+// Ending is how a run ended.
+type Ending string
+
+// The endings. Failed is through the task's or the worker's fault; Lapsed
+// means that the lease ran out.
+const (
+	Done    Ending = "done"
+	Failed  Ending = "failed"
+	Stopped Ending = "stopped"
+	Lapsed  Ending = "lapsed"
+	Broken  Ending = "broken" // another member of its gang ended
+	Alone   Ending = "alone"  // the rest of its gang did not come
+	Lost    Ending = "lost"   // concluded here: the worker no longer runs it
+)
+
+// End is one ended run. Number counts the ends of one life of a worker.
+type End struct {
+	Number int64
+	Task   string
+	Run    int64
+	How    Ending
+}
+
+// Active is one run on a worker. Percent is the work that is done.
+type Active struct {
+	Task    string
+	Run     int64
+	Percent int
+}
+
+// Report is a worker's answer to a hold. Born identifies the life of the
+// worker; 0 if it did not tell.
+type Report struct {
+	Reply
+	Born   int64
+	Active []Active
+	Ended  []End
+}
+
+// Held is a run that a home knows of.
+type Held struct {
+	Task  string
+	Run   int64
+	Needs model.Needs
+}
--- a/model/job.go
+++ b/model/job.go
@@ -5,36 +5,6 @@
 
 import "encoding/json"
 
-// Needs lists the resources that a task claims on a worker.
-type Needs struct {
-	Cores        int `json:"cores,omitempty"`
-	MemoryMB     int `json:"memoryMB,omitempty"`
-	Accelerators int `json:"accelerators,omitempty"`
-}
-
-// Plus returns the sum of two needs.
-func (n Needs) Plus(other Needs) Needs {
-	n.Cores += other.Cores
-	n.MemoryMB += other.MemoryMB
-	n.Accelerators += other.Accelerators
-	return n
-}
-
-// Minus returns what is left of needs without the other ones.
-func (n Needs) Minus(other Needs) Needs {
-	n.Cores -= other.Cores
-	n.MemoryMB -= other.MemoryMB
-	n.Accelerators -= other.Accelerators
-	return n
-}
-
-// Within reports whether a capacity covers the needs.
-func (n Needs) Within(capacity Needs) bool {
-	return n.Cores <= capacity.Cores &&
-		n.MemoryMB <= capacity.MemoryMB &&
-		n.Accelerators <= capacity.Accelerators
-}
-
 // Task is one unit of work of a job. The payload reaches the worker unparsed.
 type Task struct {
 	Payload        json.RawMessage `json:"payload,omitempty"`
--- a/model/worker.go
+++ b/model/worker.go
@@ -22,6 +22,7 @@
 	Slots       int         `json:"slots"`
 	Connections int         `json:"connections"`
 	Capacity    Needs       `json:"capacity"`
+	Labels      []string    `json:"labels,omitempty"`
 }
 
 // Entry describes one entry instance, as the platform lists it. PeerAddr is
--- /dev/null
+++ b/plan/move.go
@@ -0,0 +1,36 @@
+package plan
+
+import "time"
+
+const (
+	// lookFactor is how many times its estimate a run lasts before its
+	// progress is looked at; estimates are off by half either way.
+	lookFactor = 1.6
+
+	// lookDelay is added for short runs, whose estimate is near the delay of
+	// orders.
+	lookDelay = 40 * time.Millisecond
+
+	// moveCost is what a stop and a new start take at most beside the run.
+	moveCost = 80 * time.Millisecond
+)
+
+// LookAt returns when the progress of a run is worth a look.
+func LookAt(started time.Time, estimate time.Duration) time.Time {
+	return started.Add(time.Duration(lookFactor*float64(estimate)) + lookDelay)
+}
+
+// Left predicts how much longer a run takes that has done percent of its work
+// within elapsed.
+func Left(elapsed time.Duration, percent int) time.Duration {
+	if percent <= 0 {
+		return time.Hour
+	}
+	return elapsed * time.Duration(100-min(percent, 100)) / time.Duration(percent)
+}
+
+// Move reports whether a run does better to start anew elsewhere. It answers
+// workers that turn slow, and tasks that stand still on workers that answer.
+func Move(elapsed time.Duration, percent int, estimate time.Duration) bool {
+	return Left(elapsed, percent) > 2*(estimate+moveCost)
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,174 @@
+// Package plan holds the decisions of a home: which job is next, where a task
+// starts, which job is refused or sent elsewhere, which worker is avoided and
+// which run is moved. Its functions neither wait nor send; each names the load
+// pattern that it answers.
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"foxtailmux/model"
+)
+
+// lateFactor is how many objectives may pass until an answer is of no more use
+// to its caller; the users' pages give it.
+const lateFactor = 3
+
+// Objective is the time within which a caller wants the answer of a job whose
+// longest chain of steps takes chain.
+func Objective(r model.Route, chain time.Duration) time.Duration {
+	return time.Duration(r.Stretch*float64(chain)) + r.Allowance
+}
+
+// Chain returns the longest chain of steps, with one estimate for each step.
+func Chain(steps []model.Step, estimates []time.Duration) time.Duration {
+	ends := make([]time.Duration, len(steps))
+	var longest time.Duration
+	for i, s := range steps {
+		for _, earlier := range s.After {
+			ends[i] = max(ends[i], ends[earlier])
+		}
+		ends[i] += estimates[i]
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Waiting is a job with tasks that wait.
+type Waiting struct {
+	Arrived   time.Time
+	Objective time.Duration
+	Remaining time.Duration // of its longest chain
+	Priority  int
+	Started   bool // a task of it ran
+}
+
+// latestStart is when the waiting tasks must start for an answer in time.
+func (w Waiting) latestStart() time.Time { return w.Arrived.Add(w.Objective - w.Remaining) }
+
+// Expired reports whether a job that has not started can no longer be of use.
+func (w Waiting) Expired(now time.Time) bool {
+	return !w.Started && now.After(w.latestStart().Add((lateFactor-1)*w.Objective))
+}
+
+// Compare orders jobs by the time at which they must start. It answers bursts
+// of unlike jobs: a short one that has little time goes before a long one that
+// has much. Jobs that are late already come last, so that they use only what
+// the others leave.
+func Compare(a, b Waiting, now time.Time) int {
+	lateA, lateB := now.After(a.latestStart()), now.After(b.latestStart())
+	switch {
+	case lateA != lateB && lateA:
+		return 1
+	case lateA != lateB:
+		return -1
+	}
+	return cmp.Or(
+		a.latestStart().Compare(b.latestStart()),
+		cmp.Compare(a.Priority, b.Priority),
+		a.Arrived.Compare(b.Arrived),
+	)
+}
+
+// Candidate is a worker that a task may start on.
+type Candidate struct {
+	Free  model.Needs
+	Trust Trust
+	Near  bool // in the rack of the task's data
+}
+
+// Place picks the candidate for a task by the best fit: the one that has the
+// least left afterwards, so that large gaps stay for large tasks. It answers a
+// mix of unlike needs on unlike workers. Workers in doubt come last, and those
+// near the data first. It returns -1 when no candidate has room.
+func Place(needs model.Needs, candidates []Candidate) int {
+	best := -1
+	for i, c := range candidates {
+		if c.Trust == Avoided || !needs.Within(c.Free) {
+			continue
+		}
+		if best < 0 || better(c, candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func better(a, b Candidate) bool {
+	if a.Trust != b.Trust {
+		return a.Trust < b.Trust
+	}
+	if a.Near != b.Near {
+		return a.Near
+	}
+	return a.Free.Processor() < b.Free.Processor()
+}
+
+// Freeing is processor time, in thousandths of a core, that becomes free.
+type Freeing struct {
+	Processor int
+	In        time.Duration
+}
+
+// Backlog is what a job finds at its arrival. Processors are in thousandths of
+// a core.
+type Backlog struct {
+	Capacity int           // of all workers in use
+	Free     int           // of it
+	Ahead    int           // claimed by waiting tasks that go first
+	Running  []Freeing     // what runs
+	MeanRun  time.Duration // of a task
+}
+
+// Wait estimates how long a job waits until the last of its tasks starts. What
+// runs frees its room at its expected end; a backlog above the capacity is
+// worked off in rounds of the mean run time.
+func (b Backlog) Wait(processor int) time.Duration {
+	missing := b.Ahead + processor - b.Free
+	if missing <= 0 {
+		return 0
+	}
+	if b.Capacity <= 0 {
+		return time.Hour
+	}
+
+	slices.SortFunc(b.Running, func(x, y Freeing) int { return cmp.Compare(x.In, y.In) })
+	var last time.Duration
+	for _, f := range b.Running {
+		missing -= f.Processor
+		last = max(last, f.In)
+		if missing <= 0 {
+			return last
+		}
+	}
+	rounds := float64(missing) / float64(b.Capacity)
+	return last + time.Duration((1+rounds)*float64(b.MeanRun))
+}
+
+// admitFactor is the share of the objective within which a job must be
+// expected to end in order to be admitted. Above 1 since estimates are off by
+// half either way, and waiting jobs that turn out short make room.
+const admitFactor = 1.15
+
+// Admit reports whether a job that waits that long still ends in time. It
+// answers load above the capacity: a job that would be late only delays those
+// behind it, and its caller does better to come back.
+func Admit(wait, chain, objective, age time.Duration) bool {
+	return age+wait+chain <= time.Duration(admitFactor*float64(objective))
+}
+
+// Retry bounds.
+const (
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+)
+
+// RetryAfter is when a refused caller does best to come back: when the present
+// backlog is worked off, spread over as long again by a draw from [0, 1), so
+// that those refused together don't return together.
+func RetryAfter(wait time.Duration, draw float64) time.Duration {
+	wait = min(max(wait, minRetryAfter), maxRetryAfter)
+	return wait + time.Duration(draw*float64(wait))
+}
--- a/setup/check.go
+++ b/setup/check.go
@@ -62,6 +62,12 @@
 		{"peers.addr", checkAnnounced(s.Peers.Addr)},
 		{"platform.addr", CheckDial(s.Platform.Addr)},
 	}
+	if s.Callers.ReadyAddr != "" {
+		rules = append(rules, rule{"callers.readyAddr", checkListen(s.Callers.ReadyAddr)})
+	}
+	if s.Operators.MetricsAddr != "" {
+		rules = append(rules, rule{"operators.metricsAddr", checkListen(s.Operators.MetricsAddr)})
+	}
 	for _, seed := range s.Peers.Seeds {
 		rules = append(rules, rule{"peers.seeds", CheckDial(seed)})
 	}
@@ -74,6 +80,8 @@
 		{"callers.addr", s.Callers.Addr},
 		{"operators.addr", s.Operators.Addr},
 		{"peers.addr", s.Peers.Addr},
+		{"callers.readyAddr", s.Callers.ReadyAddr},
+		{"operators.metricsAddr", s.Operators.MetricsAddr},
 	}
 
 	var rules []rule
@@ -104,6 +112,7 @@
 		{"callers.readTimeout", checkDuration(s.Callers.ReadTimeout, minTimeout)},
 		{"callers.idleTimeout", checkDuration(s.Callers.IdleTimeout, minTimeout)},
 		{"platform.timeout", checkDuration(s.Platform.Timeout, minTimeout)},
+		{"platform.maxLease", checkDuration(s.Platform.MaxLease, minTimeout)},
 		{"stop.drainDelay", checkDuration(s.Stop.DrainDelay, 0)},
 		{"stop.limit", checkDuration(s.Stop.Limit, minTimeout)},
 		{"stop.limit", s.checkStopOrder()},
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -14,6 +14,10 @@
 // ask an instance and is no setting.
 const KeyVariable = Prefix + "KEY"
 
+// FileVariable holds the path of the settings file where no flag gives one. It
+// is no setting.
+const FileVariable = Prefix + "CONFIG"
+
 // Override is a field given as a flag. Name is the field's path, such as
 // callers.addr.
 type Override struct {
@@ -31,10 +35,13 @@
 	fs.StringVar(&s.DataCentre, "dataCentre", s.DataCentre, "data centre of this instance")
 	bindCallers(fs, &s.Callers)
 	fs.StringVar(&s.Operators.Addr, "operators.addr", s.Operators.Addr, "IP:port for operators")
+	fs.StringVar(&s.Operators.MetricsAddr, "operators.metricsAddr", s.Operators.MetricsAddr, "IP:port for metrics alone")
 	fs.StringVar(&s.Peers.Addr, "peers.addr", s.Peers.Addr, "IP:port for peers")
 	fs.Var((*list)(&s.Peers.Seeds), "peers.seeds", "IP:port of peers, separated by commas")
 	fs.StringVar(&s.Platform.Addr, "platform.addr", s.Platform.Addr, "IP:port of the platform")
 	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", s.Platform.Timeout, "time for a request to the platform")
+	fs.StringVar(&s.Platform.Adapter, "platform.adapter", s.Platform.Adapter, "plug-in that speaks a users' platform")
+	fs.DurationVar(&s.Platform.MaxLease, "platform.maxLease", s.Platform.MaxLease, "longest lease that workers grant")
 	bindLimits(fs, &s.Limits)
 	fs.DurationVar(&s.Stop.DrainDelay, "stop.drainDelay", s.Stop.DrainDelay, "time for the balancer to notice a stop")
 	fs.DurationVar(&s.Stop.Limit, "stop.limit", s.Stop.Limit, "longest time of a stop")
@@ -50,6 +57,7 @@
 	fs.DurationVar(&c.ReadTimeout, "callers.readTimeout", c.ReadTimeout, "time to read a request")
 	fs.DurationVar(&c.IdleTimeout, "callers.idleTimeout", c.IdleTimeout, "time until an idle connection is closed")
 	fs.IntVar(&c.MaxConnections, "callers.maxConnections", c.MaxConnections, "most connections at once")
+	fs.StringVar(&c.ReadyAddr, "callers.readyAddr", c.ReadyAddr, "IP:port for the balancer of a users' platform")
 }
 
 func bindLimits(fs *flag.FlagSet, l *Limits) {
--- a/setup/load.go
+++ b/setup/load.go
@@ -129,7 +129,7 @@
 
 	for _, pair := range environ {
 		name, value, _ := strings.Cut(pair, "=")
-		if !strings.HasPrefix(name, Prefix) || name == KeyVariable {
+		if !strings.HasPrefix(name, Prefix) || name == KeyVariable || name == FileVariable {
 			continue
 		}
 
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -26,11 +26,17 @@
 	ReadTimeout    time.Duration `yaml:"readTimeout" json:"readTimeout"`
 	IdleTimeout    time.Duration `yaml:"idleTimeout" json:"idleTimeout"`
 	MaxConnections int           `yaml:"maxConnections" json:"maxConnections"`
+
+	// ReadyAddr is where the balancer of a users' platform asks whether the
+	// instance takes connections.
+	ReadyAddr string `yaml:"readyAddr" json:"readyAddr"`
 }
 
 // Operators is the listener for health, metrics, state and configuration.
+// Metrics are served at MetricsAddr too, unless it is empty.
 type Operators struct {
-	Addr string `yaml:"addr" json:"addr"`
+	Addr        string `yaml:"addr" json:"addr"`
+	MetricsAddr string `yaml:"metricsAddr" json:"metricsAddr"`
 }
 
 // Peers is the listener for the other instances, and the addresses of those
@@ -41,10 +47,14 @@
 }
 
 // Platform is where the table, the object store and the list of instances are
-// reached. Timeout bounds one request.
+// reached. Timeout bounds one request. Adapter names the plug-in that speaks a
+// users' platform; without one the platform speaks the protocol of package
+// table. MaxLease is the longest lease that workers of such a platform grant.
 type Platform struct {
-	Addr    string        `yaml:"addr" json:"addr"`
-	Timeout time.Duration `yaml:"timeout" json:"timeout"`
+	Addr     string        `yaml:"addr" json:"addr"`
+	Timeout  time.Duration `yaml:"timeout" json:"timeout"`
+	Adapter  string        `yaml:"adapter" json:"adapter"`
+	MaxLease time.Duration `yaml:"maxLease" json:"maxLease"`
 }
 
 // Limits bound what this process holds, whatever the shared configuration
@@ -98,8 +108,9 @@
 		Operators: Operators{Addr: "127.0.0.1:8701"},
 		Peers:     Peers{Addr: "127.0.0.1:8702", Seeds: []string{}},
 		Platform: Platform{
-			Addr:    "127.0.0.1:8703",
-			Timeout: 2 * time.Second,
+			Addr:     "127.0.0.1:8703",
+			Timeout:  2 * time.Second,
+			MaxLease: time.Second,
 		},
 		Limits: Limits{
 			OpenJobs:          5000,
--- a/subcmd/serve.go
+++ b/subcmd/serve.go
@@ -45,6 +45,9 @@
 }
 
 func serve(ctx context.Context, path string, flags []setup.Override, stderr io.Writer) error {
+	if path == "" {
+		path = os.Getenv(setup.FileVariable)
+	}
 	settings, err := setup.Load(path, os.Environ(), flags...)
 	if err != nil {
 		return &Error{Op: "serve", Kind: KindInput, Err: err}
--- a/table/table.go
+++ b/table/table.go
@@ -5,11 +5,12 @@
 import "encoding/json"
 
 // Row is one row of the table. The version rises by one with each write; a
-// row that does not exist has version 0.
+// row that does not exist has version 0. Deleted is set in feeds only.
 type Row struct {
 	Key     string          `json:"key"`
 	Value   json.RawMessage `json:"value,omitempty"`
 	Version int64           `json:"version"`
+	Deleted bool            `json:"deleted,omitempty"`
 }
 
 // Condition holds when the row's version is the one given; 0 asks that the
@@ -33,10 +34,18 @@
 }
 
 // Commit is the answer to a transaction. Conflicts holds the present rows of
-// the conditions that failed.
+// the conditions that failed. Version is that of the rows written, where the
+// platform tells it.
 type Commit struct {
 	Committed bool  `json:"committed"`
 	Conflicts []Row `json:"conflicts,omitempty"`
+	Version   int64 `json:"version,omitempty"`
+}
+
+// Changes are rows that changed, in order, up to a version of the table.
+type Changes struct {
+	Rows    []Row
+	Version int64
 }
 
 // Paths of the platform's HTTP interface. RowsPath and ObjectsPath take the
--- /dev/null
+++ b/watch/watch.go
@@ -0,0 +1,214 @@
+// Package watch keeps copies of tables of the platform's store by following
+// their changes.
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"foxtailmux/table"
+)
+
+// Source reads a table. An error of Watch that has a method HistoryLost which
+// returns true asks to read the table anew.
+type Source interface {
+	List(ctx context.Context, name string) (table.Changes, error)
+	Watch(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error)
+}
+
+const (
+	// feedWait is how long one request waits for a change. Each request is
+	// priced, and a silent connection costs at most this time.
+	feedWait = 4 * time.Second
+
+	minRetry = 50 * time.Millisecond
+	maxRetry = 500 * time.Millisecond // a fraction of the time in which a configuration must be in force
+)
+
+// Mirror is a copy of one table. It never goes back behind a version that it
+// has seen. It is safe for concurrent use.
+type Mirror struct {
+	name     string
+	source   Source
+	onChange func(rows []table.Row)
+	log      *log.Logger
+	done     chan struct{}
+
+	mu       sync.Mutex
+	rows     map[string]table.Row
+	version  int64
+	read     bool // the table was read once
+	reached  bool
+	failedAt time.Time
+}
+
+// New returns the mirror of a table whose Run is still to be called. OnChange
+// is called after the rows changed, from one goroutine at a time.
+func New(name string, source Source, onChange func(rows []table.Row), log *log.Logger) *Mirror {
+	return &Mirror{name: name, source: source, onChange: onChange, log: log, done: make(chan struct{}), rows: map[string]table.Row{}}
+}
+
+// Done is closed when Run has returned.
+func (m *Mirror) Done() <-chan struct{} { return m.done }
+
+// Rows returns a copy of the rows by key.
+func (m *Mirror) Rows() map[string]table.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	rows := make(map[string]table.Row, len(m.rows))
+	for key, row := range m.rows {
+		rows[key] = row
+	}
+	return rows
+}
+
+// Get returns a row; one that does not exist has version 0.
+func (m *Mirror) Get(key string) table.Row {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rows[key]
+}
+
+// Read reports whether the table was read at least once.
+func (m *Mirror) Read() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.read
+}
+
+// Reached reports whether the last request to the store was answered.
+func (m *Mirror) Reached() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reached
+}
+
+// Run follows the table until the context ends.
+func (m *Mirror) Run(ctx context.Context) {
+	defer close(m.done)
+	retry := minRetry
+	listed := false
+	for ctx.Err() == nil {
+		var err error
+		if !listed {
+			err = m.list(ctx)
+			listed = err == nil
+		} else if err = m.follow(ctx); historyLost(err) {
+			listed = false
+		}
+
+		m.note(err)
+		if err == nil {
+			retry = minRetry
+			continue
+		}
+		select {
+		case <-time.After(retry):
+		case <-ctx.Done():
+		}
+		retry = min(2*retry, maxRetry)
+	}
+}
+
+func historyLost(err error) bool {
+	var told interface{ HistoryLost() bool }
+	return errors.As(err, &told) && told.HistoryLost()
+}
+
+// note logs when the store is lost and found again.
+func (m *Mirror) note(err error) {
+	m.mu.Lock()
+	changed := m.reached != (err == nil)
+	m.reached = err == nil
+	version := m.version
+	since := m.failedAt
+	if changed && err != nil {
+		m.failedAt = time.Now()
+	}
+	m.mu.Unlock()
+
+	switch {
+	case changed && err != nil:
+		m.log.Warn().Err(err).Str("table", m.name).Int64("version", version).Msg("store lost")
+	case changed && !since.IsZero():
+		m.log.Info().Str("table", m.name).Int64("version", version).Int64("awayMillis", time.Since(since).Milliseconds()).Msg("store found again")
+	}
+}
+
+// errStale is the failure of a list that is older than what was seen before.
+var errStale = errors.New("the store answered with an older version than before")
+
+// list reads the whole table.
+func (m *Mirror) list(ctx context.Context) error {
+	c, err := m.source.List(ctx, m.name)
+	if err != nil {
+		return err
+	}
+
+	m.mu.Lock()
+	if c.Version < m.version {
+		m.mu.Unlock()
+		return errStale
+	}
+	present := map[string]bool{}
+	for _, row := range c.Rows {
+		present[row.Key] = true
+	}
+	changes := c.Rows
+	for key, row := range m.rows {
+		if !present[key] && row.Version <= c.Version {
+			changes = append(changes, table.Row{Key: key, Version: c.Version, Deleted: true})
+		}
+	}
+	first := !m.read
+	m.read = true
+	m.mu.Unlock()
+	m.apply(table.Changes{Rows: changes, Version: c.Version}, first)
+	return nil
+}
+
+func (m *Mirror) follow(ctx context.Context) error {
+	m.mu.Lock()
+	after := m.version
+	m.mu.Unlock()
+
+	c, err := m.source.Watch(ctx, m.name, after, feedWait)
+	if err != nil {
+		return err
+	}
+	m.apply(c, false)
+	return nil
+}
+
+// Put enters a row that this process has written itself.
+func (m *Mirror) Put(row table.Row) {
+	m.apply(table.Changes{Rows: []table.Row{row}}, false)
+}
+
+// apply enters rows that are newer than the ones present.
+func (m *Mirror) apply(c table.Changes, always bool) {
+	m.mu.Lock()
+	var changed []table.Row
+	for _, row := range c.Rows {
+		old, ok := m.rows[row.Key]
+		if ok && row.Version <= old.Version || !ok && row.Deleted {
+			continue
+		}
+		if row.Deleted {
+			delete(m.rows, row.Key)
+		} else {
+			m.rows[row.Key] = row
+		}
+		changed = append(changed, row)
+	}
+	m.version = max(m.version, c.Version)
+	m.mu.Unlock()
+
+	if len(changed) > 0 || always {
+		m.onChange(changed)
+	}
+}
