fleet, home: keep a job with the data centre that may have begun it

Cause: a job whose home closed was handed to a home elsewhere, or refused with 503, while its runs went on; a new home looked for runs of a resumed job only when the job arrived, not when a worker told what it runs; and an instance claimed the workers of a data centre that was only cut off.

Ruled out: the worker protocol (each run was ordered under a valid token).

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -3,14 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
 
 	"foxtailmux/home"
-	"foxtailmux/peer"
 )
 
 // Methods that instances call on each other.
@@ -52,83 +50,60 @@
 	began := time.Now()
 	deadline := began.Add(s.Left)
 	s.Origin = f.self.Instance
-	target := f.self.DataCentre
-	var last home.Outcome
-	avoid := map[string]bool{}
+	j := newJourney(f.self.DataCentre)
 
 	for range maxHops {
-		dc, token, ok := f.awaitHome(ctx, target, s.Resumed, avoid)
+		dc, token, ok := f.awaitHome(ctx, j)
 		if !ok {
-			return f.noHome(s)
+			break
 		}
+		s.Resumed, s.Spill, s.Settled, s.Done = j.resumed, j.spill, j.settled, j.done
 		s.Age, s.Left = time.Since(began), time.Until(deadline)
 		f.debit(dc, s)
 		outcome, err := f.submit(ctx, dc, s)
 		if ctx.Err() != nil {
 			return home.Outcome{Verdict: home.Cancelled, Reason: "its caller went away"}
 		}
-
-		switch {
-		case err != nil && unsent(err):
-			f.log.Info().Err(err).Str("job", s.Batch.ID).Str("dataCentre", dc).Msg("home not reached")
-			avoid[dc] = true
-			target, s.Spill = f.self.DataCentre, false
-		case err != nil:
-			f.log.Warn().Err(err).Str("job", s.Batch.ID).Str("dataCentre", dc).Int64("token", token).Msg("home lost")
-			s.Resumed, s.Spill = true, false
-			target = dc
-			if !f.awaitChange(ctx, dc, token) {
-				return home.Outcome{Verdict: home.Lost, Reason: "the home of the job is out of reach"}
-			}
-		case outcome.Verdict == home.Redirected:
-			target, s.Spill = outcome.DataCentre, true
-		case outcome.Verdict == home.Busy:
-			target, s.Spill, s.Settled = f.self.DataCentre, false, true
-		case outcome.Verdict == home.Moved:
-			s.Resumed, s.Spill = true, false
-			s.Done = append(s.Done, outcome.Done...)
-			target = dc
+		if err != nil {
+			f.log.Warn().Err(err).Str("job", s.Batch.ID).Str("dataCentre", dc).Int64("token", token).
+				Bool("unsent", unsent(err)).Msg("home did not answer")
+		}
+		switch j.take(dc, outcome, err) {
+		case answered:
+			return outcome
+		case succeed:
 			if !f.awaitChange(ctx, dc, token) {
-				return home.Outcome{Verdict: home.Lost, Reason: "the job's home has no successor yet"}
+				return j.end()
 			}
-		default:
-			return outcome
+		case onwards:
+			f.pauseHop(ctx, err)
 		}
-		last = outcome
 	}
-	f.log.Warn().Str("job", s.Batch.ID).Str("verdict", string(last.Verdict)).Msg("job found no home")
-	return f.noHome(s)
+	return j.end()
 }
 
-// noHome answers a job for which no home was found.
-func (f *Fleet) noHome(s home.Submission) home.Outcome {
-	if s.Resumed {
-		return home.Outcome{Verdict: home.Lost, Reason: "no home is in reach"}
-	}
-	return home.Outcome{Verdict: home.Refused, Reason: "no home is in reach", RetryAfter: time.Second}
-}
+// hopPause follows a try that did not reach a home, so that the rows and
+// heartbeats that tell of a later one are taken in.
+const hopPause = 20 * time.Millisecond
 
-// unsent reports whether a call did not reach a handler, or one that is not
-// the home.
-func unsent(err error) bool {
-	if errors.Is(err, errNoHome) {
-		return true
+func (f *Fleet) pauseHop(ctx context.Context, err error) {
+	if err == nil {
+		return
 	}
-	var e *peer.Error
-	if !errors.As(err, &e) {
-		return false
+	select {
+	case <-time.After(hopPause):
+	case <-ctx.Done():
 	}
-	return !e.Sent() || e.Kind == peer.Refused
 }
 
 // awaitHome waits until a home is in reach: that of the data centre asked for,
 // or, for a job that no home has begun, one elsewhere.
-func (f *Fleet) awaitHome(ctx context.Context, target string, resumed bool, avoid map[string]bool) (string, int64, bool) {
+func (f *Fleet) awaitHome(ctx context.Context, j *journey) (string, int64, bool) {
 	timeout := time.NewTimer(homeWait)
 	defer timeout.Stop()
 	for {
 		next := f.changed.wait()
-		if dc, token, ok := f.findHome(target, resumed, avoid); ok {
+		if dc, token, ok := f.findHome(j); ok {
 			return dc, token, true
 		}
 		select {
@@ -141,16 +116,16 @@
 	}
 }
 
-func (f *Fleet) findHome(target string, resumed bool, avoid map[string]bool) (string, int64, bool) {
-	if token, ok := f.inReach(target); ok && (resumed || !avoid[target]) {
-		return target, token, true
+func (f *Fleet) findHome(j *journey) (string, int64, bool) {
+	if token, ok := f.inReach(j.target); ok && (j.resumed || !j.avoid[j.target]) {
+		return j.target, token, true
 	}
-	if resumed {
+	if j.resumed {
 		return "", 0, false
 	}
 	best, bestFree := "", -1
 	for _, dc := range f.dataCentres() {
-		if _, ok := f.inReach(dc); !ok || avoid[dc] {
+		if _, ok := f.inReach(dc); !ok || j.avoid[dc] {
 			continue
 		}
 		if room := f.room(dc); room.Free-room.Waiting > bestFree || best == "" {
--- a/fleet/tend.go
+++ b/fleet/tend.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"net"
 	"slices"
 	"time"
 
@@ -24,6 +25,12 @@
 	// claims; two heartbeats come in it.
 	settleTime = 600 * time.Millisecond
 
+	// reachTries is the number of workers of another data centre that are
+	// dialled before it counts as cut off, and reachTimeout bounds each dial;
+	// round trips between data centres take a few milliseconds.
+	reachTries   = 3
+	reachTimeout = 100 * time.Millisecond
+
 	// pauseLimit is the longest time between two looks after which the homes
 	// of this instance are kept. Others take them over after a little more.
 	pauseLimit = 900 * time.Millisecond
@@ -184,7 +191,31 @@
 			return false
 		}
 	}
-	return f.successor(dataCentre, living) == f.self.Instance
+	if f.successor(dataCentre, living) != f.self.Instance {
+		return false
+	}
+	return f.self.DataCentre == dataCentre || f.reachable(dataCentre)
+}
+
+// reachable reports whether workers of another data centre can be reached. Its
+// own instances are not heard, and a data centre that is cut off must go on
+// under the home it has.
+func (f *Fleet) reachable(dataCentre string) bool {
+	f.mu.Lock()
+	workers := f.workersOf(dataCentre)
+	f.mu.Unlock()
+	tries := 0
+	for _, w := range workers {
+		if tries++; tries > reachTries {
+			return false
+		}
+		c, err := net.DialTimeout("tcp", w.Addr, reachTimeout)
+		if err == nil {
+			_ = c.Close()
+			return true
+		}
+	}
+	return false
 }
 
 // candidate is an instance that could be the home of a data centre.
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -239,6 +239,9 @@
 func (h *Home) adopt(j *job, now time.Time) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
+		if t.state != taskWaiting {
+			continue
+		}
 		if end, ok := h.orphans[t.name]; ok && end.How == lease.Done {
 			h.complete1(j, t)
 			j.started = true
@@ -260,6 +263,17 @@
 	}
 }
 
+// adoptAll looks for runs of the jobs that wait, after a worker told what it
+// runs.
+func (h *Home) adoptAll(now time.Time) {
+	for j := range h.waiting {
+		h.adopt(j, now)
+		if h.complete(j) {
+			h.finish(j, Outcome{Verdict: Succeeded})
+		}
+	}
+}
+
 func (h *Home) complete1(j *job, t *task) {
 	t.state = taskDone
 	j.left[t.step]--
--- a/home/job.go
+++ b/home/job.go
@@ -138,7 +138,7 @@
 		h.orphans[name] = lease.End{Task: name, How: lease.Done}
 	}
 	h.adopt(j, now)
-	if !j.started {
+	if !j.started && !j.resumed {
 		if refusal, ok := h.admit(j, s, now); !ok {
 			return nil, refusal
 		}
@@ -189,6 +189,9 @@
 
 // admit decides whether a new job is taken.
 func (h *Home) admit(j *job, s Submission, now time.Time) (Outcome, bool) {
+	if !h.listed(now) {
+		return Outcome{}, true // what the workers have room for is not known yet
+	}
 	if reason := h.unfit(j); reason != "" {
 		return h.refused(j, reason, 0), false
 	}
@@ -311,7 +314,10 @@
 	switch {
 	case now.After(j.deadline):
 		h.abort(j, Outcome{Verdict: Cancelled, Reason: "its time is over"})
-	case !j.started && j.waitingEntry().Expired(now):
+	case !j.waitingEntry().Expired(now):
+	case j.resumed:
+		h.abort(j, Outcome{Verdict: Lost, Reason: "an earlier home may have begun it, and there is no room in time"})
+	default:
 		h.finish(j, h.refused(j, "no room in time", plan.Chain(j.batch.Steps, j.estimates)))
 	}
 }
--- a/home/unit.go
+++ b/home/unit.go
@@ -201,6 +201,7 @@
 	if !u.listed {
 		u.listed, u.listedAt = true, now
 		u.home.keepOrphans(r.Ended)
+		u.home.adoptAll(now)
 	}
 	u.home.ended(u, over, now)
 	u.home.dispatch(now)
