fleet: hold back resumed jobs while the list of workers is incomplete

Cause: after a cut of a data centre its workers' entries had lapsed; an instance elsewhere claimed the data centre as the cut healed and started tasks of resumed jobs, while workers that were not listed yet still ran them. It claimed at all since its first dial went through before the first heartbeat did.

Ruled out: adoption (the runs were on workers that the new home did not know).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -67,6 +67,8 @@
 	known    map[string]model.Worker // workers by id
 	missing  map[string]time.Time    // since when a worker is not listed
 	debits   map[string]debit        // by data centre
+	reaches  map[string]*reach       // by data centre
+	vanished map[string]time.Time    // when a worker of a data centre left the list
 }
 
 // New opens the ports of an instance and assembles its parts. Its log goes to
@@ -105,6 +107,8 @@
 		known:     map[string]model.Worker{},
 		missing:   map[string]time.Time{},
 		debits:    map[string]debit{},
+		reaches:   map[string]*reach{},
+		vanished:  map[string]time.Time{},
 	}
 	f.build()
 	return f, nil
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -52,8 +52,9 @@
 	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, f.names.Workers+"/")
 		if row.Deleted {
-			if _, ok := f.known[id]; ok {
+			if w, ok := f.known[id]; ok {
 				f.missing[id] = now
+				f.vanished[w.DataCentre] = now
 			}
 			continue
 		}
@@ -75,10 +76,21 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for dc, h := range f.mine {
-		h.SetWorkers(f.workersOf(dc))
+		h.SetWorkers(f.workersOf(dc), f.complete(dc))
 	}
 }
 
+// vanishedTime is how long the list of a data centre's workers counts as
+// incomplete after one left it: workers that were cut off with their data
+// centre return to the list within it.
+const vanishedTime = 15 * time.Second
+
+// complete reports whether the list of a data centre's workers surely names
+// all on which an earlier home could have started something.
+func (f *Fleet) complete(dataCentre string) bool {
+	return time.Since(f.vanished[dataCentre]) > vanishedTime
+}
+
 func (f *Fleet) workersOf(dataCentre string) map[string]model.Worker {
 	list := map[string]model.Worker{}
 	for id, w := range f.known {
--- a/fleet/tend.go
+++ b/fleet/tend.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"net"
 	"slices"
 	"time"
 
@@ -25,12 +24,6 @@
 	// claims; two heartbeats come in it.
 	settleTime = 600 * time.Millisecond
 
-	// reachTries is the number of workers of another data centre that are
-	// dialled before it counts as cut off, and reachTimeout bounds each dial;
-	// round trips between data centres take a few milliseconds.
-	reachTries   = 3
-	reachTimeout = 100 * time.Millisecond
-
 	// pauseLimit is the longest time between two looks after which the homes
 	// of this instance are kept. Others take them over after a little more.
 	pauseLimit = 900 * time.Millisecond
@@ -147,7 +140,7 @@
 		Observer:   f.meter,
 		Log:        &f.log.Logger,
 	})
-	h.SetWorkers(f.workersOf(dataCentre))
+	h.SetWorkers(f.workersOf(dataCentre), f.complete(dataCentre))
 	f.mine[dataCentre] = h
 	f.log.Info().Str("dataCentre", dataCentre).Int64("token", token).Msg("home taken")
 	f.beats.Announce()
@@ -197,27 +190,6 @@
 	return f.self.DataCentre == dataCentre || f.reachable(dataCentre)
 }
 
-// reachable reports whether workers of another data centre can be reached. Its
-// own instances are not heard, and a data centre that is cut off must go on
-// under the home it has.
-func (f *Fleet) reachable(dataCentre string) bool {
-	f.mu.Lock()
-	workers := f.workersOf(dataCentre)
-	f.mu.Unlock()
-	tries := 0
-	for _, w := range workers {
-		if tries++; tries > reachTries {
-			return false
-		}
-		c, err := net.DialTimeout("tcp", w.Addr, reachTimeout)
-		if err == nil {
-			_ = c.Close()
-			return true
-		}
-	}
-	return false
-}
-
 // candidate is an instance that could be the home of a data centre.
 type candidate struct {
 	instance string
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -75,6 +75,9 @@
 	if now.Sub(h.began) > h.options.MaxLease+takeoverMargin {
 		return true
 	}
+	if h.partial {
+		return false
+	}
 	for _, u := range h.units {
 		if !u.listed {
 			return false
--- a/home/home.go
+++ b/home/home.go
@@ -77,6 +77,7 @@
 	mu       sync.Mutex
 	closed   bool
 	fenced   bool
+	partial  bool // workers may be missing on the list
 	units    map[string]*unit
 	jobs     map[string]*job
 	waiting  map[*job]struct{} // jobs with tasks to start
@@ -138,8 +139,9 @@
 	}
 }
 
-// SetWorkers replaces the workers of the home.
-func (h *Home) SetWorkers(workers map[string]model.Worker) {
+// SetWorkers replaces the workers of the home. Complete tells that no other
+// worker can run what an earlier home started.
+func (h *Home) SetWorkers(workers map[string]model.Worker, complete bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
@@ -147,6 +149,7 @@
 	}
 
 	now := time.Now()
+	h.partial = h.partial || !complete
 	for id, u := range h.units {
 		if _, ok := workers[id]; !ok && !u.gone {
 			u.gone = true
