--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -45,13 +45,27 @@
 	Job        string `json:"job"`
 }
 
-// Run runs a job at the home of this instance's data centre, or elsewhere.
+// Run runs a job at the home of this instance's data centre, or elsewhere, or
+// in parts at several homes.
 func (f *Fleet) Run(ctx context.Context, s home.Submission) home.Outcome {
 	began := time.Now()
-	deadline := began.Add(s.Left)
 	s.Origin = f.self.Instance
-	j := newJourney(f.self.DataCentre)
+	outcome := f.travel(ctx, s, newJourney(f.self.DataCentre), began)
+	if outcome.Verdict != home.Crowded {
+		return outcome
+	}
+
+	parts := share(s.Batch.Steps[0], f.roomsFor(outcome.Room))
+	if parts == nil {
+		outcome.Verdict = home.Refused
+		return outcome
+	}
+	return f.runParts(ctx, s, parts, began)
+}
 
+// travel takes a job, or a part of one, from home to home until it is answered.
+func (f *Fleet) travel(ctx context.Context, s home.Submission, j *journey, began time.Time) home.Outcome {
+	deadline := began.Add(s.Left)
 	for range maxHops {
 		dc, token, ok := f.awaitHome(ctx, j)
 		if !ok {
@@ -65,7 +79,7 @@
 			return home.Outcome{Verdict: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
-			f.log.Warn().Err(err).Str("job", s.Batch.ID).Str("dataCentre", dc).Int64("token", token).
+			f.log.Warn().Err(err).Str("job", s.Key()).Str("dataCentre", dc).Int64("token", token).
 				Bool("unsent", unsent(err)).Msg("home did not answer")
 		}
 		switch j.take(dc, outcome, err) {
@@ -184,7 +198,7 @@
 	var outcome home.Outcome
 	err := f.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
 	if ctx.Err() != nil {
-		f.cancelAt(owner.Instance, dataCentre, s.Batch.ID)
+		f.cancelAt(owner.Instance, dataCentre, s.Key())
 	}
 	return outcome, err
 }
--- a/fleet/rooms.go
+++ b/fleet/rooms.go
@@ -41,7 +41,11 @@
 	heardAt := f.beats.Member(owner.Instance).HeardAt
 	processor := 0
 	for _, step := range s.Batch.Steps {
-		processor += step.Replicas * step.Needs.Processor()
+		tasks := step.Replicas
+		if s.Part != nil {
+			tasks = s.Part.Count
+		}
+		processor += tasks * step.Needs.Processor()
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -14,12 +14,13 @@
 type journey struct {
 	own     string // data centre of this instance
 	target  string
-	resumed bool            // a home may have begun the job
-	spill   bool            // start at once or not at all
-	settled bool            // take it without sending it elsewhere
-	done    []string        // tasks that earlier homes saw done
-	begun   []string        // tasks that the last home may have left running
-	told    bool            // the last home told so
+	resumed bool     // a home may have begun the job
+	spill   bool     // start at once or not at all
+	settled bool     // take it without sending it elsewhere
+	done    []string // tasks that earlier homes saw done
+	begun   []string // tasks that the last home may have left running
+	told    bool     // the last home told so
+	part    *home.Part
 	avoid   map[string]bool // data centres whose home was not reached
 }
 
@@ -30,7 +31,7 @@
 // mark tells the next home what is known of the job.
 func (j *journey) mark(s *home.Submission) {
 	s.Resumed, s.Spill, s.Settled = j.resumed, j.spill, j.settled
-	s.Done, s.Begun, s.Told = j.done, j.begun, j.told
+	s.Done, s.Begun, s.Told, s.Part = j.done, j.begun, j.told, j.part
 }
 
 // turn is what follows after a home answered, or did not.
@@ -55,6 +56,11 @@
 	case outcome.Verdict == home.Redirected:
 		j.target, j.spill = outcome.DataCentre, true
 		return onwards
+	case outcome.Verdict == home.Busy && j.part != nil:
+		// Other parts may have begun: this one can't be refused any more.
+		j.target, j.spill, j.settled = j.own, false, true
+		j.resumed, j.told = true, true
+		return onwards
 	case outcome.Verdict == home.Busy:
 		j.target, j.spill, j.settled = j.own, false, true
 		return onwards
--- /dev/null
+++ b/fleet/split_test.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/home"
+	"foxtailmux/model"
+)
+
+// A job of 20 tasks at a load at which each data centre has a few free places.
+func TestWideJobIsSharedWhereThereIsRoom(t *testing.T) {
+	step := model.Step{Replicas: 20, Needs: model.Needs{MilliCores: 27_000}}
+	cases := []struct {
+		name  string
+		rooms []centreRoom
+		want  []sharePart
+	}{
+		{"most room first", []centreRoom{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}, {"thrissur", 0, 9*27_000 + 26_000}}, []sharePart{
+			{"tvm", home.Part{First: 0, Count: 12}}, {"thrissur", home.Part{First: 12, Count: 8}},
+		}},
+		{"all rooms", []centreRoom{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}, {"thrissur", 0, 4 * 27_000}}, []sharePart{
+			{"tvm", home.Part{First: 0, Count: 12}}, {"kochi", home.Part{First: 12, Count: 4}}, {"thrissur", home.Part{First: 16, Count: 4}},
+		}},
+		{"too little", []centreRoom{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}}, nil},
+	}
+	for _, c := range cases {
+		if diff := cmp.Diff(c.want, share(step, c.rooms), cmp.AllowUnexported(sharePart{})); diff != "" {
+			t.Errorf("%s: %s", c.name, diff)
+		}
+	}
+}
+
+func TestPartsAnswerAsOne(t *testing.T) {
+	cases := []struct {
+		parts []home.Verdict
+		want  home.Verdict
+	}{
+		{[]home.Verdict{home.Succeeded, home.Succeeded}, home.Succeeded},
+		{[]home.Verdict{home.Refused, home.Refused}, home.Refused},
+		{[]home.Verdict{home.Succeeded, home.Refused}, home.Lost}, // a part ran: never "not run"
+		{[]home.Verdict{home.Cancelled, home.Refused}, home.Lost},
+		{[]home.Verdict{home.Lost, home.Failed}, home.Failed},
+		{[]home.Verdict{home.Cancelled, home.Lost}, home.Lost},
+		{[]home.Verdict{home.Cancelled, home.Cancelled}, home.Cancelled},
+	}
+	for _, c := range cases {
+		var outcomes []home.Outcome
+		for _, v := range c.parts {
+			outcomes = append(outcomes, home.Outcome{Verdict: v})
+		}
+		if got := combine(outcomes).Verdict; got != c.want {
+			t.Errorf("%v: %q, want %q", c.parts, got, c.want)
+		}
+	}
+}
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -172,7 +172,7 @@
 // again puts a task back to those that wait.
 func (h *Home) again(j *job, t *task, now time.Time) {
 	t.state, t.unit, t.readyAt = taskWaiting, nil, now
-	if h.jobs[j.batch.ID] == j {
+	if h.jobs[j.key] == j {
 		h.waiting[j] = struct{}{}
 	}
 }
@@ -211,6 +211,17 @@
 	return b
 }
 
+// room is the number of tasks of a job's first step that could start now,
+// behind what waits already.
+func (h *Home) room(j *job, now time.Time) int {
+	needs := j.batch.Steps[0].Needs.Processor()
+	if needs <= 0 {
+		return 0
+	}
+	b := h.backlog(j, now)
+	return max(b.Free-b.Ahead, 0) / needs
+}
+
 // usableRoom is the free processor time of a worker in whole tasks of a job's
 // first step, since a gap smaller than a task is of no use to it.
 func (h *Home) usableRoom(u *unit, j *job) int {
@@ -278,6 +289,29 @@
 	}
 }
 
+// wholeTasks is the part of a gap that typical tasks fill.
+func wholeTasks(free, typical int) int {
+	if typical <= 0 {
+		return max(free, 0)
+	}
+	return max(free, 0) / typical * typical
+}
+
+// typicalWeight is the weight of a new job in the typical claim of a task.
+const typicalWeight = 8
+
+// noteTypical takes a job's claim into the typical one.
+func (h *Home) noteTypical(j *job) {
+	if len(j.batch.Steps) == 0 {
+		return
+	}
+	claim := j.batch.Steps[0].Needs.Processor()
+	if h.typical == 0 {
+		h.typical = claim
+	}
+	h.typical += (claim - h.typical) / typicalWeight
+}
+
 // Load returns the present load.
 func (h *Home) Load() model.Room {
 	h.mu.Lock()
@@ -287,7 +321,7 @@
 	for _, u := range h.units {
 		if u.usable(now) && u.health.Trust(now) == plan.Trusted {
 			l.Capacity += u.book.Capacity().Processor()
-			l.Free += max(u.book.Free().Processor(), 0)
+			l.Free += wholeTasks(u.book.Free().Processor(), h.typical)
 		}
 	}
 	for j := range h.waiting {
--- a/home/home.go
+++ b/home/home.go
@@ -84,6 +84,7 @@
 	finished map[string]finished
 	orphans  map[string]lease.End // ends of runs of earlier homes, by task
 	lastRun  int64
+	typical  int             // claim of a task on processors, in thousandths of a core
 	ratios   learn.Estimator // run time over the declared one, by queue
 	means    learn.Estimator // run time, by queue
 }
--- a/home/job.go
+++ b/home/job.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"time"
 
 	"foxtailmux/model"
@@ -16,7 +17,9 @@
 // The verdicts. Refused promises that no task of the job ran or will. Moved
 // means that the home is no longer one, and the job may have run in part.
 // Redirected means that nothing ran and another data centre has room. Busy
-// answers a job that asked to start at once or not at all. Cancelled answers a
+// answers a job that asked to start at once or not at all, Crowded one that
+// would be refused and that several data centres together may have room for.
+// Cancelled answers a
 // job whose caller went away or whose time is over. Lost means that its home is
 // out of reach and that the job may have run in part.
 const (
@@ -26,6 +29,7 @@
 	Moved      Verdict = "moved"
 	Redirected Verdict = "redirected"
 	Busy       Verdict = "busy"
+	Crowded    Verdict = "crowded"
 	Cancelled  Verdict = "cancelled"
 	Lost       Verdict = "lost"
 )
@@ -34,7 +38,8 @@
 type Outcome struct {
 	Verdict    Verdict       `json:"verdict"`
 	Reason     string        `json:"reason,omitempty"`
-	RetryAfter time.Duration `json:"retryAfter,omitempty"` // of Refused
+	RetryAfter time.Duration `json:"retryAfter,omitempty"` // of Refused and Crowded
+	Room       int           `json:"room,omitempty"`       // tasks that could start here, of Crowded
 	DataCentre string        `json:"dataCentre,omitempty"` // of Redirected
 	Done       []string      `json:"done,omitempty"`       // tasks that are done, of Moved
 	Begun      []string      `json:"begun,omitempty"`      // tasks that may still run, of Moved
@@ -55,6 +60,8 @@
 	Spill bool `json:"spill,omitempty"`
 	// Settled asks not to be redirected.
 	Settled bool `json:"settled,omitempty"`
+	// Part is the share of the tasks that is run; without one, all are.
+	Part *Part `json:"part,omitempty"`
 	// Done are the tasks that an earlier home saw done, and Begun those that it
 	// may have left running; without Told, any other task may run too.
 	Done  []string `json:"done,omitempty"`
@@ -62,8 +69,24 @@
 	Told  bool     `json:"told,omitempty"`
 }
 
+// Part is a share of the tasks of a job with one step: Count of them, from
+// First on.
+type Part struct {
+	First int `json:"first"`
+	Count int `json:"count"`
+}
+
+// Key identifies a job, or a part of one, at a home.
+func (s Submission) Key() string {
+	if s.Part == nil {
+		return s.Batch.ID
+	}
+	return s.Batch.ID + "#" + strconv.Itoa(s.Part.First)
+}
+
 // job is a job in progress. Its fields are guarded by the home's lock.
 type job struct {
+	key       string
 	batch     model.Batch
 	route     model.Route
 	origin    string
@@ -114,7 +137,7 @@
 	select {
 	case <-j.over:
 	case <-ctx.Done():
-		h.Cancel(s.Batch.ID, "its caller went away")
+		h.Cancel(s.Key(), "its caller went away")
 		<-j.over
 	}
 	return j.outcome
@@ -128,16 +151,17 @@
 	if h.closed || h.fenced {
 		return nil, Outcome{Verdict: Moved, Reason: "the workers have another home"}
 	}
-	if j := h.jobs[s.Batch.ID]; j != nil {
+	if j := h.jobs[s.Key()]; j != nil {
 		j.origin = s.Origin
 		return j, Outcome{}
 	}
-	if f, ok := h.finished[s.Batch.ID]; ok && f.outcome.Verdict == Succeeded {
+	if f, ok := h.finished[s.Key()]; ok && f.outcome.Verdict == Succeeded {
 		return nil, f.outcome
 	}
 
 	now := time.Now()
 	j := h.newJob(s, now)
+	h.noteTypical(j)
 	j.inherit(s)
 	h.adopt(j, now)
 	if !j.started && !j.resumed {
@@ -145,7 +169,7 @@
 			return nil, refusal
 		}
 	}
-	h.jobs[s.Batch.ID] = j
+	h.jobs[j.key] = j
 	h.waiting[j] = struct{}{}
 	if len(j.tasks) == 0 || h.complete(j) {
 		h.finish(j, Outcome{Verdict: Succeeded})
@@ -157,6 +181,7 @@
 
 func (h *Home) newJob(s Submission, now time.Time) *job {
 	j := &job{
+		key:      s.Key(),
 		batch:    s.Batch,
 		route:    s.Route,
 		origin:   s.Origin,
@@ -167,9 +192,13 @@
 	}
 	for i, step := range s.Batch.Steps {
 		j.estimates = append(j.estimates, h.estimate(s.Route.Name, step.Estimate))
-		j.left = append(j.left, step.Replicas)
-		for k := range step.Replicas {
-			j.tasks = append(j.tasks, task{name: s.Batch.TaskName(i, k), step: i, readyAt: now})
+		part := Part{Count: step.Replicas}
+		if s.Part != nil {
+			part = *s.Part
+		}
+		j.left = append(j.left, part.Count)
+		for k := range part.Count {
+			j.tasks = append(j.tasks, task{name: s.Batch.TaskName(i, part.First+k), step: i, readyAt: now})
 		}
 	}
 	j.objective = plan.Objective(s.Route, plan.Chain(s.Batch.Steps, j.estimates))
@@ -214,7 +243,7 @@
 		return Outcome{}, true // what the workers have room for is not known yet
 	}
 	if reason := h.unfit(j); reason != "" {
-		return h.refused(j, reason, 0), false
+		return h.refused(reason, 0), false
 	}
 
 	chain := plan.Chain(j.batch.Steps, j.estimates)
@@ -233,12 +262,17 @@
 	}
 	if !plan.Admit(wait, chain, j.objective, now.Sub(j.arrived)) {
 		reason := fmt.Sprintf("the backlog takes %d ms, the job has %d ms", wait.Milliseconds(), (j.objective - chain).Milliseconds())
-		return h.refused(j, reason, wait), false
+		o := h.refused(reason, wait)
+		if len(j.batch.Steps) == 1 && s.Part == nil {
+			o.Verdict = Crowded
+			o.Room = h.room(j, now)
+		}
+		return o, false
 	}
 	return Outcome{}, true
 }
 
-func (h *Home) refused(j *job, reason string, wait time.Duration) Outcome {
+func (h *Home) refused(reason string, wait time.Duration) Outcome {
 	return Outcome{Verdict: Refused, Reason: reason, RetryAfter: plan.RetryAfter(wait, draw())}
 }
 
@@ -246,9 +280,9 @@
 // thousandths of a core.
 func (j *job) width() int {
 	total := 0
-	for _, s := range j.batch.Steps {
-		if len(s.After) == 0 {
-			total += s.Replicas * s.Needs.Processor()
+	for i := range j.tasks {
+		if s := j.batch.Steps[j.tasks[i].step]; len(s.After) == 0 {
+			total += s.Needs.Processor()
 		}
 	}
 	return total
@@ -304,18 +338,18 @@
 
 // finish gives a job its outcome.
 func (h *Home) finish(j *job, o Outcome) {
-	if h.jobs[j.batch.ID] != j {
+	if h.jobs[j.key] != j {
 		return
 	}
-	delete(h.jobs, j.batch.ID)
+	delete(h.jobs, j.key)
 	delete(h.waiting, j)
 	if len(h.finished) < maxFinished {
-		h.finished[j.batch.ID] = finished{outcome: o, at: time.Now()}
+		h.finished[j.key] = finished{outcome: o, at: time.Now()}
 	}
 	j.outcome = o
 	close(j.over)
 	h.options.Log.Info().
-		Str("job", j.batch.ID).Str("queue", j.route.Name).Str("verdict", string(o.Verdict)).Str("reason", o.Reason).
+		Str("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Verdict)).Str("reason", o.Reason).
 		Int64("tookMillis", time.Since(j.arrived).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
 		Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
 }
@@ -339,7 +373,7 @@
 	case j.resumed:
 		h.abort(j, Outcome{Verdict: Lost, Reason: "an earlier home may have begun it, and there is no room in time"})
 	default:
-		h.finish(j, h.refused(j, "no room in time", plan.Chain(j.batch.Steps, j.estimates)))
+		h.finish(j, h.refused("no room in time", plan.Chain(j.batch.Steps, j.estimates)))
 	}
 }
 
