--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -37,6 +37,13 @@
 	return l.starts[task]
 }
 
+// Where returns the worker on which a task runs, or "".
+func (l *Ledger) Where(task string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.running[task]
+}
+
 // Running returns the number of tasks that run.
 func (l *Ledger) Running() int {
 	l.mu.Lock()
--- a/fleet/tend.go
+++ b/fleet/tend.go
@@ -174,7 +174,13 @@
 // shouldClaim reports whether the home of a data centre is gone and this
 // instance is the one to follow.
 func (f *Fleet) shouldClaim(dataCentre string, owner homeRow) bool {
-	if f.leaving.Load() || time.Since(f.started) < settleTime || !f.homes.Reached() {
+	if f.leaving.Load() || !f.homes.Reached() {
+		return false
+	}
+	if owner.Instance == f.self.Instance {
+		return true // an earlier life of this very process, which is over
+	}
+	if time.Since(f.started) < settleTime {
 		return false
 	}
 	living := f.beats.Living()
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -177,8 +177,44 @@
 	}
 }
 
+// review refuses waiting jobs that the present backlog leaves no use: what
+// was expected when they came, such as a worker, may be gone.
+func (h *Home) review(now time.Time) {
+	if len(h.waiting) == 0 || !h.listed(now) {
+		return
+	}
+	ahead := 0
+	for _, j := range h.inOrder(now) {
+		claim := j.waitingProcessor()
+		if j.started || j.resumed {
+			ahead += claim
+			continue
+		}
+		b := h.capacity(j, now)
+		b.Ahead = ahead
+		wait := b.Wait(claim)
+		if !plan.Keep(wait, plan.Chain(j.batch.Steps, j.estimates), j.objective, now.Sub(j.arrived)) {
+			h.finish(j, h.refused("the backlog leaves no time", wait))
+			continue
+		}
+		ahead += claim
+	}
+}
+
 // backlog describes what a new job finds.
 func (h *Home) backlog(j *job, now time.Time) plan.Backlog {
+	b := h.capacity(j, now)
+	mine := j.waitingEntry()
+	for other := range h.waiting {
+		if plan.Compare(other.waitingEntry(), mine, now) <= 0 {
+			b.Ahead += other.waitingProcessor()
+		}
+	}
+	return b
+}
+
+// capacity describes the workers, and what runs on them, to a job.
+func (h *Home) capacity(j *job, now time.Time) plan.Backlog {
 	var b plan.Backlog
 	var runs time.Duration
 	for _, u := range h.units {
@@ -201,13 +237,6 @@
 	if len(b.Running) > 0 {
 		b.MeanRun = runs / time.Duration(len(b.Running))
 	}
-
-	mine := j.waitingEntry()
-	for other := range h.waiting {
-		if plan.Compare(other.waitingEntry(), mine, now) <= 0 {
-			b.Ahead += other.waitingProcessor()
-		}
-	}
 	return b
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -53,6 +53,10 @@
 	// small against the shortest objectives, which are about 150 ms.
 	tick = 20 * time.Millisecond
 
+	// reviewInterval is the time between looks whether the jobs that wait can
+	// still be served; it is a fraction of the shortest objectives.
+	reviewInterval = 60 * time.Millisecond
+
 	// keepFinished is how long the outcome of a job is kept for a caller that
 	// lost its answer and sends the job again; callers do so within 1.3 s.
 	keepFinished = 4 * time.Second
@@ -74,19 +78,20 @@
 	done    chan struct{}
 	began   time.Time
 
-	mu       sync.Mutex
-	closed   bool
-	fenced   bool
-	partial  bool // workers may be missing on the list
-	units    map[string]*unit
-	jobs     map[string]*job
-	waiting  map[*job]struct{} // jobs with tasks to start
-	finished map[string]finished
-	orphans  map[string]lease.End // ends of runs of earlier homes, by task
-	lastRun  int64
-	typical  int             // claim of a task on processors, in thousandths of a core
-	ratios   learn.Estimator // run time over the declared one, by queue
-	means    learn.Estimator // run time, by queue
+	mu         sync.Mutex
+	closed     bool
+	fenced     bool
+	partial    bool // workers may be missing on the list
+	units      map[string]*unit
+	jobs       map[string]*job
+	waiting    map[*job]struct{} // jobs with tasks to start
+	finished   map[string]finished
+	orphans    map[string]lease.End // ends of runs of earlier homes, by task
+	lastRun    int64
+	reviewedAt time.Time
+	typical    int             // claim of a task on processors, in thousandths of a core
+	ratios     learn.Estimator // run time over the declared one, by queue
+	means      learn.Estimator // run time, by queue
 }
 
 type finished struct {
@@ -216,6 +221,10 @@
 	for _, j := range h.jobs {
 		h.expire(j, now)
 	}
+	if now.Sub(h.reviewedAt) >= reviewInterval {
+		h.reviewedAt = now
+		h.review(now)
+	}
 	for id, f := range h.finished {
 		if now.Sub(f.at) > keepFinished {
 			delete(h.finished, id)
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -510,3 +511,74 @@
 		}
 	})
 }
+
+// Two workers, of which one stands still and the other one is full for long:
+// the tasks that hang are given up all the same.
+func TestStuckRunIsGivenUpWithoutRoomElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 2)
+		for _, w := range p.workers {
+			w.RunTime = func(task string) time.Duration {
+				if strings.HasPrefix(task, "long") {
+					return time.Second
+				}
+				return runTime
+			}
+		}
+		h := p.ready(1)
+		defer p.close(h)
+		long := submission("long", 2)
+		long.Batch.Steps[0].Estimate = time.Second
+		go submit(h, long) // fills the first worker
+		time.Sleep(10 * time.Millisecond)
+		p.workers["w1"].SetFaults(fakes.Faults{StandStill: true})
+
+		began := time.Now()
+		go submit(h, submission("stuck", 2))
+		time.Sleep(500 * time.Millisecond)
+		for i := range 2 {
+			if w := p.ledger.Where(fmt.Sprintf("stuck.0.0.%d", i)); w != "" {
+				t.Errorf("task %d still stands on %s after %v", i, w, time.Since(began))
+			}
+		}
+		time.Sleep(2 * time.Second)
+		p.check()
+	})
+}
+
+// Jobs that came while their home knew no worker yet are refused as soon as it
+// knows that they can't be served, not when they expire.
+func TestBacklogFromBeforeTheHomeIsRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 1)
+		h := p.home(1)
+		defer p.close(h)
+		type answer struct {
+			verdict home.Verdict
+			took    time.Duration
+		}
+		answers := make(chan answer, 30)
+		for i := range 30 {
+			go func() {
+				began := time.Now()
+				v := verdict(submit(h, submission(fmt.Sprintf("j%d", i), 2)))
+				answers <- answer{v, time.Since(began)}
+			}()
+		}
+		objective := 156 * time.Millisecond
+		refused := 0
+		for range 30 {
+			a := <-answers
+			if a.verdict != home.Refused {
+				continue
+			}
+			refused++
+			if a.took > objective {
+				t.Errorf("refused after %v, the objective is %v", a.took, objective)
+			}
+		}
+		if refused < 20 {
+			t.Errorf("%d refused", refused)
+		}
+	})
+}
--- a/home/unit.go
+++ b/home/unit.go
@@ -442,7 +442,7 @@
 	}
 	h := u.home
 	u.health.Stalled(now)
-	if !h.roomElsewhere(u, o, now) {
+	if !plan.Stuck(now.Sub(p.PercentAt), estimate) && !h.roomElsewhere(u, o, now) {
 		return
 	}
 	h.options.Log.Warn().Str("job", o.job.batch.ID).Str("task", p.Task).Int64("run", p.Run).Str("worker", u.worker.ID).
--- a/plan/move.go
+++ b/plan/move.go
@@ -29,6 +29,17 @@
 	return elapsed * time.Duration(100-min(percent, 100)) / time.Duration(percent)
 }
 
+// minStandstill is the least time without headway that counts as a standstill;
+// progress is known from looks that are this far apart at most.
+const minStandstill = 150 * time.Millisecond
+
+// Stuck reports whether a run has stood still for longer than all of its work
+// should take. It answers workers on which tasks hang for good: their runs are
+// given up even while no other worker has room.
+func Stuck(still, estimate time.Duration) bool {
+	return still > max(estimate, minStandstill)
+}
+
 // Move reports whether a run does better to start anew elsewhere. It answers
 // workers that turn slow, and tasks that stand still on workers that answer.
 func Move(elapsed time.Duration, percent int, estimate time.Duration) bool {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -159,6 +159,18 @@
 	return age+wait+chain <= time.Duration(admitFactor*float64(objective))
 }
 
+// keepFactor is the share of the objective within which a job that waits must
+// be expected to end in order to be kept. It is above admitFactor, since a late
+// answer is of some use and the caller has waited already.
+const keepFactor = 2
+
+// Keep reports whether a job that waits is kept. It answers backlogs that grew
+// after jobs were admitted, such as those that callers build up while there is
+// no home: what can't be served is refused long before it expires.
+func Keep(wait, chain, objective, age time.Duration) bool {
+	return age+wait+chain <= keepFactor*objective
+}
+
 // Retry bounds.
 const (
 	minRetryAfter = 200 * time.Millisecond
