--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,6 +31,11 @@
 // that changes with each start.
 const incarnationBytes = 8
 
+// workersPause is the time between two requests for changes of the workers'
+// table, which each worker writes every 1.5 s. A worker that leaves serves for
+// at least 2 s more, and no task may start on it after them.
+const workersPause = 700 * time.Millisecond
+
 // Fleet is one entry instance.
 type Fleet struct {
 	settings  setup.Settings
@@ -122,10 +127,10 @@
 
 func (f *Fleet) build() {
 	l := &f.log.Logger
-	f.workers = watch.New(f.names.Workers, f.store, f.onWorkers, l)
-	f.config = watch.New(f.names.Operator, f.store, f.onConfig, l)
-	f.homes = watch.New(homesTable, f.store, f.onHomes, l)
-	f.nodes = watch.New(nodesTable, f.store, f.onNodes, l)
+	f.workers = watch.New(f.names.Workers, f.store, workersPause, f.onWorkers, l)
+	f.config = watch.New(f.names.Operator, f.store, 0, f.onConfig, l)
+	f.homes = watch.New(homesTable, f.store, 0, f.onHomes, l)
+	f.nodes = watch.New(nodesTable, f.store, 0, f.onNodes, l)
 	f.peers = peer.New(peer.Options{
 		Self:    model.Entry{ID: f.self.Instance, Incarnation: f.self.Incarnation},
 		Listen:  func(string) (net.Listener, error) { return f.listeners.peers, nil },
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -34,6 +34,7 @@
 type Mirror struct {
 	name     string
 	source   Source
+	pause    time.Duration
 	onChange func(rows []table.Row)
 	log      *log.Logger
 	done     chan struct{}
@@ -47,9 +48,11 @@
 }
 
 // New returns the mirror of a table whose Run is still to be called. OnChange
-// is called after the rows changed, from one goroutine at a time.
-func New(name string, source Source, onChange func(rows []table.Row), log *log.Logger) *Mirror {
-	return &Mirror{name: name, source: source, onChange: onChange, log: log, done: make(chan struct{}), rows: map[string]table.Row{}}
+// is called after the rows changed, from one goroutine at a time. Pause is the
+// time between two requests for changes, which gathers those of a table that
+// is written all the time.
+func New(name string, source Source, pause time.Duration, onChange func(rows []table.Row), log *log.Logger) *Mirror {
+	return &Mirror{name: name, source: source, pause: pause, onChange: onChange, log: log, done: make(chan struct{}), rows: map[string]table.Row{}}
 }
 
 // Done is closed when Run has returned.
@@ -110,16 +113,24 @@
 		m.note(err)
 		if err == nil {
 			retry = minRetry
+			sleep(ctx, m.pause)
 			continue
 		}
-		select {
-		case <-time.After(retry):
-		case <-ctx.Done():
-		}
+		sleep(ctx, retry)
 		retry = min(2*retry, maxRetry)
 	}
 }
 
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func historyLost(err error) bool {
 	var told interface{ HistoryLost() bool }
 	return errors.As(err, &told) && told.HistoryLost()
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -28,6 +28,7 @@
 	down    bool
 	changed chan struct{}
 	lists   int
+	watches int
 }
 
 func newStore() *store { return &store{rows: map[string]table.Row{}, changed: make(chan struct{})} }
@@ -80,6 +81,9 @@
 // Watch returns later changes.
 func (s *store) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (table.Changes, error) {
 	deadline := time.After(wait)
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		switch {
@@ -116,7 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	var told []string
-	m := watch.New("t", s, func(rows []table.Row) {
+	m := watch.New("t", s, 0, func(rows []table.Row) {
 		mu.Lock()
 		defer mu.Unlock()
 		for _, row := range rows {
@@ -233,6 +237,29 @@
 	})
 }
 
+// Each worker writes its row all the time: the requests for changes are bounded
+// whatever the workers write.
+func TestPauseGathersChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		rows := 0
+		m := watch.New("t", s, 500*time.Millisecond, func(r []table.Row) { rows += len(r) }, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		go m.Run(ctx)
+		for range 200 {
+			s.put("t/a", "1", false)
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		<-m.Done()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.watches > 21 || s.watches < 15 || rows < 15 {
+			t.Errorf("%d requests in 10 s, %d rows", s.watches, rows)
+		}
+	})
+}
+
 func TestOwnWriteIsSeenAtOnceAndOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
