--- a/beat/beat.go
+++ b/beat/beat.go
@@ -47,6 +47,8 @@
 	Incarnation string `json:"incarnation"`
 	DataCentre  string `json:"dataCentre"`
 	Addr        string `json:"addr"`
+
+	Processor float64 `json:"processor"` // cores of the machine
 }
 
 // Member is what was heard of an instance.
@@ -271,9 +273,9 @@
 	return list
 }
 
-// DataCentre returns the data centre of an instance by the store's list.
-func (g *Group) DataCentre(instance string) string {
+// Peer returns what the store lists of an instance.
+func (g *Group) Peer(instance string) Peer {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.peers[instance].DataCentre
+	return g.peers[instance]
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -96,7 +96,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		settings:  s,
-		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr},
+		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr, Processor: s.Limits.Processor},
 		adapter:   adapter,
 		names:     adapter.Names(),
 		listeners: opened,
--- /dev/null
+++ b/fleet/follow.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"foxtailmux/beat"
+)
+
+// candidate is an instance that could be the home of a data centre.
+type candidate struct {
+	peer  beat.Peer
+	homes int // that it has already
+}
+
+// follow picks the home of a data centre: an instance in it if there is one, of
+// these those with most processor, and of these one with few homes. All
+// instances that hear each other pick the same. It answers unlike machines, of
+// which the small ones can't carry a data centre's starts.
+func follow(dataCentre string, list []candidate) string {
+	best := slices.MinFunc(list, func(a, b candidate) int {
+		return cmp.Or(
+			-compareBool(a.peer.DataCentre == dataCentre, b.peer.DataCentre == dataCentre),
+			-cmp.Compare(a.peer.Processor, b.peer.Processor),
+			cmp.Compare(a.homes, b.homes),
+			cmp.Compare(rank(dataCentre, a), rank(dataCentre, b)),
+		)
+	})
+	return best.peer.Instance
+}
+
+func rank(dataCentre string, c candidate) uint64 {
+	return xxhash.Sum64String(dataCentre + "/" + c.peer.Instance)
+}
+
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
--- a/fleet/tend.go
+++ b/fleet/tend.go
@@ -1,13 +1,11 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sys/unix"
 
 	"foxtailmux/beat"
@@ -196,37 +194,15 @@
 	return f.self.DataCentre == dataCentre || f.reachable(dataCentre)
 }
 
-// candidate is an instance that could be the home of a data centre.
-type candidate struct {
-	instance string
-	near     bool
-	homes    int
-	rank     uint64
-}
-
-// successor picks the instance that follows as the home: one in the data
-// centre if there is one, and of these one with few homes.
+// successor picks the instance that follows as the home of a data centre.
 func (f *Fleet) successor(dataCentre string, living map[string]beat.Member) string {
-	own := candidate{instance: f.self.Instance, near: f.self.DataCentre == dataCentre, homes: f.homeCount()}
-	list := []candidate{own}
+	list := []candidate{{peer: f.self, homes: f.homeCount()}}
 	for id, m := range living {
 		if !m.Leaving {
-			list = append(list, candidate{instance: id, near: f.beats.DataCentre(id) == dataCentre, homes: len(m.Homes)})
+			list = append(list, candidate{peer: f.beats.Peer(id), homes: len(m.Homes)})
 		}
 	}
-	for i := range list {
-		list[i].rank = xxhash.Sum64String(dataCentre + "/" + list[i].instance)
-	}
-	best := slices.MinFunc(list, func(a, b candidate) int {
-		if a.near != b.near {
-			if a.near {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.homes, b.homes), cmp.Compare(a.rank, b.rank))
-	})
-	return best.instance
+	return follow(dataCentre, list)
 }
 
 func (f *Fleet) homeCount() int {
--- a/setup/check.go
+++ b/setup/check.go
@@ -17,6 +17,7 @@
 	maxHeaderBytes = mebibyte
 	maxCount       = 1_000_000
 	maxTickets     = 100_000
+	maxCores       = 1024
 	minTimeout     = time.Millisecond
 	maxTimeout     = time.Hour
 )
@@ -104,6 +105,7 @@
 		{"limits.openJobs", checkInt(l.OpenJobs, 1, maxCount)},
 		{"limits.queuedTasks", checkInt(l.QueuedTasks, 1, maxCount)},
 		{"limits.ticketsPerRequest", checkInt(l.TicketsPerRequest, 1, maxTickets)},
+		{"limits.processor", checkProcessor(l.Processor)},
 	}
 }
 
@@ -217,6 +219,13 @@
 	return nil
 }
 
+func checkProcessor(cores float64) error {
+	if cores <= 0 || cores > maxCores {
+		return eris.Errorf("%v is not above 0 and at most %d", cores, maxCores)
+	}
+	return nil
+}
+
 func checkDuration(d, low time.Duration) error {
 	if d < low || d > maxTimeout {
 		return eris.Errorf("%v is not between %v and %v", d, low, maxTimeout)
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -64,6 +64,7 @@
 	fs.IntVar(&l.OpenJobs, "limits.openJobs", l.OpenJobs, "most open jobs")
 	fs.IntVar(&l.QueuedTasks, "limits.queuedTasks", l.QueuedTasks, "most queued tasks")
 	fs.IntVar(&l.TicketsPerRequest, "limits.ticketsPerRequest", l.TicketsPerRequest, "most tickets in one request")
+	fs.Float64Var(&l.Processor, "limits.processor", l.Processor, "cores of the machine")
 }
 
 // Variable returns the name of the environment variable that sets a field.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -63,6 +63,10 @@
 	OpenJobs          int `yaml:"openJobs" json:"openJobs"`
 	QueuedTasks       int `yaml:"queuedTasks" json:"queuedTasks"`
 	TicketsPerRequest int `yaml:"ticketsPerRequest" json:"ticketsPerRequest"`
+
+	// Processor is what the machine has, in cores. On a users' platform the
+	// homes go to the instances that have most.
+	Processor float64 `yaml:"processor" json:"processor"`
 }
 
 // Stop is the course of a graceful shutdown. The process stays open for
@@ -116,6 +120,7 @@
 			OpenJobs:          5000,
 			QueuedTasks:       50_000,
 			TicketsPerRequest: 1000,
+			Processor:         1,
 		},
 		Stop: Stop{
 			DrainDelay: 3 * time.Second,
