home, plan: blame a worker only for several lost starts in a row

A silent worker was asked again only after 100 ms.

Ruled out: leases and stops (no run twice, no task held to its deadline).

--- a/home/unit.go
+++ b/home/unit.go
@@ -14,7 +14,7 @@
 	// orderTimeout is how long a start, a stop or a look waits for its answer.
 	// A worker answers within a few milliseconds; the rest is for machines
 	// that are slow for a moment.
-	orderTimeout = 80 * time.Millisecond
+	orderTimeout = 60 * time.Millisecond
 
 	// maxHoldWait is how long a hold waits at the worker for an end. Two of
 	// them fit into a lease of one second with one lost answer between.
@@ -23,11 +23,13 @@
 	// minHoldWait bounds the holds of a run that lasts longer than expected.
 	minHoldWait = 60 * time.Millisecond
 
-	// retryHold is the time between holds of a worker that does not answer.
-	retryHold = 100 * time.Millisecond
-
-	// retryIdle is the same for a worker on which nothing can run any more.
-	retryIdle = 500 * time.Millisecond
+	// The time between holds of a worker that does not answer grows from
+	// minRetryHold, since a single answer that was lost leaves a sound worker
+	// unused for it, to maxRetryHold, or to maxRetryIdle where nothing can run
+	// any more.
+	minRetryHold = 5 * time.Millisecond
+	maxRetryHold = 100 * time.Millisecond
+	maxRetryIdle = 500 * time.Millisecond
 
 	// ackDelay is how long the last ends of an idle worker wait for their
 	// acknowledgement, which costs a call of its own.
@@ -93,15 +95,19 @@
 // given up.
 func (u *unit) run() {
 	defer u.endpoint.Close()
+	retry := time.Duration(0)
 	for u.ctx.Err() == nil {
 		pause, ok := u.next()
 		if !ok {
 			u.sleep(pause)
 			continue
 		}
-		if err := u.hold(true); err != nil {
-			u.sleep(u.retryDelay())
+		retry = u.retryDelay(retry)
+		if err := u.hold(true); err == nil {
+			retry = 0
+			continue
 		}
+		u.sleepTimer(retry)
 	}
 }
 
@@ -120,13 +126,15 @@
 	return 0, false
 }
 
-func (u *unit) retryDelay() time.Duration {
+// retryDelay returns how long to wait after a failed hold, by the wait before.
+func (u *unit) retryDelay(before time.Duration) time.Duration {
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
+	limit := maxRetryHold
 	if u.listed && u.book.Len() == 0 {
-		return retryIdle
+		limit = maxRetryIdle
 	}
-	return retryHold
+	return min(max(2*before, minRetryHold), limit)
 }
 
 // sleep waits for the time, or without one until the unit is woken.
@@ -288,6 +296,7 @@
 	switch reply.Refusal {
 	case lease.Accepted:
 		u.answered()
+		u.health.Accepted()
 		u.book.Confirm(s.Task, s.Run, now)
 	case lease.Fenced:
 		h.fence(u.worker.ID)
@@ -390,7 +399,9 @@
 		for _, s := range stops {
 			u.sendStop(s.Task, s.Run)
 		}
-		u.sleepTimer(settlePause)
+		if len(stops) == 0 {
+			u.sleepTimer(settlePause)
+		}
 	}
 }
 
--- a/plan/health.go
+++ b/plan/health.go
@@ -34,6 +34,7 @@
 // value trusts.
 type Health struct {
 	failures  int
+	ignored   int // starts in a row that were not carried out
 	lastJob   string
 	pace      float64 // run time over the expected one, 0 is not known
 	ejection  time.Duration
@@ -90,12 +91,20 @@
 // IsSilent reports whether the last order got no answer.
 func (h *Health) IsSilent() bool { return h.silent }
 
-// Ignored notes that the worker answers, but did not carry out a start.
+// Ignored notes that the worker answers, but did not carry out a start. One
+// start alone may have been lost on its way, as those of all workers are at
+// times; several in a row are the worker's.
 func (h *Health) Ignored(now time.Time) {
 	h.probing = false
-	h.eject(now)
+	h.ignored++
+	if h.ignored >= ejectAfter {
+		h.eject(now)
+	}
 }
 
+// Accepted notes that the worker carried out a start.
+func (h *Health) Accepted() { h.ignored = 0 }
+
 // Unwell notes that the worker itself says it takes no work.
 func (h *Health) Unwell(now time.Time) { h.avoidTill = now.Add(minEjection) }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -157,6 +157,22 @@
 	}
 }
 
+// A tenth of the orders to all workers is lost: no worker is to blame.
+func TestLostStartsInBetweenDoNotEject(t *testing.T) {
+	var h plan.Health
+	for range 10 {
+		h.Ignored(start)
+		h.Accepted()
+	}
+	got := []plan.Trust{h.Trust(start)}
+	h.Ignored(start)
+	h.Ignored(start)
+	got = append(got, h.Trust(start))
+	if diff := cmp.Diff([]plan.Trust{plan.Trusted, plan.Avoided}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func ExampleChain() {
 	steps := []model.Step{{}, {}, {After: []int{0, 1}}}
 	fmt.Println(plan.Chain(steps, []time.Duration{100 * ms, 300 * ms, 50 * ms}))
