--- a/entry/queues.go
+++ b/entry/queues.go
@@ -225,10 +225,12 @@
 		patience = defaultPatience
 	}
 	batch, err := s.options.Protocol.DecodeBatch(id, route.Name, c.BodyRaw())
+	if err == nil && batch.Tasks() > DefaultMaxTasks {
+		err = eris.Errorf("the job has %d tasks, allowed are %d", batch.Tasks(), DefaultMaxTasks)
+	}
 	if err != nil {
 		return s.refuseJob(c, route, id, err)
 	}
-
 	if !s.leavesTime(batch) {
 		return s.refuse(c, http.StatusServiceUnavailable, "the instance is leaving", time.Second)
 	}
--- /dev/null
+++ b/entry/queues_test.go
@@ -0,0 +1,245 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
+
+	"foxtailmux/home"
+	"foxtailmux/model"
+)
+
+// plain is a protocol in which a body is the number of tasks.
+type plain struct{}
+
+type errUnserved struct{ error }
+
+func (errUnserved) NotServed() bool { return true }
+
+func (plain) ReadyPath() string                                { return "/ready" }
+func (plain) TimeoutHeader() string                            { return "Patience" }
+func (plain) DecodeTimeout(text string) (time.Duration, error) { return time.ParseDuration("0" + text) }
+func (plain) SucceededBody() []byte                            { return []byte("succeeded") }
+func (plain) FailedBody() []byte                               { return []byte("failed") }
+func (plain) PendingBody(n int) []byte                         { return []byte(strings.Repeat("p", n)) }
+func (plain) DecodeBatch(id, queue string, body []byte) (model.Batch, error) {
+	switch string(body) {
+	case "bad":
+		return model.Batch{}, errors.New("bad body")
+	case "other":
+		return model.Batch{}, errUnserved{errors.New("not served")}
+	case "huge":
+		return model.Batch{ID: id, Steps: []model.Step{{Replicas: DefaultMaxTasks + 1}}}, nil
+	}
+	return model.Batch{ID: id, Queue: queue, Steps: []model.Step{{Replicas: 1, Estimate: time.Second}}}, nil
+}
+
+// dispatcher answers each job with the outcome.
+type dispatcher struct {
+	routing *model.Routing
+	outcome home.Outcome
+	wait    bool // until the job is cancelled
+	ran     atomic.Int32
+	ready   error
+}
+
+func (d *dispatcher) Routing() *model.Routing             { return d.routing }
+func (d *dispatcher) Pending(context.Context, string) int { return 3 }
+func (d *dispatcher) Ready() error                        { return d.ready }
+func (d *dispatcher) Run(ctx context.Context, _ home.Submission) home.Outcome {
+	d.ran.Add(1)
+	if d.wait {
+		<-ctx.Done()
+		return home.Outcome{Verdict: home.Cancelled}
+	}
+	return d.outcome
+}
+
+type unobserved struct{}
+
+func (unobserved) Answered(string, string)               {}
+func (unobserved) Refused(string)                        {}
+func (unobserved) Response(time.Duration, time.Duration) {}
+
+var testRouting = &model.Routing{
+	Version: 1,
+	Routes: []model.Route{
+		{Name: "a", Host: "h.example", Prefix: "/q/"},
+		{Name: "b", Host: "h.example", Prefix: "/q/longer/"},
+	},
+	Limits: model.RequestLimits{MaxBody: 100},
+}
+
+func serveQueues(t *testing.T, d *dispatcher) (s *QueueServer, callers, balancer string) {
+	t.Helper()
+	listeners := make([]net.Listener, 2)
+	for i := range listeners {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners[i] = l
+	}
+	s = NewQueueServer(QueueOptions{
+		Callers: listeners[0], Balancer: listeners[1], Protocol: plain{}, Dispatcher: d, Observer: unobserved{},
+		Limits: Limits{MaxBody: 1 << 20, MaxHeader: 4096, MaxConnections: 100, ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second},
+		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+	})
+	if err := s.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := s.Stop(ctx); err != nil {
+			t.Error(err)
+		}
+	})
+	return s, listeners[0].Addr().String(), listeners[1].Addr().String()
+}
+
+// told is what a caller sees.
+type told struct {
+	Status     int
+	Body       string
+	RetryAfter string
+}
+
+func ask(t *testing.T, method, addr, path, body string) told {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Patience", "5s")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return told{resp.StatusCode, string(text), resp.Header.Get("Retry-After")}
+}
+
+func TestOutcomesOfJobs(t *testing.T) {
+	cases := map[home.Verdict]told{
+		home.Succeeded: {200, "succeeded", ""},
+		home.Failed:    {200, "failed", ""},
+		home.Refused:   {503, "why", "2"}, // 1.2 s, rounded up
+		home.Lost:      {504, "why", ""},
+		home.Cancelled: {504, "why", ""},
+	}
+	for v, want := range cases {
+		d := &dispatcher{routing: testRouting, outcome: home.Outcome{Verdict: v, Reason: "why", RetryAfter: 1200 * time.Millisecond}}
+		_, addr, _ := serveQueues(t, d)
+		if diff := cmp.Diff(want, ask(t, "POST", addr, "/q/5c0e", "1")); diff != "" {
+			t.Errorf("%s: %s", v, diff)
+		}
+	}
+}
+
+func TestRequestsThatRunNothing(t *testing.T) {
+	d := &dispatcher{routing: testRouting}
+	_, addr, balancer := serveQueues(t, d)
+	cases := []struct {
+		method, path, body string
+		want               int
+	}{
+		{"POST", "/none/5c0e", "1", 404},
+		{"POST", "/q/", "1", 400},
+		{"POST", "/q/a.b", "1", 400},
+		{"POST", "/q/5c0e", "bad", 400},
+		{"POST", "/q/5c0e", "huge", 400},
+		{"POST", "/q/5c0e", "other", 503},
+		{"POST", "/q/5c0e", strings.Repeat("x", 101), 413},
+		{"GET", "/q/5c0e", "", 410},
+		{"DELETE", "/q/5c0e", "", 410},
+		{"PUT", "/q/5c0e", "", 405},
+	}
+	for _, c := range cases {
+		if got := ask(t, c.method, addr, c.path, c.body).Status; got != c.want {
+			t.Errorf("%s %s: %d, want %d", c.method, c.path, got, c.want)
+		}
+	}
+	if n := d.ran.Load(); n != 0 {
+		t.Errorf("%d jobs ran", n)
+	}
+	if diff := cmp.Diff(told{200, "ppp", ""}, ask(t, "GET", addr, "/q/longer/", "")); diff != "" {
+		t.Error(diff)
+	}
+
+	d.routing = nil
+	if got := ask(t, "POST", addr, "/q/5c0e", "1"); got.Status != 503 || got.RetryAfter == "" {
+		t.Errorf("without a configuration: %+v", got)
+	}
+	if got := ask(t, "GET", balancer, "/ready", "").Status; got != 200 {
+		t.Errorf("ready: %d", got)
+	}
+	d.ready = errors.New("leaving")
+	if got := ask(t, "GET", balancer, "/ready", "").Status; got != 503 {
+		t.Errorf("not ready: %d", got)
+	}
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	route, rest, ok := findRoute(testRouting, "h.example", "/q/longer/5c0e")
+	if route.Name != "b" || rest != "5c0e" || !ok {
+		t.Errorf("%q %q %v", route.Name, rest, ok)
+	}
+	if _, _, ok := findRoute(testRouting, "other.example", "/q/5c0e"); ok {
+		t.Error("another host has no queue")
+	}
+}
+
+// A job that can't end before the instance stops is refused while nothing ran.
+func TestStoppingServerRefusesWhatCannotEnd(t *testing.T) {
+	d := &dispatcher{routing: testRouting, outcome: home.Outcome{Verdict: home.Succeeded}}
+	s, addr, _ := serveQueues(t, d)
+	s.Drain(time.Now().Add(time.Minute))
+	early := ask(t, "POST", addr, "/q/5c0e", "1").Status
+	s.Drain(time.Now().Add(time.Second)) // the job is estimated at one
+	late := ask(t, "POST", addr, "/q/5c0f", "1").Status
+	if diff := cmp.Diff([]int{200, 503}, []int{early, late}); diff != "" || d.ran.Load() != 1 {
+		t.Errorf("%s, %d ran", diff, d.ran.Load())
+	}
+}
+
+func TestJobOfACallerWhoGoesAwayIsCancelled(t *testing.T) {
+	d := &dispatcher{routing: testRouting, wait: true}
+	s, addr, _ := serveQueues(t, d)
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/q/5c0e", strings.NewReader("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Patience", "1h")
+	go func() {
+		for d.ran.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	if resp, err := (&http.Client{Transport: &http.Transport{}}).Do(req); err == nil {
+		resp.Body.Close()
+		t.Error("the caller got an answer")
+	}
+	for limit := time.Now().Add(5 * time.Second); s.Open() > 0; time.Sleep(time.Millisecond) {
+		if time.Now().After(limit) {
+			t.Fatal("the job goes on")
+		}
+	}
+}
