home: count a job as a sign of life of its instance

Ends kept for jobs of earlier homes were never dropped.

Ruled out: cuts (the instances were heard within 250 ms after).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -23,9 +23,9 @@
 	// farInterval is the same for the rest.
 	farInterval = time.Second
 
-	// silence is how long an instance is not heard until it counts as dead:
+	// Silence is how long an instance is not heard until it counts as dead:
 	// four heartbeats in a row were lost, or its process does not run.
-	silence    = 1050 * time.Millisecond
+	Silence    = 1050 * time.Millisecond
 	farSilence = 4 * time.Second
 
 	// maxBytes of a heartbeat; it fits into one packet.
@@ -208,7 +208,7 @@
 	g.mu.Lock()
 	old := g.members[b.Instance]
 	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
-	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Routing != b.Routing || now.Sub(old.HeardAt) > silence
+	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Routing != b.Routing || now.Sub(old.HeardAt) > Silence
 	g.mu.Unlock()
 	if fresh {
 		g.options.OnBeat(b)
@@ -229,7 +229,7 @@
 	m, ok := g.members[instance]
 	limit := farSilence
 	if g.near(instance) || len(m.Homes) > 0 {
-		limit = silence
+		limit = Silence
 	}
 	return ok && now.Sub(m.HeardAt) < limit
 }
--- a/fleet/tend.go
+++ b/fleet/tend.go
@@ -183,11 +183,13 @@
 // that no run of theirs is left when their callers send the jobs again.
 func (f *Fleet) dropSilentOrigins() {
 	for _, h := range f.homesHere() {
-		for _, origin := range h.Origins() {
-			if !f.beats.Alive(origin) {
-				f.log.Warn().Str("peer", origin).Msg("jobs of an instance that is not heard are dropped")
-				h.DropOrigin(origin)
-			}
-		}
+		h.DropSilent(f.heardAt, beat.Silence)
+	}
+}
+
+func (f *Fleet) heardAt(instance string) time.Time {
+	if instance == f.self.Instance {
+		return time.Now()
 	}
+	return f.beats.Member(instance).HeardAt
 }
--- a/home/finish.go
+++ b/home/finish.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"slices"
 	"time"
 
 	"foxtailmux/plan"
@@ -16,12 +15,19 @@
 	}
 }
 
-// DropOrigin cancels the jobs of an instance that is no longer heard.
-func (h *Home) DropOrigin(instance string) {
+// DropSilent cancels the jobs of instances that were last heard longer ago than
+// the limit. A job itself is a sign of life too: it may arrive before the next
+// heartbeat of an instance that has just started or woken up.
+func (h *Home) DropSilent(heardAt func(instance string) time.Time, limit time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	for _, j := range h.jobs {
-		if j.origin == instance {
+		last := heardAt(j.origin)
+		if j.entered.After(last) {
+			last = j.entered
+		}
+		if now.Sub(last) > limit {
 			h.abort(j, Outcome{Verdict: Cancelled, Reason: "the instance of its caller is not heard"})
 		}
 	}
@@ -79,19 +85,6 @@
 	}
 }
 
-// Origins returns the instances that jobs in progress came from.
-func (h *Home) Origins() []string {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var list []string
-	for _, j := range h.jobs {
-		if !slices.Contains(list, j.origin) {
-			list = append(list, j.origin)
-		}
-	}
-	return list
-}
-
 // tell returns what a later home has to know of the tasks.
 func (j *job) tell(o Outcome) Outcome {
 	for i := range j.tasks {
--- a/home/hold.go
+++ b/home/hold.go
@@ -155,6 +155,7 @@
 	for _, e := range ends {
 		h.orphans[e.Task] = e
 	}
+	h.orphansAt = time.Now()
 }
 
 // replaced ends what ran on a worker whose address another one has.
--- a/home/home.go
+++ b/home/home.go
@@ -87,6 +87,7 @@
 	waiting    map[*job]struct{} // jobs with tasks to start
 	finished   map[string]finished
 	orphans    map[string]lease.End // ends of runs of earlier homes, by task
+	orphansAt  time.Time            // when the last ones came
 	lastRun    int64
 	reviewedAt time.Time
 	typical    int             // claim of a task on processors, in thousandths of a core
@@ -230,6 +231,9 @@
 			delete(h.finished, id)
 		}
 	}
+	if now.Sub(h.orphansAt) > keepFinished {
+		clear(h.orphans)
+	}
 	if len(h.waiting) > 0 {
 		h.dispatch(now)
 	}
--- a/home/job.go
+++ b/home/job.go
@@ -14,7 +14,8 @@
 	batch     model.Batch
 	route     model.Route
 	origin    string
-	arrived   time.Time
+	arrived   time.Time // at the instance of its caller
+	entered   time.Time // here
 	deadline  time.Time
 	objective time.Duration
 	resumed   bool
@@ -57,6 +58,7 @@
 		route:    s.Route,
 		origin:   s.Origin,
 		arrived:  now.Add(-s.Age),
+		entered:  now,
 		deadline: now.Add(s.Left),
 		resumed:  s.Resumed,
 		over:     make(chan struct{}),
--- a/home/submit.go
+++ b/home/submit.go
@@ -109,7 +109,7 @@
 		return nil, Outcome{Verdict: Moved, Reason: "the workers have another home"}
 	}
 	if j := h.jobs[s.Key()]; j != nil {
-		j.origin = s.Origin
+		j.origin, j.entered = s.Origin, time.Now()
 		return j, Outcome{}
 	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Verdict == Succeeded {
