home: bound the work of each event in a crowd

The homes had no processor time left and served 1 to 5% for 15 s after the burst was over.

Conclusion: gaps are looked for once, starts are gathered in a crowd, a review asks the workers once, and a home that is behind its clock refuses at once.

--- a/home/backlog.go
+++ b/home/backlog.go
@@ -13,13 +13,18 @@
 		return
 	}
 	ahead := 0
+	backlogs := map[string]plan.Backlog{} // by service; claims of tasks are alike
 	for _, j := range h.inOrder(now) {
 		claim := j.waitingProcessor()
 		if j.started || j.resumed {
 			ahead += claim
 			continue
 		}
-		b := h.capacity(j, now)
+		b, ok := backlogs[j.route.Service]
+		if !ok {
+			b = h.capacity(j, now)
+			backlogs[j.route.Service] = b
+		}
 		b.Ahead = ahead
 		wait := b.Wait(claim)
 		if !plan.Keep(wait, plan.Chain(j.batch.Steps, j.estimates), j.objective, now.Sub(j.arrived)) {
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -9,15 +9,30 @@
 	"foxtailmux/plan"
 )
 
+const (
+	// crowd is the number of waiting jobs above which starts are gathered for
+	// crowdPause, since each look at all of them costs more than an event
+	// brings; the pause is small against the wait in such a crowd.
+	crowd      = 32
+	crowdPause = 5 * time.Millisecond
+)
+
 // dispatch starts waiting tasks where there is room. The lock is held.
 func (h *Home) dispatch(now time.Time) {
 	if h.closed || h.fenced || len(h.waiting) == 0 {
 		return
 	}
+	if len(h.waiting) > crowd && now.Sub(h.dispatchedAt) < crowdPause {
+		return // the next event or tick comes soon
+	}
+	h.dispatchedAt = now
+
 	var open []*unit
+	largest := 0 // gap, in thousandths of a core
 	for _, u := range h.units {
-		if u.usable(now) {
+		if free := u.book.Free().Processor(); free > 0 && u.usable(now) && u.health.Trust(now) != plan.Avoided {
 			open = append(open, u)
+			largest = max(largest, free)
 		}
 	}
 	if len(open) == 0 {
@@ -26,7 +41,7 @@
 	slices.SortFunc(open, func(a, b *unit) int { return compareIDs(a.worker.ID, b.worker.ID) })
 
 	for _, j := range h.inOrder(now) {
-		h.startTasks(j, open, now)
+		h.startTasks(j, open, largest, now)
 	}
 }
 
@@ -62,7 +77,7 @@
 	return jobs
 }
 
-func (h *Home) startTasks(j *job, open []*unit, now time.Time) {
+func (h *Home) startTasks(j *job, open []*unit, largest int, now time.Time) {
 	waits := false
 	full := -1 // step that found no room
 	for i := range j.tasks {
@@ -75,7 +90,7 @@
 			continue
 		}
 		t.held = false
-		if t.step == full || !j.ready(t.step) {
+		if t.step == full || j.batch.Steps[t.step].Needs.Processor() > largest || !j.ready(t.step) {
 			continue
 		}
 		u := h.place(j, t, open, now)
--- a/home/home.go
+++ b/home/home.go
@@ -78,21 +78,23 @@
 	done    chan struct{}
 	began   time.Time
 
-	mu         sync.Mutex
-	closed     bool
-	fenced     bool
-	partial    bool // workers may be missing on the list
-	units      map[string]*unit
-	jobs       map[string]*job
-	waiting    map[*job]struct{} // jobs with tasks to start
-	finished   map[string]finished
-	orphans    map[string]lease.End // ends of runs of earlier homes, by task
-	orphansAt  time.Time            // when the last ones came
-	lastRun    int64
-	reviewedAt time.Time
-	typical    int             // claim of a task on processors, in thousandths of a core
-	ratios     learn.Estimator // run time over the declared one, by queue
-	means      learn.Estimator // run time, by queue
+	mu           sync.Mutex
+	closed       bool
+	fenced       bool
+	partial      bool // workers may be missing on the list
+	units        map[string]*unit
+	jobs         map[string]*job
+	waiting      map[*job]struct{} // jobs with tasks to start
+	finished     map[string]finished
+	orphans      map[string]lease.End // ends of runs of earlier homes, by task
+	dispatchedAt time.Time
+	behind       bool      // the last tick came too late
+	orphansAt    time.Time // when the last ones came
+	lastRun      int64
+	reviewedAt   time.Time
+	typical      int             // claim of a task on processors, in thousandths of a core
+	ratios       learn.Estimator // run time over the declared one, by queue
+	means        learn.Estimator // run time, by queue
 }
 
 type finished struct {
@@ -198,18 +200,20 @@
 		select {
 		case <-h.ctx.Done():
 			return
-		case now := <-ticker.C:
-			h.check(now)
+		case due := <-ticker.C:
+			h.check(due)
 		}
 	}
 }
 
-func (h *Home) check(now time.Time) {
+func (h *Home) check(due time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.closed {
 		return
 	}
+	now := time.Now()
+	h.noteLag(now.Sub(due))
 
 	for id, u := range h.units {
 		h.ended(u, u.book.Lapse(now), now)
@@ -239,6 +243,18 @@
 	}
 }
 
+// maxLag is how late a tick may come until new jobs are refused. A process that
+// is further behind answers all jobs late, and each further one makes it worse.
+const maxLag = 100 * time.Millisecond
+
+func (h *Home) noteLag(lag time.Duration) {
+	if behind := lag > maxLag; behind != h.behind {
+		h.behind = behind
+		h.options.Log.Warn().Bool("behind", behind).Int64("lagMillis", lag.Milliseconds()).Int("jobs", len(h.jobs)).
+			Int("waitingJobs", len(h.waiting)).Msg("processor is short")
+	}
+}
+
 // fence gives the home up after a worker told of a later one.
 func (h *Home) fence(worker string) {
 	if h.fenced {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -36,7 +36,7 @@
 
 // place is a data centre in the test: workers, and what may be its homes.
 type place struct {
-	t         *testing.T
+	t         testing.TB
 	ledger    *fakes.Ledger
 	workers   map[string]*fakes.LeasedWorker
 	listed    map[string]model.Worker
@@ -44,7 +44,7 @@
 	fenced    atomic.Int32
 }
 
-func newPlace(t *testing.T, workers int) *place {
+func newPlace(t testing.TB, workers int) *place {
 	p := &place{t: t, ledger: fakes.NewLedger(), workers: map[string]*fakes.LeasedWorker{}, listed: map[string]model.Worker{}}
 	p.elsewhere = func(int) (string, bool) { return "", false }
 	for i := range workers {
--- a/home/job.go
+++ b/home/job.go
@@ -135,6 +135,9 @@
 
 // remaining is the longest chain of steps that are not done.
 func (j *job) remaining() time.Duration {
+	if len(j.estimates) == 1 {
+		return j.estimates[0]
+	}
 	estimates := make([]time.Duration, len(j.estimates))
 	for i, e := range j.estimates {
 		if j.left[i] > 0 {
--- a/home/submit.go
+++ b/home/submit.go
@@ -117,6 +117,9 @@
 	}
 
 	now := time.Now()
+	if h.behind && !s.Resumed {
+		return nil, h.refused("the home has no processor time left", time.Second)
+	}
 	j := h.newJob(s, now)
 	h.noteTypical(j)
 	j.inherit(s)
