plan: admit jobs that end within two objectives

Cause: jobs were refused that would have ended a little late, while an answer is of use up to three objectives and the estimates are off by half.

Ruled out: a change of the order (not touched).

--- a/plan/plan.go
+++ b/plan/plan.go
@@ -148,27 +148,27 @@
 }
 
 // admitFactor is the share of the objective within which a job must be
-// expected to end in order to be admitted. Above 1 since estimates are off by
-// half either way, and waiting jobs that turn out short make room.
-const admitFactor = 1.15
+// expected to end in order to be admitted. An answer is of some use up to
+// lateFactor, and the expected wait is off by half of that either way.
+const admitFactor = 2.0
 
 // Admit reports whether a job that waits that long still ends in time. It
-// answers load above the capacity: a job that would be late only delays those
-// behind it, and its caller does better to come back.
+// answers load above the capacity: a job that would end far too late only delays
+// those behind it, and its caller does better to come back.
 func Admit(wait, chain, objective, age time.Duration) bool {
 	return age+wait+chain <= time.Duration(admitFactor*float64(objective))
 }
 
 // keepFactor is the share of the objective within which a job that waits must
-// be expected to end in order to be kept. It is above admitFactor, since a late
-// answer is of some use and the caller has waited already.
-const keepFactor = 2
+// be expected to end in order to be kept. It is above admitFactor, so that an
+// admitted job is not refused for a small error of the estimate.
+const keepFactor = 2.5
 
 // Keep reports whether a job that waits is kept. It answers backlogs that grew
 // after jobs were admitted, such as those that callers build up while there is
 // no home: what can't be served is refused long before it expires.
 func Keep(wait, chain, objective, age time.Duration) bool {
-	return age+wait+chain <= keepFactor*objective
+	return age+wait+chain <= time.Duration(keepFactor*float64(objective))
 }
 
 // Retry bounds.
