home: let a task start again where its run came to nothing

Cause: a worker on which a run of a task failed or was lost was barred for that task for good; with few workers the job then waited to its deadline. A stop that a worker refused was not sent again.

Ruled out: ejection (it ends after a second).

Conclusion: such a worker is the last choice, not none.

--- a/home/backlog.go
+++ b/home/backlog.go
@@ -52,7 +52,7 @@
 	var b plan.Backlog
 	var runs time.Duration
 	for _, u := range h.units {
-		if !u.usable(now) || u.health.Trust(now) == plan.Avoided {
+		if !u.usable() || u.health.Trust(now) == plan.Avoided {
 			continue
 		}
 		capacity := u.book.Capacity().Processor()
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -30,7 +30,7 @@
 	var open []*unit
 	largest := 0 // gap, in thousandths of a core
 	for _, u := range h.units {
-		if free := u.book.Free().Processor(); free > 0 && u.usable(now) && u.health.Trust(now) != plan.Avoided {
+		if free := u.book.Free().Processor(); free > 0 && u.usable() && u.health.Trust(now) != plan.Avoided {
 			open = append(open, u)
 			largest = max(largest, free)
 		}
@@ -121,8 +121,10 @@
 	for i, u := range open {
 		c := plan.Candidate{Free: u.book.Free(), Trust: u.health.Trust(now), Near: step.Rack != "" && step.Rack == u.worker.Rack}
 		switch {
-		case !u.serves(j.route, step), t.tried[u.worker.ID], h.crowded(j, t.step, step.MaxPerWorker, u):
+		case !u.serves(j.route, step), h.crowded(j, t.step, step.MaxPerWorker, u):
 			c.Trust = plan.Avoided
+		case t.tried[u.worker.ID]:
+			c.Trust = max(c.Trust, plan.Doubted) // better than never
 		}
 		candidates[i] = c
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -232,6 +232,21 @@
 	})
 }
 
+// A task whose run came to nothing on each worker starts again all the same.
+func TestTaskRunsAgainWhereItFailedIfThereIsNoOtherPlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 1)
+		h := p.ready(1)
+		defer p.close(h)
+		p.workers["w0"].SetFaults(fakes.Faults{FailAll: true})
+		time.AfterFunc(3*time.Millisecond, func() { p.workers["w0"].SetFaults(fakes.Faults{}) })
+		began := time.Now()
+		if got := verdict(submit(h, submission("a", 1))); got != home.Succeeded || time.Since(began) > 200*time.Millisecond {
+			t.Errorf("%q after %v", got, time.Since(began))
+		}
+	})
+}
+
 func TestJobThatNoWorkerFitsIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPlace(t, 2)
--- a/home/load.go
+++ b/home/load.go
@@ -37,7 +37,7 @@
 	var l model.Room
 	now := time.Now()
 	for _, u := range h.units {
-		if u.usable(now) && u.health.Trust(now) == plan.Trusted {
+		if u.usable() && u.health.Trust(now) == plan.Trusted {
 			l.Capacity += u.book.Capacity().Processor()
 			l.Free += wholeTasks(u.book.Free().Processor(), h.typical)
 		}
--- a/home/settle.go
+++ b/home/settle.go
@@ -39,6 +39,8 @@
 	case lease.Fenced:
 		h.fence(u.worker.ID)
 		return false
+	default: // it takes no stop now, and the run may go on
+		u.book.Doubt(task, run)
 	}
 	u.settle()
 	return true
--- a/home/stuck.go
+++ b/home/stuck.go
@@ -78,7 +78,7 @@
 func (h *Home) roomElsewhere(except *unit, o owner, now time.Time) bool {
 	step := o.job.batch.Steps[o.task.step]
 	for _, u := range h.units {
-		if u != except && u.usable(now) && u.health.Trust(now) == plan.Trusted && u.serves(o.job.route, step) && step.Needs.Within(u.book.Free()) {
+		if u != except && u.usable() && u.health.Trust(now) == plan.Trusted && u.serves(o.job.route, step) && step.Needs.Within(u.book.Free()) {
 			return true
 		}
 	}
--- a/home/unit.go
+++ b/home/unit.go
@@ -79,7 +79,7 @@
 }
 
 // usable reports whether new tasks may start on the worker.
-func (u *unit) usable(time.Time) bool {
+func (u *unit) usable() bool {
 	return u.listed && !u.gone && u.worker.State == model.Live
 }
 
