--- a/plan/plan.go
+++ b/plan/plan.go
@@ -150,7 +150,7 @@
 // admitFactor is the share of the objective within which a job must be
 // expected to end in order to be admitted. An answer is of some use up to
 // lateFactor, and the expected wait is off by half of that either way.
-const admitFactor = 2.0
+const admitFactor = 1.5
 
 // Admit reports whether a job that waits that long still ends in time. It
 // answers load above the capacity: a job that would end far too late only delays
@@ -159,15 +159,26 @@
 	return age+wait+chain <= time.Duration(admitFactor*float64(objective))
 }
 
-// keepFactor is the share of the objective within which a job that waits must
-// be expected to end in order to be kept. It is above admitFactor, so that an
-// admitted job is not refused for a small error of the estimate.
-const keepFactor = 2.5
+const (
+	// keepFactor is the share of the objective within which a job that waits
+	// must be expected to end in order to be kept. It is above admitFactor, so
+	// that an admitted job is not refused for a small error of the estimate.
+	keepFactor = 2.0
+
+	// lateWait is the share of the objective that a job which is late already
+	// may still have to wait. It goes behind all that can be in time, so a
+	// longer wait only grows.
+	lateWait = 0.25
+)
 
 // Keep reports whether a job that waits is kept. It answers backlogs that grew
 // after jobs were admitted, such as those that callers build up while there is
-// no home: what can't be served is refused long before it expires.
+// no home, and load that stays above the capacity: what can't be served is
+// refused long before it expires.
 func Keep(wait, chain, objective, age time.Duration) bool {
+	if age+chain > objective {
+		return wait <= time.Duration(lateWait*float64(objective))
+	}
 	return age+wait+chain <= time.Duration(keepFactor*float64(objective))
 }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -83,6 +83,24 @@
 	}
 }
 
+func TestLateJobsAreKeptForAShortWaitOnly(t *testing.T) {
+	cases := []struct {
+		wait, age time.Duration
+		want      bool
+	}{
+		{120 * ms, 0, true},       // ends within two objectives of 100 ms
+		{160 * ms, 0, false},      // does not
+		{20 * ms, 60 * ms, true},  // late, and starts soon
+		{30 * ms, 60 * ms, false}, // late, and waits on
+		{0, 10 * time.Hour, true}, // late, and starts now
+	}
+	for _, c := range cases {
+		if got := plan.Keep(c.wait, 50*ms, 100*ms, c.age); got != c.want {
+			t.Errorf("wait %v at the age of %v: %v", c.wait, c.age, got)
+		}
+	}
+}
+
 func TestRetryAfterIsSpread(t *testing.T) {
 	got := []time.Duration{plan.RetryAfter(0, 0), plan.RetryAfter(time.Second, 0.5), plan.RetryAfter(time.Hour, 0.999)}
 	if got[0] < 200*ms || got[1] != 1500*ms || got[2] > 10*time.Second {
