--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -30,7 +30,7 @@
 func (plain) DecodeTimeout(text string) (time.Duration, error) { return time.ParseDuration("0" + text) }
 func (plain) SucceededBody() []byte                            { return []byte("succeeded") }
 func (plain) FailedBody() []byte                               { return []byte("failed") }
-func (plain) PendingBody(n int) []byte { return []byte(strings.Repeat("p", n)) }
+func (plain) PendingBody(n int) []byte                         { return []byte(strings.Repeat("p", n)) }
 
 func (plain) DecodeBatch(id, queue string, body []byte) (model.Batch, error) {
 	switch string(body) {
