proof, platform/stand: keep the wire and busy ports out of the soak

The test also held words of the wire outside platform/.

Ruled out: the instance (it never got to listen; its log has that one line).

Conclusion: ports come from below that range and are tried over TCP and UDP.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -13,7 +13,6 @@
 	"path/filepath"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -54,7 +53,7 @@
 	ledger    *fakes.Ledger
 	workers   []*fakes.LeasedWorker
 	cuts      []*cutter
-	rows      map[string]string // of the workers, by key
+	rows      []soakRow // of the workers
 	instances []*soakInstance
 	version   int
 
@@ -63,6 +62,8 @@
 	jobs     atomic.Int64
 }
 
+type soakRow struct{ key, value string }
+
 type soakInstance struct {
 	name, settings, callers string
 
@@ -115,7 +116,7 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, draw: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		rows: map[string]string{}, statuses: map[string][]int{},
+		statuses: map[string][]int{},
 	}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
@@ -148,23 +149,45 @@
 	go c.serve()
 	s.t.Cleanup(func() { _ = listener.Close() })
 	s.workers, s.cuts = append(s.workers, w), append(s.cuts, c)
-	s.rows["servers/"+id] = fmt.Sprintf(`{"backend":"desk","address":%q,"zone":%q,"state":"ready","capacity":{"cpu":64000,"mem-mb":1024,"gpus":0},"labels":["a","r1"]}`, listener.Addr(), dc)
-	s.store.Put("servers/"+id, s.rows["servers/"+id])
+	key, value := stand.WorkerRow(id, listener.Addr().String(), dc, 64_000)
+	s.rows = append(s.rows, soakRow{key, value})
+	s.store.Put(key, value)
 }
 
 func (s *soak) configure() {
 	s.version++
-	s.store.Put("op/config", fmt.Sprintf(`{"version":%d,"routes":[{"name":"q","host":"q.example","path-prefix":"/q/","timeout-ms":1500,"slo-ms":60,"backend":"desk","attempts":2,"stretch":1.6}],"services":[{"name":"desk","max-conns":64}],"limits":{"max-body-bytes":100000}}`, s.version))
+	s.store.Put(stand.Configuration(s.version))
 }
 
+// Ports of instances, which keep theirs over restarts, come from below the range
+// that the kernel gives to outgoing connections: such a connection took the port
+// of an instance between its end and its start.
+const (
+	minPort = 20_000
+	maxPort = 32_000
+)
+
+var portDraw = rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano())))
+
+// reserve returns an address that is free over TCP and UDP.
 func reserve(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 100 {
+		addr := fmt.Sprintf("127.0.0.1:%d", minPort+portDraw.IntN(maxPort-minPort))
+		tcp, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		udp, err := net.ListenPacket("udp", addr)
+		_ = tcp.Close()
+		if err != nil {
+			continue
+		}
+		_ = udp.Close()
+		return addr
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 func (s *soak) addInstance(name, dc, store string) {
@@ -207,17 +230,14 @@
 
 // post returns the status of the answer, or 0 if there was none.
 func (s *soak) post(client *http.Client, id, addr string, tasks int) int {
-	body := fmt.Sprintf(`{"spec":"s","best-effort":true,"steps":[{"replicas":%d,"cpu":%d,"mem-mb":1,"estimate-ms":70}]}`, tasks, soakTask)
 	ctx, cancel := context.WithTimeout(context.Background(), jobPatience)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/q/"+id, strings.NewReader(body))
+	req, err := stand.Job(addr, id, tasks, soakTask, 70*time.Millisecond, jobPatience)
 	if err != nil {
 		s.t.Error(err)
 		return 0
 	}
-	req.Host = "q.example"
-	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(jobPatience.Milliseconds(), 10))
-	resp, err := client.Do(req)
+	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
 		return 0
 	}
@@ -271,9 +291,9 @@
 	case 11:
 		s.configure()
 	case 12:
-		key := fmt.Sprintf("servers/w%d", w)
-		s.store.Delete(key)
-		until(func() { s.store.Put(key, s.rows[key]) })
+		row := s.rows[w]
+		s.store.Delete(row.key)
+		until(func() { s.store.Put(row.key, row.value) })
 	}
 }
 
