--- a/home/home_test.go
+++ b/home/home_test.go
@@ -81,6 +81,18 @@
 	return h
 }
 
+// withHome runs a test in virtual time with a home whose workers have told what
+// they run.
+func withHome(t *testing.T, workers int, test func(t *testing.T, p *place, h *home.Home)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, workers)
+		h := p.ready(1)
+		defer p.close(h)
+		test(t, p, h)
+	})
+}
+
 // close ends a home and waits for it.
 func (p *place) close(h *home.Home) {
 	h.Close()
@@ -111,11 +123,7 @@
 func verdict(o home.Outcome) home.Verdict { return o.Verdict }
 
 func TestJobSucceedsWhenAllItsTasksAreDone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
-
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		began := time.Now()
 		got := verdict(submit(h, submission("a", 4)))
 		if got != home.Succeeded {
@@ -134,11 +142,7 @@
 }
 
 func TestStepsRunInTheirOrder(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
-
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		s := submission("a", 2)
 		second := s.Batch.Steps[0]
 		second.After = []int{0}
@@ -195,11 +199,7 @@
 }
 
 func TestCrashedWorkersTasksRunAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
-
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		time.AfterFunc(runTime/2, p.workers["w0"].Crash)
 		if got := verdict(submit(h, submission("a", 4))); got != home.Succeeded {
 			t.Errorf("verdict %q", got)
@@ -234,10 +234,7 @@
 
 // A task whose run came to nothing on each worker starts again all the same.
 func TestTaskRunsAgainWhereItFailedIfThereIsNoOtherPlace(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 1)
-		h := p.ready(1)
-		defer p.close(h)
+	withHome(t, 1, func(t *testing.T, p *place, h *home.Home) {
 		p.workers["w0"].SetFaults(fakes.Faults{FailAll: true})
 		time.AfterFunc(3*time.Millisecond, func() { p.workers["w0"].SetFaults(fakes.Faults{}) })
 		began := time.Now()
@@ -248,11 +245,7 @@
 }
 
 func TestJobThatNoWorkerFitsIsRefusedAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
-
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		s := submission("a", 1)
 		s.Batch.Steps[0].Needs.MilliCores = 2 * workerSize
 		began := time.Now()
@@ -267,11 +260,7 @@
 }
 
 func TestJobThatFindsNoRoomNeverRuns(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
-
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		verdicts := make(chan string, 40)
 		for i := range 40 {
 			go func() {
@@ -406,10 +395,7 @@
 
 // A job that was resumed may have run: it is never told that it did not.
 func TestResumedJobIsNeverRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 1)
-		h := p.ready(1)
-		defer p.close(h)
+	withHome(t, 1, func(t *testing.T, p *place, h *home.Home) {
 		p.workers["w0"].SetFaults(fakes.Faults{Unhealthy: true})
 		s := submission("a", 1)
 		s.Resumed = true
@@ -460,10 +446,7 @@
 }
 
 func TestSameJobSentAgainJoinsTheFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		verdicts := make(chan home.Verdict, 2)
 		for range 2 {
 			go func() { verdicts <- verdict(submit(h, submission("a", 2))) }()
@@ -500,10 +483,7 @@
 }
 
 func TestPartsOfAJobRunApart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 2)
-		h := p.ready(1)
-		defer p.close(h)
+	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		verdicts := make(chan home.Verdict, 2)
 		for _, part := range []home.Part{{First: 0, Count: 1}, {First: 1, Count: 3}} {
 			s := submission("a", 4)
@@ -524,10 +504,7 @@
 
 // An idle worker costs no calls, but for the acknowledgement of its last ends.
 func TestIdleWorkersAreLeftAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		p := newPlace(t, 1)
-		h := p.ready(1)
-		defer p.close(h)
+	withHome(t, 1, func(t *testing.T, p *place, h *home.Home) {
 		submit(h, submission("a", 1))
 		time.Sleep(time.Second)
 		before := p.workers["w0"].Holds()
--- a/subcmd/serve_test.go
+++ b/subcmd/serve_test.go
@@ -70,3 +70,20 @@
 		t.Error(diff)
 	}
 }
+
+func TestServeTakesTheSettingsFileOfTheVariable(t *testing.T) {
+	var got setup.Settings
+	Serve = func(_ context.Context, s setup.Settings, _ io.Writer) error {
+		got = s
+		return nil
+	}
+	t.Cleanup(func() { Serve = nil })
+	t.Setenv(setup.FileVariable, writeFile(t, settingsText))
+
+	if diff := cmp.Diff(outcome{}, execute(t, "", "serve")); diff != "" {
+		t.Error(diff)
+	}
+	if got.DataCentre != "kochi" {
+		t.Errorf("data centre %q", got.DataCentre)
+	}
+}
