--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -41,7 +41,7 @@
 			list = append(list, candidate{peer: f.beats.Peer(id), homes: len(m.Homes)})
 		}
 	}
-	return follow(dataCentre, list)
+	return pickSuccessor(dataCentre, list)
 }
 
 func (f *Fleet) homeCount() int {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -173,7 +173,7 @@
 	}
 	f.tasks.Go(func() { f.beats.Run(f.ctx) })
 	f.tasks.Go(func() { f.register(f.ctx) })
-	f.tasks.Go(func() { f.tend(f.ctx) })
+	f.tasks.Go(func() { f.maintain(f.ctx) })
 	f.serveOperators()
 	if err := f.front.Start(ctx); err != nil {
 		return &Error{Op: "start callers", Kind: KindStart, Err: err}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -28,8 +28,8 @@
 func (f *Fleet) Run(ctx context.Context, s home.Submission) home.Outcome {
 	began := time.Now()
 	s.Origin = f.self.Instance
-	outcome := f.travel(ctx, s, newJourney(f.self.DataCentre), began)
-	if outcome.Verdict != home.Crowded {
+	outcome := f.forward(ctx, s, newForwarding(f.self.DataCentre), began)
+	if outcome.Verdict != home.NoRoom {
 		return outcome
 	}
 
@@ -41,8 +41,8 @@
 	return f.runParts(ctx, s, parts, began)
 }
 
-// travel takes a job, or a part of one, from home to home until it is answered.
-func (f *Fleet) travel(ctx context.Context, s home.Submission, j *journey, began time.Time) home.Outcome {
+// forward takes a job, or a part of one, from home to home until it is answered.
+func (f *Fleet) forward(ctx context.Context, s home.Submission, j *forwarding, began time.Time) home.Outcome {
 	deadline := began.Add(s.Left)
 	for range maxHops {
 		dc, token, ok := f.awaitHome(ctx, j)
@@ -63,11 +63,11 @@
 		switch j.take(dc, outcome, err) {
 		case answered:
 			return outcome
-		case succeed:
+		case awaitLater:
 			if !f.awaitChange(ctx, dc, token) {
 				return j.end()
 			}
-		case onwards:
+		case tryNext:
 			f.pauseHop(ctx, err)
 		}
 	}
--- a/fleet/tend.go
+++ b/fleet/maintain.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// tendInterval is the time between looks at who is home.
-	tendInterval = 100 * time.Millisecond
+	// maintainInterval is the time between looks at who is home.
+	maintainInterval = 100 * time.Millisecond
 
 	// settleTime is how long a new instance listens for others before it
 	// claims; two heartbeats come in it.
@@ -25,10 +25,10 @@
 	pauseLimit = 900 * time.Millisecond
 )
 
-// tend keeps the homes of this instance in line with the store, and claims
+// maintain keeps the homes of this instance in line with the store, and claims
 // those of instances that are gone.
-func (f *Fleet) tend(ctx context.Context) {
-	ticker := time.NewTicker(tendInterval)
+func (f *Fleet) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
 	last := suspendedClock()
 	for {
--- a/fleet/reached.go
+++ b/fleet/reached.go
@@ -21,7 +21,7 @@
 
 // awaitHome waits until a home is in reach: that of the data centre asked for,
 // or, for a job that no home has begun, one elsewhere.
-func (f *Fleet) awaitHome(ctx context.Context, j *journey) (string, int64, bool) {
+func (f *Fleet) awaitHome(ctx context.Context, j *forwarding) (string, int64, bool) {
 	timeout := time.NewTimer(homeWait)
 	defer timeout.Stop()
 	for {
@@ -39,7 +39,7 @@
 	}
 }
 
-func (f *Fleet) findHome(j *journey) (string, int64, bool) {
+func (f *Fleet) findHome(j *forwarding) (string, int64, bool) {
 	if token, ok := f.inReach(j.target); ok && (j.resumed || !j.avoid[j.target]) {
 		return j.target, token, true
 	}
--- a/fleet/route_test.go
+++ b/fleet/route_test.go
@@ -15,7 +15,7 @@
 	at      string
 	outcome home.Outcome
 	err     error
-	turn    turn
+	turn    nextStep
 	target  string
 }
 
@@ -26,7 +26,7 @@
 
 func verdict(v home.Verdict) home.Outcome { return home.Outcome{Verdict: v} }
 
-func TestJourneys(t *testing.T) {
+func TestForwarding(t *testing.T) {
 	redirected := home.Outcome{Verdict: home.Redirected, DataCentre: "tvm"}
 	cases := map[string]struct {
 		steps []step
@@ -34,27 +34,27 @@
 	}{
 		"answered": {[]step{{at: "kochi", outcome: verdict(home.Succeeded), turn: answered, target: "kochi"}}, home.Refused},
 		"sent elsewhere and back": {[]step{
-			{at: "kochi", outcome: redirected, turn: onwards, target: "tvm"},
-			{at: "tvm", outcome: verdict(home.Busy), turn: onwards, target: "kochi"},
+			{at: "kochi", outcome: redirected, turn: tryNext, target: "tvm"},
+			{at: "tvm", outcome: verdict(home.Busy), turn: tryNext, target: "kochi"},
 		}, home.Refused},
 		"home not reached": {[]step{
-			{at: "kochi", err: notSent, turn: onwards, target: "kochi"},
+			{at: "kochi", err: notSent, turn: tryNext, target: "kochi"},
 		}, home.Refused},
 		"home lost": {[]step{
-			{at: "kochi", err: unknown, turn: succeed, target: "kochi"},
+			{at: "kochi", err: unknown, turn: awaitLater, target: "kochi"},
 		}, home.Lost},
 		"moved while elsewhere stays there": {[]step{
-			{at: "kochi", outcome: redirected, turn: onwards, target: "tvm"},
-			{at: "tvm", outcome: verdict(home.Moved), turn: succeed, target: "tvm"},
-			{at: "tvm", err: notSent, turn: onwards, target: "tvm"},
+			{at: "kochi", outcome: redirected, turn: tryNext, target: "tvm"},
+			{at: "tvm", outcome: verdict(home.Moved), turn: awaitLater, target: "tvm"},
+			{at: "tvm", err: notSent, turn: tryNext, target: "tvm"},
 		}, home.Lost},
 		"no home here after a move stays there": {[]step{
-			{at: "kochi", outcome: verdict(home.Moved), turn: succeed, target: "kochi"},
-			{at: "kochi", err: errNoHome, turn: onwards, target: "kochi"},
+			{at: "kochi", outcome: verdict(home.Moved), turn: awaitLater, target: "kochi"},
+			{at: "kochi", err: errNoHome, turn: tryNext, target: "kochi"},
 		}, home.Lost},
 	}
 	for name, c := range cases {
-		j := newJourney("kochi")
+		j := newForwarding("kochi")
 		for i, s := range c.steps {
 			if got := j.take(s.at, s.outcome, s.err); got != s.turn || j.target != s.target {
 				t.Errorf("%s, step %d: turn %d to %s, want %d to %s", name, i, got, j.target, s.turn, s.target)
@@ -67,7 +67,7 @@
 }
 
 func TestLaterHomeIsToldWhatRan(t *testing.T) {
-	j := newJourney("kochi")
+	j := newForwarding("kochi")
 	j.take("kochi", home.Outcome{Verdict: home.Moved, Done: []string{"a"}, Begun: []string{"b", "c"}}, nil)
 	var s home.Submission
 	j.mark(&s)
--- a/fleet/split.go
+++ b/fleet/split.go
@@ -71,7 +71,7 @@
 }
 
 // runParts runs the parts of a job at the same time. The first one that does
-// not succeed ends the others.
+// not awaitLater ends the others.
 func (f *Fleet) runParts(ctx context.Context, s home.Submission, parts []sharePart, began time.Time) home.Outcome {
 	f.log.Info().Str("job", s.Batch.ID).Int("parts", len(parts)).Msg("job divided over data centres")
 	ctx, cancel := context.WithCancel(ctx)
@@ -79,9 +79,9 @@
 	p := pool.NewWithResults[home.Outcome]()
 	for _, sp := range parts {
 		p.Go(func() home.Outcome {
-			j := newJourney(f.self.DataCentre)
+			j := newForwarding(f.self.DataCentre)
 			j.target, j.spill, j.settled, j.part = sp.dataCentre, true, true, &sp.part
-			o := f.travel(ctx, s, j, began)
+			o := f.forward(ctx, s, j, began)
 			if o.Verdict != home.Succeeded {
 				cancel()
 			}
--- a/fleet/follow.go
+++ b/fleet/successor.go
@@ -15,11 +15,11 @@
 	homes int // that it has already
 }
 
-// follow picks the home of a data centre: an instance in it if there is one, of
+// pickSuccessor picks the home of a data centre: an instance in it if there is one, of
 // these those with most processor, and of these one with few homes. All
 // instances that hear each other pick the same. It answers unlike machines, of
 // which the small ones can't carry a data centre's starts.
-func follow(dataCentre string, list []candidate) string {
+func pickSuccessor(dataCentre string, list []candidate) string {
 	best := slices.MinFunc(list, func(a, b candidate) int {
 		return cmp.Or(
 			-compareBool(a.peer.DataCentre == dataCentre, b.peer.DataCentre == dataCentre),
--- a/fleet/follow_test.go
+++ b/fleet/successor_test.go
@@ -10,7 +10,7 @@
 	return candidate{peer: beat.Peer{Instance: name, DataCentre: dc, Processor: processor}, homes: homes}
 }
 
-func TestFollow(t *testing.T) {
+func TestSuccessor(t *testing.T) {
 	cases := []struct {
 		name string
 		list []candidate
@@ -22,7 +22,7 @@
 		{"far if none is near", []candidate{instance("a", "tvm", 0.4, 1), instance("b", "tvm", 0.4, 0)}, "b"},
 	}
 	for _, c := range cases {
-		if got := follow("kochi", c.list); got != c.want {
+		if got := pickSuccessor("kochi", c.list); got != c.want {
 			t.Errorf("%s: %q, want %q", c.name, got, c.want)
 		}
 	}
--- a/home/bench_test.go
+++ b/home/bench_test.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// BenchmarkSubmitInACrowd measures what one more job costs a home of 88 full
+// BenchmarkSubmitWithManyWaiting measures what one more job costs a home of 88 full
 // workers at which 600 jobs wait, as after a burst on a grown deployment.
-func BenchmarkSubmitInACrowd(b *testing.B) {
+func BenchmarkSubmitWithManyWaiting(b *testing.B) {
 	p := newPlace(b, 88)
 	for _, w := range p.workers {
 		w.RunTime = func(string) time.Duration { return time.Hour }
@@ -20,7 +20,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	for i := range 776 { // 176 run
-		s := submission(fmt.Sprintf("crowd%d", i), 1)
+		s := submission(fmt.Sprintf("waiting%d", i), 1)
 		s.Resumed, s.Told, s.Left = true, true, time.Hour // is not refused
 		s.Batch.Steps[0].Estimate = time.Hour
 		go h.Submit(ctx, s)
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// crowd is the number of waiting jobs above which starts are gathered for
-	// crowdPause, since each look at all of them costs more than an event
-	// brings; the pause is small against the wait in such a crowd.
-	crowd      = 32
-	crowdPause = 5 * time.Millisecond
+	// manyWaiting is the number of waiting jobs above which starts are gathered for
+	// gatherPause, since each look at all of them costs more than an event
+	// brings; the pause is small against the wait with that many.
+	manyWaiting = 32
+	gatherPause = 5 * time.Millisecond
 )
 
 // dispatch starts waiting tasks where there is room. The lock is held.
@@ -22,7 +22,7 @@
 	if h.closed || h.fenced || len(h.waiting) == 0 {
 		return
 	}
-	if len(h.waiting) > crowd && now.Sub(h.dispatchedAt) < crowdPause {
+	if len(h.waiting) > manyWaiting && now.Sub(h.dispatchedAt) < gatherPause {
 		return // the next event or tick comes soon
 	}
 	h.dispatchedAt = now
@@ -121,7 +121,7 @@
 	for i, u := range open {
 		c := plan.Candidate{Free: u.book.Free(), Trust: u.health.Trust(now), Near: step.Rack != "" && step.Rack == u.worker.Rack}
 		switch {
-		case !u.serves(j.route, step), h.crowded(j, t.step, step.MaxPerWorker, u):
+		case !u.serves(j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, u):
 			c.Trust = plan.Avoided
 		case t.tried[u.worker.ID]:
 			c.Trust = max(c.Trust, plan.Doubted) // better than never
@@ -134,8 +134,8 @@
 	return nil
 }
 
-// crowded reports whether a worker runs as many tasks of a step as it may.
-func (h *Home) crowded(j *job, step, limit int, u *unit) bool {
+// atLimit reports whether a worker runs as many tasks of a step as it may.
+func (h *Home) atLimit(j *job, step, limit int, u *unit) bool {
 	if limit <= 0 {
 		return false
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -275,7 +275,7 @@
 			if _, err := fmt.Sscan(<-verdicts, &v, &id); err != nil {
 				t.Fatal(err)
 			}
-			if v != string(home.Crowded) {
+			if v != string(home.NoRoom) {
 				continue
 			}
 			refused++
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -74,7 +74,7 @@
 		r.earned += k.worth
 	case o.Verdict == home.Succeeded && took <= 3*objective:
 		r.earned += k.worth * lateShare
-	case o.Verdict == home.Refused || o.Verdict == home.Crowded:
+	case o.Verdict == home.Refused || o.Verdict == home.NoRoom:
 		r.refused++
 		r.slowest = max(r.slowest, took-objective)
 	}
--- a/home/submit.go
+++ b/home/submit.go
@@ -16,7 +16,7 @@
 // The verdicts. Refused promises that no task of the job ran or will. Moved
 // means that the home is no longer one, and the job may have run in part.
 // Redirected means that nothing ran and another data centre has room. Busy
-// answers a job that asked to start at once or not at all, Crowded one that
+// answers a job that asked to start at once or not at all, NoRoom one that
 // would be refused and that several data centres together may have room for.
 // Cancelled answers a
 // job whose caller went away or whose time is over. Lost means that its home is
@@ -28,7 +28,7 @@
 	Moved      Verdict = "moved"
 	Redirected Verdict = "redirected"
 	Busy       Verdict = "busy"
-	Crowded    Verdict = "crowded"
+	NoRoom     Verdict = "noRoom"
 	Cancelled  Verdict = "cancelled"
 	Lost       Verdict = "lost"
 )
@@ -37,8 +37,8 @@
 type Outcome struct {
 	Verdict    Verdict       `json:"verdict"`
 	Reason     string        `json:"reason,omitempty"`
-	RetryAfter time.Duration `json:"retryAfter,omitempty"` // of Refused and Crowded
-	Room       int           `json:"room,omitempty"`       // tasks that could start here, of Crowded
+	RetryAfter time.Duration `json:"retryAfter,omitempty"` // of Refused and NoRoom
+	Room       int           `json:"room,omitempty"`       // tasks that could start here, of NoRoom
 	DataCentre string        `json:"dataCentre,omitempty"` // of Redirected
 	Done       []string      `json:"done,omitempty"`       // tasks that are done, of Moved
 	Begun      []string      `json:"begun,omitempty"`      // tasks that may still run, of Moved
@@ -166,7 +166,7 @@
 		reason := fmt.Sprintf("the backlog takes %d ms, the job has %d ms", wait.Milliseconds(), (j.objective - chain).Milliseconds())
 		o := h.refused(reason, wait)
 		if len(j.batch.Steps) == 1 && s.Part == nil {
-			o.Verdict = Crowded
+			o.Verdict = NoRoom
 			o.Room = h.room(j, now)
 		}
 		return o, false
