--- a/home/submit.go
+++ b/home/submit.go
@@ -18,9 +18,8 @@
 // Redirected means that nothing ran and another data centre has room. Busy
 // answers a job that asked to start at once or not at all, NoRoom one that
 // would be refused and that several data centres together may have room for.
-// Cancelled answers a
-// job whose caller went away or whose time is over. Lost means that its home is
-// out of reach and that the job may have run in part.
+// Cancelled answers a job whose caller went away or whose time is over. Lost
+// means that its home is out of reach and that the job may have run in part.
 const (
 	Succeeded  Verdict = "succeeded"
 	Failed     Verdict = "failed"
