fleet: keep owners from taking turns after a restart

Ruled out: the store (both transactions were on the newest version).

Conclusion: an owner has the silence limit to be heard after its claim.

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -21,11 +21,9 @@
 		return false
 	}
 	living := f.beats.Living()
-	if owner.Instance != "" {
-		m, ok := living[owner.Instance]
-		if ok && m.Incarnation == owner.Incarnation && !m.Leaving {
-			return false
-		}
+	member, heard := living[owner.Instance]
+	if !gone(owner, member, heard, f.sinceClaim(dataCentre)) {
+		return false
 	}
 	if f.successor(dataCentre, living) != f.self.Instance {
 		return false
@@ -107,3 +105,15 @@
 	case <-f.ctx.Done():
 	}
 }
+
+// sinceClaim returns the time since the home of a data centre was seen to
+// change; what stood in the store before this instance started is old.
+func (f *Fleet) sinceClaim(dataCentre string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.claimedAt[dataCentre]
+	if !ok {
+		return time.Hour
+	}
+	return time.Since(at)
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,15 +66,16 @@
 	leaving atomic.Bool
 	changed *notifier // rows of homes or the liveness of an instance changed
 
-	mu       sync.Mutex
-	mine     map[string]*home.Home // by data centre
-	fenced   map[string]int64      // tokens that a worker refused, by data centre
-	claiming map[string]bool
-	known    map[string]model.Worker // workers by id
-	missing  map[string]time.Time    // since when a worker is not listed
-	debits   map[string]debit        // by data centre
-	reaches  map[string]*reach       // by data centre
-	vanished map[string]time.Time    // when a worker of a data centre left the list
+	mu        sync.Mutex
+	mine      map[string]*home.Home // by data centre
+	fenced    map[string]int64      // tokens that a worker refused, by data centre
+	claiming  map[string]bool
+	claimedAt map[string]time.Time    // when a home was seen to change, by data centre
+	known     map[string]model.Worker // workers by id
+	missing   map[string]time.Time    // since when a worker is not listed
+	debits    map[string]debit        // by data centre
+	reaches   map[string]*reach       // by data centre
+	vanished  map[string]time.Time    // when a worker of a data centre left the list
 }
 
 // New opens the ports of an instance and assembles its parts. Its log goes to
@@ -110,6 +111,7 @@
 		mine:      map[string]*home.Home{},
 		fenced:    map[string]int64{},
 		claiming:  map[string]bool{},
+		claimedAt: map[string]time.Time{},
 		known:     map[string]model.Worker{},
 		missing:   map[string]time.Time{},
 		debits:    map[string]debit{},
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -71,8 +71,18 @@
 	f.log.Info().Int64("version", r.Version).Int("routes", len(r.Routes)).Str("source", source).Msg("configuration in force")
 }
 
+// firstRead is the time after the first read of a table in which its rows are
+// those that stood in it before.
+const firstRead = 50 * time.Millisecond
+
 func (f *Fleet) onHomes(rows []table.Row) {
+	fresh := f.homes.ReadFor() > firstRead
 	for _, row := range rows {
+		if fresh {
+			f.mu.Lock()
+			f.claimedAt[strings.TrimPrefix(row.Key, homesTable+"/")] = time.Now()
+			f.mu.Unlock()
+		}
 		f.log.Info().Str("row", row.Key).Int64("token", row.Version).RawJSON("owner", row.Value).Msg("home changed")
 	}
 	f.changed.fire()
--- a/fleet/successor.go
+++ b/fleet/successor.go
@@ -3,12 +3,27 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"foxtailmux/beat"
 )
 
+// gone reports whether the owner of a home is to be followed by another
+// instance. Member is what was heard of the owner, if it was heard lately. An
+// owner that has just claimed, after a restart, is not heard yet under its new
+// incarnation: without the time since its claim two instances would take turns.
+func gone(owner homeRow, member beat.Member, heard bool, sinceClaim time.Duration) bool {
+	switch {
+	case owner.Instance == "":
+		return true
+	case heard && member.Incarnation == owner.Incarnation:
+		return member.Leaving
+	}
+	return sinceClaim > beat.Silence
+}
+
 // candidate is an instance that could be the home of a data centre.
 type candidate struct {
 	peer  beat.Peer
--- a/fleet/successor_test.go
+++ b/fleet/successor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"foxtailmux/beat"
 )
@@ -27,3 +28,31 @@
 		}
 	}
 }
+
+func TestOwnersDoNotTakeTurns(t *testing.T) {
+	owner := homeRow{Instance: "a", Incarnation: "2"}
+	heard := func(incarnation string, leaving bool) beat.Member {
+		return beat.Member{Beat: beat.Beat{Instance: "a", Incarnation: incarnation, Leaving: leaving}}
+	}
+	cases := []struct {
+		name       string
+		owner      homeRow
+		member     beat.Member
+		heard      bool
+		sinceClaim time.Duration
+		want       bool
+	}{
+		{"no owner", homeRow{}, beat.Member{}, false, time.Hour, true},
+		{"alive", owner, heard("2", false), true, time.Hour, false},
+		{"leaving", owner, heard("2", true), true, 0, true},
+		{"silent", owner, beat.Member{}, false, time.Hour, true},
+		{"restarted since", owner, heard("3", false), true, time.Hour, true},
+		{"claimed a moment ago, heard under its old incarnation", owner, heard("1", false), true, 20 * time.Millisecond, false},
+		{"claimed a moment ago, not heard yet", owner, beat.Member{}, false, 20 * time.Millisecond, false},
+	}
+	for _, c := range cases {
+		if got := gone(c.owner, c.member, c.heard, c.sinceClaim); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
