home: start no task while a run of its name is being stopped

Ruled out: leases and tokens (both runs were known to the same home).

Conclusion: a home looks for strays by name before it starts a task.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -89,6 +89,9 @@
 		if t.held && !h.listed(now) {
 			continue
 		}
+		if h.strays(t.name) {
+			continue // its end leads to the next look
+		}
 		t.held = false
 		if t.step == full || j.batch.Steps[t.step].Needs.Processor() > largest || !j.ready(t.step) {
 			continue
@@ -105,6 +108,17 @@
 	}
 }
 
+// strays reports whether a run of a task that belongs to no job here is not over
+// yet, such as one of an earlier home that is being stopped.
+func (h *Home) strays(task string) bool {
+	for _, u := range h.units {
+		if u.book.Len() > len(u.owners) && u.book.Holds(task) {
+			return true
+		}
+	}
+	return false
+}
+
 // ready reports whether the steps before one are done.
 func (j *job) ready(step int) bool {
 	for _, earlier := range j.batch.Steps[step].After {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -445,6 +445,38 @@
 	})
 }
 
+// The job of a run that nobody claimed comes while the run is being stopped.
+func TestTaskWaitsForTheStopOfAnEarlierRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 2)
+		for _, w := range p.workers {
+			w.RunTime = func(string) time.Duration { return 700 * time.Millisecond }
+		}
+		old := p.ready(1)
+		go submit(old, submission("a", 1))
+		time.Sleep(20 * time.Millisecond)
+		p.close(old)
+
+		later := p.home(2)
+		defer p.close(later)
+		for range 40 {
+			time.Sleep(10 * time.Millisecond)
+			if p.ledger.Running() == 0 {
+				t.Fatal("the run was over before its job came")
+			}
+			if later.State().Workers["w0"].Stopping+later.State().Workers["w1"].Stopping > 0 {
+				break
+			}
+		}
+		s := submission("a", 1)
+		s.Resumed, s.Left = true, 4*time.Second
+		if got := verdict(submit(later, s)); got != home.Succeeded {
+			t.Errorf("verdict %q", got)
+		}
+		p.check()
+	})
+}
+
 func TestSameJobSentAgainJoinsTheFirst(t *testing.T) {
 	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		verdicts := make(chan home.Verdict, 2)
--- a/home/state.go
+++ b/home/state.go
@@ -17,15 +17,16 @@
 
 // UnitState is the dump of one worker in use.
 type UnitState struct {
-	Addr    string            `json:"addr"`
-	State   model.WorkerState `json:"state"`
-	Listed  bool              `json:"listed"`
-	Gone    bool              `json:"gone,omitempty"`
-	Trust   int               `json:"trust"`
-	Pace    float64           `json:"pace"`
-	Runs    int               `json:"runs"`
-	Free    model.Needs       `json:"free"`
-	HeardAt time.Time         `json:"heardAt"`
+	Addr     string            `json:"addr"`
+	State    model.WorkerState `json:"state"`
+	Listed   bool              `json:"listed"`
+	Gone     bool              `json:"gone,omitempty"`
+	Trust    int               `json:"trust"`
+	Pace     float64           `json:"pace"`
+	Runs     int               `json:"runs"`
+	Stopping int               `json:"stopping"` // of Runs
+	Free     model.Needs       `json:"free"`
+	HeardAt  time.Time         `json:"heardAt"`
 }
 
 // State returns the dump.
@@ -44,7 +45,7 @@
 		s.Workers[id] = UnitState{
 			Addr: u.worker.Addr, State: u.worker.State, Listed: u.listed, Gone: u.gone,
 			Trust: int(u.health.Trust(now)), Pace: u.health.Pace(),
-			Runs: u.book.Len(), Free: u.book.Free(), HeardAt: u.book.HeardAt(),
+			Runs: u.book.Len(), Stopping: u.book.Stopping(), Free: u.book.Free(), HeardAt: u.book.HeardAt(),
 		}
 	}
 	return s
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -176,3 +176,14 @@
 	}
 	return stops, more
 }
+
+// Stopping returns the number of runs that were told to stop.
+func (b *Book) Stopping() int {
+	n := 0
+	for _, e := range b.runs {
+		if e.state == stopping {
+			n++
+		}
+	}
+	return n
+}
