home, lease, plan: send starts without an answer again, ask lossy workers sooner

Cause: where a share of all orders gets no answer, a start cost 60 ms, a look, a stop and a new place, and its worker was avoided meanwhile; an end whose answer was lost was missed for up to 410 ms.

Change: a start is sent again with the same run, which a worker carries out once; a worker that answers again after a silence counts as lossy for 2 s, is asked at shorter intervals and is avoided only after three orders without an answer. What may be carried out late by a next life of a worker is stopped there first. A run whose stop got no answer is stopped again although a report lists it.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"foxtailmux/lease"
 	"foxtailmux/model"
 )
@@ -80,6 +83,7 @@
 	Silent       bool          // no answer, and nothing is carried out
 	LoseAnswers  bool          // orders are carried out and not answered
 	CarryOutLate time.Duration // starts are not answered, and carried out after it
+	LateShare    float64       // of all orders, which are not answered and carried out 2 to 12 s later
 	FailAll      bool          // what starts fails at once
 	StandStill   bool          // what starts makes no headway
 	Unhealthy    bool          // starts are refused
@@ -92,6 +96,9 @@
 	leasedAnswer   = time.Millisecond
 	leasedFailing  = 5 * time.Millisecond
 	clockMillisMin = 100_000 // where a worker's clock starts
+
+	leasedLateMin = 2 * time.Second
+	leasedLateMax = 12 * time.Second
 )
 
 // ErrNoAnswer is what a silent worker's callers get.
@@ -109,6 +116,7 @@
 	began  time.Time
 
 	mu     sync.Mutex
+	draw   *rand.Rand
 	faults Faults
 	born   int64
 	token  int64
@@ -135,6 +143,7 @@
 		ID: id, Capacity: capacity, ledger: ledger, began: time.Now(), born: time.Now().UnixMilli(),
 		Needs:   func(string) model.Needs { return model.Needs{} },
 		RunTime: func(string) time.Duration { return 50 * time.Millisecond },
+		draw:    rand.New(rand.NewPCG(xxhash.Sum64String(id), 0)),
 		runs:    map[string]*leasedRun{}, last: map[string]int64{}, change: make(chan struct{}),
 	}
 }
@@ -170,12 +179,17 @@
 func (w *LeasedWorker) clock() int64 { return clockMillisMin + time.Since(w.began).Milliseconds() }
 
 // answer waits as the faults say. It reports false when the order is not
-// carried out now.
-func (w *LeasedWorker) answer(timeout time.Duration) (Faults, bool) {
+// carried out now. One that is drawn for it is carried out late.
+func (w *LeasedWorker) answer(timeout time.Duration, carryOut func()) (Faults, bool) {
 	w.mu.Lock()
 	f := w.faults
+	late := f.LateShare > 0 && w.draw.Float64() < f.LateShare
+	delay := leasedLateMin + time.Duration(w.draw.Float64()*float64(leasedLateMax-leasedLateMin))
 	w.mu.Unlock()
-	if f.Silent {
+	if late {
+		time.AfterFunc(delay, carryOut)
+	}
+	if f.Silent || late {
 		time.Sleep(timeout)
 		return f, false
 	}
@@ -193,7 +207,7 @@
 
 // Start carries out a start.
 func (w *LeasedWorker) Start(s lease.Start, timeout time.Duration) (lease.Reply, error) {
-	f, ok := w.answer(timeout)
+	f, ok := w.answer(timeout, func() { w.start(s) })
 	if !ok {
 		return lease.Reply{}, ErrNoAnswer
 	}
@@ -295,7 +309,7 @@
 
 // Stop carries out a stop.
 func (w *LeasedWorker) Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error) {
-	f, ok := w.answer(timeout)
+	f, ok := w.answer(timeout, func() { w.stop(s) })
 	if !ok {
 		return lease.Reply{}, ErrNoAnswer
 	}
@@ -322,33 +336,44 @@
 
 // Hold carries out a hold.
 func (w *LeasedWorker) Hold(h lease.Hold, timeout time.Duration) (lease.Report, error) {
-	f, ok := w.answer(timeout)
+	f, ok := w.answer(timeout, func() { w.hold(h) })
 	if !ok {
 		return lease.Report{}, ErrNoAnswer
 	}
+	change, accepted := w.hold(h)
+	if !accepted {
+		w.mu.Lock()
+		report := lease.Report{Reply: lease.Reply{Clock: w.clock(), Refusal: lease.Fenced}}
+		w.mu.Unlock()
+		return report, w.lost(f, timeout)
+	}
+	if change != nil {
+		select {
+		case <-change:
+		case <-time.After(time.Duration(h.WaitMillis) * time.Millisecond):
+		}
+	}
+	return w.report(), w.lost(f, timeout)
+}
 
+// hold takes the order in. The channel is closed at the next end, if the order
+// waits for one.
+func (w *LeasedWorker) hold(h lease.Hold) (change chan struct{}, accepted bool) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.holds++
 	if h.Token < w.token {
-		report := lease.Report{Reply: lease.Reply{Clock: w.clock(), Refusal: lease.Fenced}}
-		w.mu.Unlock()
-		return report, w.lost(f, timeout)
+		return nil, false
 	}
 	w.token = h.Token
 	if h.Until > 0 {
 		w.extend(h.Until)
 	}
 	w.ends = slices.DeleteFunc(w.ends, func(e lease.End) bool { return e.Number <= h.Seen })
-	change, waits := w.change, len(w.ends) == 0 && h.WaitMillis > 0
-	w.mu.Unlock()
-
-	if waits {
-		select {
-		case <-change:
-		case <-time.After(time.Duration(h.WaitMillis) * time.Millisecond):
-		}
+	if len(w.ends) == 0 && h.WaitMillis > 0 {
+		change = w.change
 	}
-	return w.report(), w.lost(f, timeout)
+	return change, true
 }
 
 func (w *LeasedWorker) report() lease.Report {
--- a/home/hold.go
+++ b/home/hold.go
@@ -48,6 +48,9 @@
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
 	limit := maxRetryHold
+	if u.health.Lossy(time.Now()) {
+		limit = minRetryHold
+	}
 	if u.listed && u.book.Len() == 0 {
 		limit = maxRetryIdle
 	}
@@ -82,7 +85,7 @@
 	request := lease.Hold{Token: h.options.Token, Seen: u.book.Seen()}
 	// A worker that does not answer is only asked: a renewal might be carried
 	// out and keep alive what could otherwise be taken as over.
-	if u.listed && !u.health.IsSilent() {
+	if u.listed && !u.health.IsSilent(sentAt) {
 		request.Until = u.book.Until(sentAt)
 	}
 	if wait && request.Until > 0 && u.book.Len() > 0 {
@@ -90,7 +93,7 @@
 	}
 	h.mu.Unlock()
 
-	timeout := orderTimeout + time.Duration(request.WaitMillis)*time.Millisecond
+	timeout := u.timeout(orderTimeout) + time.Duration(request.WaitMillis)*time.Millisecond
 	report, err := u.endpoint.Hold(request, timeout)
 
 	h.mu.Lock()
@@ -110,12 +113,15 @@
 // first one that is expected, so that an answer that is lost is missed soon.
 func (u *unit) holdWait(now time.Time) time.Duration {
 	wait := maxHoldWait
+	if u.health.Lossy(now) {
+		wait = lossyHoldWait
+	}
 	for _, p := range u.book.Progress() {
 		if o, ok := u.owners[p.Task]; ok && !p.Stopping {
 			wait = min(wait, plan.EndBy(p.StartedAt, o.job.estimates[o.task.step]).Sub(now))
 		}
 	}
-	return max(wait, minHoldWait)
+	return max(wait, min(minHoldWait, lossyHoldWait))
 }
 
 var (
@@ -138,7 +144,7 @@
 		return errRefused
 	}
 
-	u.answered()
+	u.answered(now)
 	over := u.book.Sync(request, r, sentAt, now)
 	if !u.listed {
 		u.listed, u.listedAt = true, now
@@ -146,6 +152,9 @@
 		u.home.adoptAll(now)
 	}
 	u.home.ended(u, over, now)
+	if u.book.Doubtful() {
+		u.settle()
+	}
 	u.home.dispatch(now)
 	return nil
 }
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -198,6 +198,65 @@
 	}
 }
 
+// A start is carried out, its run ends, and only the answers are lost: the start
+// that is sent again must not lead to another one elsewhere.
+func TestRunThatEndedBeforeItsStartWasSentAgainIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 2)
+		for _, w := range p.workers {
+			w.RunTime = func(string) time.Duration { return 10 * time.Millisecond }
+			w.SetFaults(fakes.Faults{LoseAnswers: true})
+		}
+		h := p.home(1)
+		defer p.close(h)
+		for _, w := range p.workers {
+			w.SetFaults(fakes.Faults{})
+		}
+		time.Sleep(200 * time.Millisecond)
+		for _, w := range p.workers {
+			w.SetFaults(fakes.Faults{LoseAnswers: true})
+			time.AfterFunc(25*time.Millisecond, func() { w.SetFaults(fakes.Faults{}) })
+		}
+		if got := verdict(submit(h, submission("a", 2))); got != home.Succeeded {
+			t.Errorf("verdict %q", got)
+		}
+		for i := range 2 {
+			if n := p.ledger.Starts(fmt.Sprintf("a.0.0.%d", i)); n != 1 {
+				t.Errorf("task %d started %d times", i, n)
+			}
+		}
+	})
+}
+
+// Workers that crash while they owe orders may carry them out in their next life.
+func TestLateOrdersAndCrashesRunNoTaskTwiceAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 4)
+		h := p.ready(1)
+		defer p.close(h)
+		everyWorker(fakes.Faults{LateShare: 0.4})(p)
+		done := make(chan home.Verdict, 40)
+		for i := range 40 {
+			go func() { done <- verdict(submit(h, submission(fmt.Sprintf("j%d", i), 2))) }()
+			time.Sleep(100 * time.Millisecond)
+			if i%4 == 3 {
+				p.workers[fmt.Sprintf("w%d", i/4%4)].Crash()
+			}
+		}
+		succeeded := 0
+		for range 40 {
+			if <-done == home.Succeeded {
+				succeeded++
+			}
+		}
+		time.Sleep(15 * time.Second) // late orders are carried out
+		p.check()
+		if succeeded < 30 {
+			t.Errorf("%d of 40 jobs succeeded", succeeded)
+		}
+	})
+}
+
 func TestCrashedWorkersTasksRunAgain(t *testing.T) {
 	withHome(t, 2, func(t *testing.T, p *place, h *home.Home) {
 		time.AfterFunc(runTime/2, p.workers["w0"].Crash)
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -168,6 +168,9 @@
 	{name: "a worker is silent", rate: 26, trouble: oneWorker(fakes.Faults{Silent: true}), share: 0.75},
 	{name: "a worker is six times slower", rate: 26, trouble: oneWorker(fakes.Faults{Slowdown: 6}), share: 0.75},
 	{name: "a worker carries starts out late", rate: 26, trouble: oneWorker(fakes.Faults{CarryOutLate: 4 * time.Second}), share: 0.75},
+	{name: "a tenth of all orders is carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.1}), share: 0.9},
+	{name: "a third of all orders is carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.33}), share: 0.75},
+	{name: "half of all orders are carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.5}), share: 0.5},
 	{name: "all workers are half as fast", rate: 20, trouble: everyWorker(fakes.Faults{Slowdown: 2}), share: 0.4},
 }
 
--- a/home/settle.go
+++ b/home/settle.go
@@ -12,13 +12,14 @@
 	if !u.book.Holds(task) {
 		return
 	}
+	u.book.Unwant(task, run)
 	u.home.tasks.Go(func() { u.sendStop(task, run) })
 	u.wakeUp()
 }
 
 func (u *unit) sendStop(task string, run int64) bool {
 	h := u.home
-	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, orderTimeout)
+	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, u.timeout(orderTimeout))
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -28,7 +29,7 @@
 	now := time.Now()
 	if err != nil {
 		u.unanswered("stop", err, now)
-		u.book.Doubt(task, run)
+		u.book.Doubt(task, run, now)
 		u.settle()
 		return false
 	}
@@ -40,7 +41,7 @@
 		h.fence(u.worker.ID)
 		return false
 	default: // it takes no stop now, and the run may go on
-		u.book.Doubt(task, run)
+		u.book.Doubt(task, run, now)
 	}
 	u.settle()
 	return true
@@ -61,13 +62,22 @@
 	// worker takes up to 50 ms to stop one.
 	settlePause = 40 * time.Millisecond
 
-	settleRetry = 60 * time.Millisecond
+	// maxSettleRetry is the time between two looks at a worker that does not
+	// answer. One that loses single orders is asked again at once.
+	maxSettleRetry = 60 * time.Millisecond
 )
 
+func (u *unit) settleRetry() time.Duration {
+	if u.lossy() {
+		return minRetryHold
+	}
+	return maxSettleRetry
+}
+
 func (u *unit) settleAll() {
 	for u.ctx.Err() == nil {
 		if err := u.hold(false); err != nil {
-			u.sleepTimer(settleRetry)
+			u.sleepTimer(u.settleRetry())
 		}
 		stops, more := u.unsettled()
 		if !more {
@@ -92,7 +102,7 @@
 	stops, more := u.book.Unsettled(now)
 	u.settling = more
 	for _, s := range stops {
-		if o, ok := u.owners[s.Task]; ok && o.task.run == s.Run && !u.health.IsSilent() {
+		if o, ok := u.owners[s.Task]; ok && o.task.run == s.Run && !u.health.IsSilent(now) {
 			u.health.Ignored(now)
 			o.task.mark(u.worker.ID)
 		}
--- a/home/start.go
+++ b/home/start.go
@@ -18,8 +18,8 @@
 }
 
 // answered notes that the worker answers. The lock is held.
-func (u *unit) answered() {
-	if u.health.Answered() {
+func (u *unit) answered(now time.Time) {
+	if u.health.Answered(now) {
 		u.home.options.Log.Info().Str("worker", u.worker.ID).Msg("worker answers again")
 	}
 }
@@ -30,10 +30,52 @@
 	return !errors.As(err, &told) || told.Sent()
 }
 
-// start sends one start and takes its answer.
+const (
+	// startTimeout is how long a start waits for its answer until it is sent
+	// again. Sound workers answer 999 of 1000 starts within 25 ms.
+	startTimeout = 30 * time.Millisecond
+
+	// startTries bounds the sends of one start. Of the starts on a worker that
+	// loses half of its orders, 3% are lost so often in a row.
+	startTries = 5
+)
+
+// start sends a start and takes its answer. One without an answer is sent again
+// with the same run, which the worker carries out once.
 func (u *unit) start(s lease.Start) {
-	reply, err := u.endpoint.Start(s, orderTimeout)
+	for try := 1; ; try++ {
+		reply, err := u.endpoint.Start(s, u.timeout(startTimeout))
+		if !u.startAgain(&s, try, err) {
+			u.started(s, reply, err, try > 1)
+			return
+		}
+	}
+}
 
+// startAgain decides whether a start is sent again, and renews its lease if so.
+func (u *unit) startAgain(s *lease.Start, try int, err error) bool {
+	if err == nil || !sent(err) || try == startTries {
+		return false
+	}
+	h := u.home
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	o, ok := u.owners[s.Task]
+	if !ok || o.task.run != s.Run || u.ctx.Err() != nil || h.fenced || u.gone {
+		return false
+	}
+	until, ok := u.book.Repeat(s.Task, s.Run, now)
+	if !ok {
+		return false
+	}
+	u.unanswered("start", err, now)
+	s.Until = until
+	return true
+}
+
+// started takes the answer to a start, or that there was none.
+func (u *unit) started(s lease.Start, reply lease.Reply, err error, repeated bool) {
 	h := u.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -43,8 +85,8 @@
 	now := time.Now()
 	if err != nil {
 		u.unanswered("start", err, now)
-		if sent(err) {
-			u.book.Doubt(s.Task, s.Run)
+		if repeated || sent(err) {
+			u.book.Doubt(s.Task, s.Run, now)
 			u.settle()
 			return
 		}
@@ -56,7 +98,7 @@
 	u.book.Heard(reply.Clock, now)
 	switch reply.Refusal {
 	case lease.Accepted:
-		u.answered()
+		u.answered(now)
 		u.health.Accepted()
 		u.book.Confirm(s.Task, s.Run, now)
 	case lease.Fenced:
@@ -64,12 +106,19 @@
 	case lease.OtherWorker:
 		u.replaced(now)
 	default:
-		u.refused(s, reply.Refusal, now)
+		u.refused(s, reply.Refusal, repeated, now)
 	}
 }
 
 // refused takes a start that the worker did not carry out.
-func (u *unit) refused(s lease.Start, why lease.Refusal, now time.Time) {
+func (u *unit) refused(s lease.Start, why lease.Refusal, repeated bool, now time.Time) {
+	if repeated && why == lease.Outdated {
+		// An earlier send was carried out and the run has ended: the next report
+		// lists how.
+		u.book.Confirm(s.Task, s.Run, now)
+		u.wakeUp()
+		return
+	}
 	if why != lease.Late && why != lease.Outdated {
 		u.health.Unwell(now)
 	}
--- a/home/unit.go
+++ b/home/unit.go
@@ -10,11 +10,20 @@
 )
 
 const (
-	// orderTimeout is how long a start, a stop or a look waits for its answer.
+	// orderTimeout is how long a stop or a look waits for its answer.
 	// A worker answers within a few milliseconds; the rest is for machines
 	// that are slow for a moment.
 	orderTimeout = 60 * time.Millisecond
 
+	// lossyTimeout is how long an order to a worker that loses single ones waits
+	// for its answer. It is several times the usual 2 ms, since most of those
+	// that take longer are lost.
+	lossyTimeout = 20 * time.Millisecond
+
+	// lossyHoldWait is how long a hold of such a worker waits for an end: an end
+	// whose answer is lost is missed for it.
+	lossyHoldWait = 20 * time.Millisecond
+
 	// maxHoldWait is how long a hold waits at the worker for an end. Two of
 	// them fit into a lease of one second with one lost answer between.
 	maxHoldWait = 350 * time.Millisecond
@@ -83,6 +92,20 @@
 	return u.listed && !u.gone && u.worker.State == model.Live
 }
 
+// timeout is how long an order waits for its answer that usually waits that long.
+func (u *unit) timeout(usual time.Duration) time.Duration {
+	if u.lossy() {
+		return lossyTimeout
+	}
+	return usual
+}
+
+func (u *unit) lossy() bool {
+	u.home.mu.Lock()
+	defer u.home.mu.Unlock()
+	return u.health.Lossy(time.Now())
+}
+
 func (u *unit) wakeUp() {
 	select {
 	case u.wake <- struct{}{}:
--- a/lease/book.go
+++ b/lease/book.go
@@ -31,6 +31,7 @@
 	percentAt time.Time
 	startedAt time.Time
 	unsized   bool // its needs are not known
+	unwanted  bool // it is to be stopped, also if a report lists it
 }
 
 // Book holds the runs on one worker. What is not proven to be over claims its
@@ -41,6 +42,7 @@
 	capacity model.Needs
 	maxLease time.Duration
 	runs     map[string]*entry // by task
+	late     map[string]late   // starts without an answer, by task
 	used     model.Needs
 	unsized  int // runs whose needs are not known
 
@@ -55,7 +57,7 @@
 // NewBook returns the book of a worker with that capacity, whose leases last
 // maxLease at most.
 func NewBook(capacity model.Needs, maxLease time.Duration) *Book {
-	return &Book{capacity: capacity, maxLease: maxLease, runs: map[string]*entry{}}
+	return &Book{capacity: capacity, maxLease: maxLease, runs: map[string]*entry{}, late: map[string]late{}}
 }
 
 // SetCapacity takes what the worker says of its capacity.
@@ -109,10 +111,35 @@
 	return true
 }
 
+// Repeat notes that a start without an answer is sent again, and returns the end
+// of its lease. The number of the run stays, so that the worker carries out one of
+// the two.
+func (b *Book) Repeat(task string, run int64, now time.Time) (until int64, ok bool) {
+	e := b.find(task, run)
+	if e == nil || e.state != ordered {
+		return 0, false
+	}
+	b.unanswered(e.Held, now)
+	e.until = b.Until(now)
+	return e.until, true
+}
+
 // Doubt notes that a start or a stop got no answer.
-func (b *Book) Doubt(task string, run int64) {
-	if e := b.find(task, run); e != nil && e.state != stopping {
-		e.state = unknown
+func (b *Book) Doubt(task string, run int64, now time.Time) {
+	e := b.find(task, run)
+	if e == nil || e.state == stopping {
+		return
+	}
+	if e.state == ordered {
+		b.unanswered(e.Held, now)
+	}
+	e.state = unknown
+}
+
+// Unwant notes that a run is to be stopped, whatever a report says of it.
+func (b *Book) Unwant(task string, run int64) {
+	if e := b.find(task, run); e != nil {
+		e.unwanted = true
 	}
 }
 
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,7 +98,7 @@
 func TestUnansweredStart(t *testing.T) {
 	b := known()
 	order(b, "a", 1, at(0)) // until 6000 on the worker's clock
-	b.Doubt("a", 1)
+	b.Doubt("a", 1, at(1))
 	if over := b.Sync(lease.Hold{}, report(5900, nil), at(899), at(900)); len(over) != 0 {
 		t.Errorf("it could still be carried out, and is over: %v", over)
 	}
@@ -108,7 +110,7 @@
 	}
 
 	order(b, "b", 2, at(1002))
-	b.Doubt("b", 2)
+	b.Doubt("b", 2, at(1003))
 	b.Sync(lease.Hold{}, report(6005, []lease.Active{{Task: "b", Run: 2}}), at(1004), at(1005))
 	if _, more := b.Unsettled(at(1005)); more {
 		t.Error("a run that is listed is settled")
@@ -181,12 +183,80 @@
 	if over := b.Sync(lease.Hold{}, r, at(6), at(7)); len(over) != 0 {
 		t.Errorf("%v", over)
 	}
-	b.Doubt("onItsWay", 2)
+	b.Doubt("onItsWay", 2, at(8))
 	if over := b.Lapse(at(1500)); len(over) != 0 {
 		t.Errorf("an order may be carried out late: %v", over)
 	}
 }
 
+// A start that was sent twice may be carried out late by a new life of the worker,
+// which does not know that the run was there already.
+func TestNewLifeIsToldToStopLateStarts(t *testing.T) {
+	b := known()
+	b.Sync(lease.Hold{}, report(5001, nil), at(0), at(1))
+	order(b, "ended", 1, at(2))
+	order(b, "runs", 2, at(2))
+	for task, run := range map[string]int64{"ended": 1, "runs": 2} {
+		if until, ok := b.Repeat(task, run, at(32)); !ok || until != 6032 {
+			t.Errorf("%s is sent again until %d, %v", task, until, ok)
+		}
+		b.Confirm(task, run, at(33))
+	}
+	b.Sync(lease.Hold{}, report(5060, []lease.Active{{Task: "runs", Run: 2}}, lease.End{Number: 1, Task: "ended", Run: 1, How: lease.Done}), at(59), at(60))
+	if b.Doubtful() {
+		t.Error("both runs are settled in this life")
+	}
+
+	r := report(10, nil)
+	r.Born = 2
+	if over := b.Sync(lease.Hold{}, r, at(100), at(101)); len(over) != 0 {
+		t.Errorf("a late start may still come: %v", over)
+	}
+	stops, _ := b.Unsettled(at(102))
+	slices.SortFunc(stops, func(a, b lease.Held) int { return strings.Compare(a.Task, b.Task) })
+	want := []lease.Held{{Task: "ended", Run: 1, Needs: needs}, {Task: "runs", Run: 2, Needs: needs}}
+	if diff := cmp.Diff(want, stops); diff != "" {
+		t.Error(diff)
+	}
+
+	for _, s := range stops {
+		b.Halt(s.Task, s.Run, at(103))
+	}
+	r = report(14, nil)
+	r.Born = 2
+	if over := b.Sync(lease.Hold{}, r, at(104), at(105)); len(over) != 2 || b.Len() != 0 {
+		t.Errorf("the stops are confirmed: %v", over)
+	}
+}
+
+func TestStartsOfLongAgoAreNotLate(t *testing.T) {
+	b := known()
+	b.Sync(lease.Hold{}, report(5001, nil), at(0), at(1))
+	order(b, "a", 1, at(2))
+	b.Doubt("a", 1, at(32))
+	b.Drop("a", 1)
+	r := report(10, nil)
+	r.Born = 2
+	b.Sync(lease.Hold{}, r, at(13_000), at(13_001))
+	if b.Len() != 0 {
+		t.Errorf("%v", b.Held())
+	}
+}
+
+// The stop of a run got no answer, and a report lists the run.
+func TestUnwantedRunIsStoppedAgain(t *testing.T) {
+	b := known()
+	order(b, "a", 1, at(0))
+	b.Confirm("a", 1, at(1))
+	b.Unwant("a", 1)
+	b.Doubt("a", 1, at(60))
+	b.Sync(lease.Hold{}, report(5062, []lease.Active{{Task: "a", Run: 1}}), at(61), at(62))
+	stops, more := b.Unsettled(at(62))
+	if diff := cmp.Diff([]lease.Held{{Task: "a", Run: 1, Needs: needs}}, stops); diff != "" || !more {
+		t.Errorf("more %v, %s", more, diff)
+	}
+}
+
 // Whatever comes in whatever order, the claims of the book are those of its
 // runs, and end with them.
 func TestClaimsNeverDrift(t *testing.T) {
@@ -196,7 +266,7 @@
 		for run := int64(1); run < 60; run++ {
 			now += rapid.IntRange(0, 300).Draw(t, "pass")
 			task := fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "task"))
-			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
 			case 0:
 				if !b.Holds(task) {
 					order(b, task, run, at(now))
@@ -204,13 +274,22 @@
 			case 1:
 				b.Confirm(task, run-1, at(now))
 			case 2:
-				b.Doubt(task, run-1)
+				b.Doubt(task, run-1, at(now))
 			case 3:
 				b.Halt(task, run-1, at(now))
 			case 4:
 				b.Drop(task, run-1)
 			case 5:
 				b.Lapse(at(now))
+			case 7:
+				b.Repeat(task, run-1, at(now))
+			case 8:
+				b.Unwant(task, run-1)
+			case 9:
+				r := report(int64(now), []lease.Active{{Task: task, Run: run}})
+				r.Born = run
+				b.Sync(lease.Hold{}, r, at(now-1), at(now))
+				b.Claim(task, needs, at(now))
 			case 6:
 				b.Sync(lease.Hold{}, report(int64(5000+now), nil, lease.End{Number: run, Task: task, Run: run - 1, How: lease.Done}), at(now-1), at(now))
 			}
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -10,7 +10,7 @@
 func (b *Book) Sync(h Hold, r Report, sentAt, now time.Time) []End {
 	var over []End
 	if r.Born != 0 && b.born != 0 && r.Born != b.born {
-		b.reborn(r.Clock)
+		b.reborn(r.Clock, now)
 	}
 	if r.Born != 0 {
 		b.born = r.Born
@@ -42,24 +42,6 @@
 // HeardAt returns when the worker last answered.
 func (b *Book) HeardAt() time.Time { return b.heardAt }
 
-// lateOrders is how much later a worker may carry out an order that it left
-// unanswered, by the users' pages.
-const lateOrders = 12 * time.Second
-
-// reborn takes in that the worker began a new life, whose clock and ends start
-// anew. What it should run by the report and does not is missing like any other
-// run; an order without an answer may reach the new life still, with a lease by
-// the clock of the old one.
-func (b *Book) reborn(clock int64) {
-	b.seen, b.acked, b.until = 0, 0, 0
-	for _, e := range b.runs {
-		if e.state == ordered || e.state == unknown {
-			e.until = clock + (lateOrders + b.maxLease).Milliseconds()
-			b.until = max(b.until, e.until)
-		}
-	}
-}
-
 func (b *Book) abandon() []End {
 	var over []End
 	for _, e := range b.runs {
@@ -129,6 +111,7 @@
 
 // Crashed ends all runs of a worker whose process is proven to be gone.
 func (b *Book) Crashed() []End {
+	clear(b.late)
 	b.seen, b.acked, b.until, b.born = 0, 0, 0, 0
 	b.Clock = Clock{}
 	return b.abandon()
@@ -163,20 +146,34 @@
 const stopRetry = 100 * time.Millisecond
 
 // Unsettled returns the runs that need a stop, since their start or their last
-// stop got no answer, and whether any run is in doubt or told to stop.
+// stop got no answer, and whether any run is in doubt or to be stopped.
 func (b *Book) Unsettled(now time.Time) (stops []Held, more bool) {
 	for _, e := range b.runs {
-		if e.state != unknown && e.state != stopping {
+		if !e.unsettled() {
 			continue
 		}
 		more = true
-		if e.state == unknown || now.Sub(e.settledAt) > stopRetry {
+		if e.state != stopping || now.Sub(e.settledAt) > stopRetry {
 			stops = append(stops, e.Held)
 		}
 	}
 	return stops, more
 }
 
+// Doubtful reports whether any run is in doubt or to be stopped.
+func (b *Book) Doubtful() bool {
+	for _, e := range b.runs {
+		if e.unsettled() {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *entry) unsettled() bool {
+	return e.state == unknown || e.state == stopping || e.unwanted && e.state == running
+}
+
 // Stopping returns the number of runs that were told to stop.
 func (b *Book) Stopping() int {
 	n := 0
--- a/plan/health.go
+++ b/plan/health.go
@@ -27,6 +27,15 @@
 
 	minEjection = time.Second
 	maxEjection = 8 * time.Second
+
+	// lossyTime is how long a worker counts as lossy after an order without an
+	// answer that was followed by one with an answer.
+	lossyTime = 2 * time.Second
+
+	// lossyOrders is the number of orders in a row without an answer after which
+	// a lossy worker counts as silent; one in eight comes so far when half of
+	// all orders are lost.
+	lossyOrders = 3
 )
 
 // Health is what the runs on a worker tell of it. It answers workers that fail
@@ -39,7 +48,8 @@
 	pace      float64 // run time over the expected one, 0 is not known
 	ejection  time.Duration
 	avoidTill time.Time
-	silent    bool
+	lossyTill time.Time
+	silent    int  // orders in a row without an answer
 	probing   bool // one run is out after an ejection
 }
 
@@ -78,18 +88,29 @@
 	h.eject(now)
 }
 
-// Silent notes that an order got no answer; Answered that one did.
-func (h *Health) Silent() { h.silent = true }
+// Silent notes that an order got no answer.
+func (h *Health) Silent() { h.silent++ }
 
 // Answered notes an answer. It reports whether there was none before.
-func (h *Health) Answered() bool {
-	again := h.silent
-	h.silent = false
+func (h *Health) Answered(now time.Time) bool {
+	again := h.silent > 0
+	if again {
+		h.lossyTill = now.Add(lossyTime)
+	}
+	h.silent = 0
 	return again
 }
 
-// IsSilent reports whether the last order got no answer.
-func (h *Health) IsSilent() bool { return h.silent }
+// Lossy reports whether orders to the worker get lost one by one. It answers
+// networks and workers that leave a share of all orders unanswered: such a worker
+// is worth asking again soon.
+func (h *Health) Lossy(now time.Time) bool { return now.Before(h.lossyTill) }
+
+// IsSilent reports whether the worker does not answer. The first order without an
+// answer tells so, except of a lossy worker.
+func (h *Health) IsSilent(now time.Time) bool {
+	return h.silent >= lossyOrders || h.silent > 0 && !h.Lossy(now)
+}
 
 // Ignored notes that the worker answers, but did not carry out a start. One
 // start alone may have been lost on its way, as those of all workers are at
@@ -121,7 +142,7 @@
 // Trust returns how far the worker is used now.
 func (h *Health) Trust(now time.Time) Trust {
 	switch {
-	case h.silent, now.Before(h.avoidTill), h.probing:
+	case h.IsSilent(now), now.Before(h.avoidTill), h.probing:
 		return Avoided
 	case h.failures > 0, h.ejection > 0, h.pace > slowFactor:
 		return Doubted
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -175,6 +175,28 @@
 	}
 }
 
+// One order without an answer tells that a worker is silent, unless it has lost
+// single ones before.
+func TestLossyWorkerStaysInUse(t *testing.T) {
+	var h plan.Health
+	h.Silent()
+	got := []plan.Trust{h.Trust(at(0))}
+	h.Answered(at(5 * ms))
+	got = append(got, h.Trust(at(5*ms)))
+	h.Silent()
+	h.Silent()
+	got = append(got, h.Trust(at(50*ms)))
+	h.Silent()
+	got = append(got, h.Trust(at(70*ms)))
+	h.Answered(at(90 * ms))
+	h.Silent()
+	got = append(got, h.Trust(at(100*ms)), h.Trust(at(2100*ms)))
+	want := []plan.Trust{plan.Avoided, plan.Trusted, plan.Trusted, plan.Avoided, plan.Trusted, plan.Avoided}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // A tenth of the orders to all workers is lost: no worker is to blame.
 func TestLostStartsInBetweenDoNotEject(t *testing.T) {
 	var h plan.Health
