lease: pass over reports that a newer one overtook

Cause: a hold that waits and a look at the progress are answered on two connections; an older report that came last listed a run which the newer one had told to have ended. The book took it for a run of an earlier home: the worker counted as full until the next report, and a stop was sent in vain.

--- a/lease/book.go
+++ b/lease/book.go
@@ -46,12 +46,14 @@
 	used     model.Needs
 	unsized  int // runs whose needs are not known
 
-	seen     int64 // number of the last end that was processed
-	acked    int64 // number of the last end that the worker may forget
-	born     int64
-	until    int64     // latest end of a lease in any order sent
-	heardAt  time.Time // last answer
-	syncedAt time.Time // last report
+	seen    int64 // number of the last end that was processed
+	acked   int64 // number of the last end that the worker may forget
+	born    int64
+	until   int64     // latest end of a lease in any order sent
+	heardAt time.Time // last answer
+
+	syncedAt    time.Time // last report
+	syncedClock int64     // worker's clock in it
 }
 
 // NewBook returns the book of a worker with that capacity, whose leases last
--- a/lease/book_test.go
+++ b/lease/book_test.go
@@ -93,6 +93,26 @@
 	}
 }
 
+// Reports on different connections overtake each other: the older one lists a run
+// that the newer one told to have ended.
+func TestReportThatWasOvertakenBringsNoRunBack(t *testing.T) {
+	b := known()
+	order(b, "a", 1, at(0))
+	b.Confirm("a", 1, at(1))
+	end := lease.End{Number: 1, Task: "a", Run: 1, How: lease.Done}
+	b.Sync(lease.Hold{}, report(5060, nil, end), at(20), at(62))
+	for _, clock := range []int64{5058, 5060} {
+		if over := b.Sync(lease.Hold{}, report(clock, []lease.Active{{Task: "a", Run: 1}}), at(57), at(63)); len(over) != 0 || b.Len() != 0 {
+			t.Errorf("clock %d: over %v, held %v", clock, over, b.Held())
+		}
+	}
+	order(b, "b", 2, at(64))
+	b.Confirm("b", 2, at(65))
+	if over := b.Sync(lease.Hold{}, report(5059, nil), at(66), at(67)); len(over) != 0 {
+		t.Errorf("a report from before the start: %v", over)
+	}
+}
+
 // A start without an answer may be carried out until its lease is over on the
 // worker's clock, and what was carried out lives as long as any renewal.
 func TestUnansweredStart(t *testing.T) {
--- a/lease/late.go
+++ b/lease/late.go
@@ -35,7 +35,7 @@
 // the clock of the old one, so each of them is in doubt again until the new life
 // confirmed its stop.
 func (b *Book) reborn(clock int64, now time.Time) {
-	b.seen, b.acked, b.until = 0, 0, 0
+	b.seen, b.acked, b.until, b.syncedClock = 0, 0, 0, 0
 	b.forgetLate(now)
 	for task, l := range b.late {
 		if b.runs[task] == nil {
--- a/lease/sync.go
+++ b/lease/sync.go
@@ -15,9 +15,13 @@
 	if r.Born != 0 {
 		b.born = r.Born
 	}
-	b.Heard(r.Clock, now)
 	b.acked = max(b.acked, h.Seen)
-	b.syncedAt = now
+	overtaken := r.Clock < b.syncedClock
+	fresh := r.Clock > b.syncedClock
+	if !overtaken {
+		b.Heard(r.Clock, now)
+		b.syncedClock, b.syncedAt = r.Clock, now
+	}
 
 	for _, e := range r.Ended {
 		if e.Number <= b.seen {
@@ -29,7 +33,10 @@
 			over = append(over, e)
 		}
 	}
-	b.progress(r.Active, now)
+	if overtaken {
+		return over // what runs is known better by now
+	}
+	b.progress(r.Active, fresh, now)
 	return append(over, b.missing(r, sentAt)...)
 }
 
@@ -51,11 +58,13 @@
 	return over
 }
 
-// progress notes how far the runs are, and enters those of earlier homes.
-func (b *Book) progress(active []Active, now time.Time) {
+// progress notes how far the runs are, and enters those of earlier homes if the
+// report is newer than all others.
+func (b *Book) progress(active []Active, fresh bool, now time.Time) {
 	for _, a := range active {
 		e := b.runs[a.Task]
 		switch {
+		case e == nil && !fresh:
 		case e == nil:
 			b.runs[a.Task] = &entry{Held: Held{Task: a.Task, Run: a.Run}, state: foreign, unsized: true, settledAt: now, startedAt: now}
 			b.unsized++
@@ -112,7 +121,7 @@
 // Crashed ends all runs of a worker whose process is proven to be gone.
 func (b *Book) Crashed() []End {
 	clear(b.late)
-	b.seen, b.acked, b.until, b.born = 0, 0, 0, 0
+	b.seen, b.acked, b.until, b.born, b.syncedClock = 0, 0, 0, 0, 0
 	b.Clock = Clock{}
 	return b.abandon()
 }
