entry, model, home, fleet: enforce the header's size, refuse advised queues at once

Cause: the configuration's limit of a header was decoded and not enforced; a job of a queue whose workers an outside service picks was sent to workers that reject it, and failed after all its attempts; fields were decoded that nothing reads; three waits stood twice.

Ruled out: enforcing the time-outs of the configuration, which the HTTP library takes at its start only; those of the settings hold, and docs/PLATFORM.md says so.

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -75,6 +75,9 @@
 	if err != nil {
 		return s.refuseJob(c, route, id, err)
 	}
+	if route.Advised {
+		return s.refuse(c, http.StatusServiceUnavailable, "queues whose workers an outside service picks are not served", 0)
+	}
 	if !s.leavesTime(batch) {
 		return s.refuse(c, http.StatusServiceUnavailable, "the instance is leaving", time.Second)
 	}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -148,6 +148,9 @@
 	if !ok {
 		return s.refuse(c, http.StatusNotFound, "no such queue", 0)
 	}
+	if limit := routing.Limits.MaxHeader; limit > 0 && headerSize(c) > limit {
+		return s.refuse(c, http.StatusRequestHeaderFieldsTooLarge, "the header is above the limit", 0)
+	}
 	if limit := routing.Limits.MaxBody; limit > 0 && len(c.BodyRaw()) > limit {
 		return s.refuse(c, http.StatusRequestEntityTooLarge, "the body is above the limit", 0)
 	}
@@ -165,3 +168,9 @@
 	}
 	return s.refuse(c, http.StatusMethodNotAllowed, "unknown method", 0)
 }
+
+// headerSize is the size of a request's first line and fields, in bytes.
+func headerSize(c fiber.Ctx) int {
+	h := &c.Request().Header
+	return len(h.Method()) + len(h.RequestURI()) + len(h.RawHeaders())
+}
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -76,8 +76,9 @@
 	Routes: []model.Route{
 		{Name: "a", Host: "h.example", Prefix: "/q/"},
 		{Name: "b", Host: "h.example", Prefix: "/q/longer/"},
+		{Name: "c", Host: "h.example", Prefix: "/advised/", Advised: true},
 	},
-	Limits: model.RequestLimits{MaxBody: 100},
+	Limits: model.RequestLimits{MaxHeader: 1000, MaxBody: 100},
 }
 
 func serveQueues(t *testing.T, d *dispatcher) (s *QueueServer, callers, balancer string) {
@@ -165,7 +166,9 @@
 		{"POST", "/q/5c0e", "bad", 400},
 		{"POST", "/q/5c0e", "huge", 400},
 		{"POST", "/q/5c0e", "other", 503},
+		{"POST", "/advised/5c0e", "1", 503},
 		{"POST", "/q/5c0e", strings.Repeat("x", 101), 413},
+		{"POST", "/q/5c0e?" + strings.Repeat("x", 1000), "1", 431},
 		{"GET", "/q/5c0e", "", 410},
 		{"DELETE", "/q/5c0e", "", 410},
 		{"PUT", "/q/5c0e", "", 405},
--- a/fleet/reached.go
+++ b/fleet/reached.go
@@ -22,19 +22,31 @@
 // awaitHome waits until a home is in reach: that of the data centre asked for,
 // or, for a job that no home has begun, one elsewhere.
 func (f *Fleet) awaitHome(ctx context.Context, j *forwarding) (string, int64, bool) {
-	timeout := time.NewTimer(homeWait)
+	var dataCentre string
+	var token int64
+	ok := f.await(ctx, homeWait, func() (found bool) {
+		dataCentre, token, found = f.findHome(j)
+		return found
+	})
+	return dataCentre, token, ok
+}
+
+// await waits until a condition on homes and instances holds. It reports false
+// if it does not within the limit.
+func (f *Fleet) await(ctx context.Context, limit time.Duration, holds func() bool) bool {
+	timeout := time.NewTimer(limit)
 	defer timeout.Stop()
 	for {
 		next := f.changed.wait()
-		if dc, token, ok := f.findHome(j); ok {
-			return dc, token, true
+		if holds() {
+			return true
 		}
 		select {
 		case <-next:
 		case <-timeout.C:
-			return "", 0, false
+			return false
 		case <-ctx.Done():
-			return "", 0, false
+			return false
 		}
 	}
 }
@@ -76,19 +88,8 @@
 // awaitChange waits until a data centre has a later home than the one with the
 // token.
 func (f *Fleet) awaitChange(ctx context.Context, dataCentre string, token int64) bool {
-	timeout := time.NewTimer(homeWait)
-	defer timeout.Stop()
-	for {
-		next := f.changed.wait()
-		if later, ok := f.inReach(dataCentre); ok && later > token {
-			return true
-		}
-		select {
-		case <-next:
-		case <-timeout.C:
-			return false
-		case <-ctx.Done():
-			return false
-		}
-	}
+	return f.await(ctx, homeWait, func() bool {
+		later, ok := f.inReach(dataCentre)
+		return ok && later > token
+	})
 }
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -78,7 +78,7 @@
 	f.front.Drain(deadline)
 
 	noticed := time.After(f.stop.Load().DrainDelay)
-	f.await(ctx, noticed)
+	f.awaitIdle(ctx, noticed)
 	err := f.front.Stop(ctx)
 	f.closeHomes()
 	f.cancel()
@@ -90,9 +90,9 @@
 	return nil
 }
 
-// await waits until the balancer has noticed, no home is left and no request
+// awaitIdle waits until the balancer has noticed, no home is left and no request
 // is in progress, or until the context ends.
-func (f *Fleet) await(ctx context.Context, noticed <-chan time.Time) {
+func (f *Fleet) awaitIdle(ctx context.Context, noticed <-chan time.Time) {
 	select {
 	case <-noticed:
 	case <-ctx.Done():
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"foxtailmux/lease"
@@ -38,23 +39,13 @@
 	if len(open) == 0 {
 		return
 	}
-	slices.SortFunc(open, func(a, b *unit) int { return compareIDs(a.worker.ID, b.worker.ID) })
+	slices.SortFunc(open, func(a, b *unit) int { return strings.Compare(a.worker.ID, b.worker.ID) })
 
 	for _, j := range h.inOrder(now) {
 		h.startTasks(j, open, largest, now)
 	}
 }
 
-func compareIDs(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 func (h *Home) inOrder(now time.Time) []*job {
 	type ranked struct {
 		job   *job
@@ -68,7 +59,7 @@
 		if c := plan.Compare(a.entry, b.entry, now); c != 0 {
 			return c
 		}
-		return compareIDs(a.job.batch.ID, b.job.batch.ID)
+		return strings.Compare(a.job.batch.ID, b.job.batch.ID)
 	})
 	jobs := make([]*job, len(list))
 	for i, r := range list {
--- a/home/hold.go
+++ b/home/hold.go
@@ -16,7 +16,7 @@
 	for u.ctx.Err() == nil {
 		pause, ok := u.next()
 		if !ok {
-			u.sleep(pause)
+			u.sleep(pause, u.wake)
 			continue
 		}
 		retry = u.retryDelay(retry)
@@ -24,7 +24,7 @@
 			retry = 0
 			continue
 		}
-		u.sleepTimer(retry)
+		u.sleep(retry, nil)
 	}
 }
 
@@ -57,20 +57,18 @@
 	return min(max(2*before, minRetryHold), limit)
 }
 
-// sleep waits for the time, or without one until the unit is woken.
-func (u *unit) sleep(d time.Duration) {
-	if d <= 0 {
-		select {
-		case <-u.wake:
-		case <-u.ctx.Done():
-		}
-		return
+// sleep waits for the time, or 0 without limit, unless the unit is woken by the
+// channel or given up.
+func (u *unit) sleep(d time.Duration, wake <-chan struct{}) {
+	var over <-chan time.Time
+	if d > 0 {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		over = t.C
 	}
-	t := time.NewTimer(d)
-	defer t.Stop()
 	select {
-	case <-t.C:
-	case <-u.wake:
+	case <-over:
+	case <-wake:
 	case <-u.ctx.Done():
 	}
 }
@@ -173,12 +171,3 @@
 	u.home.ended(u, u.book.Crashed(), now)
 	u.health.Silent()
 }
-
-func (u *unit) sleepTimer(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-u.ctx.Done():
-	}
-}
--- a/home/settle.go
+++ b/home/settle.go
@@ -77,7 +77,7 @@
 func (u *unit) settleAll() {
 	for u.ctx.Err() == nil {
 		if err := u.hold(false); err != nil {
-			u.sleepTimer(u.settleRetry())
+			u.sleep(u.settleRetry(), nil)
 		}
 		stops, more := u.unsettled()
 		if !more {
@@ -87,7 +87,7 @@
 			u.sendStop(s.Task, s.Run)
 		}
 		if len(stops) == 0 {
-			u.sleepTimer(settlePause)
+			u.sleep(settlePause, nil)
 		}
 	}
 }
--- a/model/batch.go
+++ b/model/batch.go
@@ -59,23 +59,13 @@
 type Routing struct {
 	Version  int64                  `json:"version"`
 	Routes   []Route                `json:"routes"`
-	Services map[string]ServicePool `json:"services"`
 	Limits   RequestLimits          `json:"limits"`
 }
 
-// ServicePool tells how the workers of a service behave. SelfGuarded workers
-// refuse what exceeds their capacity.
-type ServicePool struct {
-	SelfGuarded bool `json:"selfGuarded"`
-	Connections int  `json:"connections"` // to one worker, from all instances
-}
-
-// RequestLimits bound the requests of callers. Sizes are in bytes.
+// RequestLimits bound the requests of callers, in bytes; 0 is no limit.
 type RequestLimits struct {
-	MaxHeader     int           `json:"maxHeader"`
-	MaxBody       int           `json:"maxBody"`
-	HeaderTimeout time.Duration `json:"headerTimeout"`
-	IdleTimeout   time.Duration `json:"idleTimeout"`
+	MaxHeader int `json:"maxHeader"`
+	MaxBody   int `json:"maxBody"`
 }
 
 // Room is what a home tells the other instances of its workers, in thousandths
