home: take no refusal of a repeated start as proof that its run is not there

Cause: a start was carried out and its answer lost; sent again, it was refused by the worker as unhealthy, and the home took that for both.

Ruled out: the end of connections (the worker is asked over others), a later home (both runs have the same token), late orders (they come after 2 s).

Figures: the new test of home failed first (started 2 times, two runs at a time).

Conclusion: a repeated start that is refused is in doubt: it is looked for, and stopped.

--- a/home/home_test.go
+++ b/home/home_test.go
@@ -228,6 +228,25 @@
 	})
 }
 
+// A start is carried out and not answered, and refused when it is sent again: the
+// refusal tells nothing of the first one.
+func TestRefusalOfAStartThatWasSentAgainProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlace(t, 2)
+		h := p.ready(1)
+		defer p.close(h)
+		p.workers["w0"].SetFaults(fakes.Faults{LoseAnswers: true})
+		time.AfterFunc(20*time.Millisecond, func() { p.workers["w0"].SetFaults(fakes.Faults{Unhealthy: true}) })
+		if got := verdict(submit(h, submission("a", 1))); got != home.Succeeded {
+			t.Errorf("verdict %q", got)
+		}
+		p.check()
+		if n := p.ledger.Starts("a.0.0.0"); n != 1 {
+			t.Errorf("started %d times", n)
+		}
+	})
+}
+
 // Workers that crash while they owe orders may carry them out in their next life.
 func TestLateOrdersAndCrashesRunNoTaskTwiceAtATime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/home/start.go
+++ b/home/start.go
@@ -112,17 +112,22 @@
 
 // refused takes a start that the worker did not carry out.
 func (u *unit) refused(s lease.Start, why lease.Refusal, repeated bool, now time.Time) {
-	if repeated && why == lease.Outdated {
+	if why != lease.Late && why != lease.Outdated {
+		u.health.Unwell(now)
+	}
+	switch {
+	case !repeated:
+		u.notStarted(s, string(why), now)
+	case why == lease.Outdated:
 		// An earlier send was carried out and the run has ended: the next report
 		// lists how.
 		u.book.Confirm(s.Task, s.Run, now)
 		u.wakeUp()
-		return
-	}
-	if why != lease.Late && why != lease.Outdated {
-		u.health.Unwell(now)
+	default:
+		// An earlier send may have been carried out, or will be.
+		u.book.Doubt(s.Task, s.Run, now)
+		u.settle()
 	}
-	u.notStarted(s, string(why), now)
 }
 
 // notStarted puts the task of a start that was not carried out back.
