plan, home: blame workers for bad runs only if the job does better elsewhere

Change: a failed or slow run counts against its worker until the job does badly on a second one; then it is the job's, and an ejection for it is lifted. A slow end is no proof that a worker is well.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -111,6 +111,7 @@
 	Capacity model.Needs
 	Needs    func(task string) model.Needs
 	RunTime  func(task string) time.Duration
+	Fails    func(task string) bool
 
 	ledger *Ledger
 	began  time.Time
@@ -143,6 +144,7 @@
 		ID: id, Capacity: capacity, ledger: ledger, began: time.Now(), born: time.Now().UnixMilli(),
 		Needs:   func(string) model.Needs { return model.Needs{} },
 		RunTime: func(string) time.Duration { return 50 * time.Millisecond },
+		Fails:   func(string) bool { return false },
 		draw:    rand.New(rand.NewPCG(xxhash.Sum64String(id), 0)),
 		runs:    map[string]*leasedRun{}, last: map[string]int64{}, change: make(chan struct{}),
 	}
@@ -245,7 +247,7 @@
 	w.extend(s.Until)
 	r := &leasedRun{number: s.Run, began: time.Now(), length: w.RunTime(s.Task)}
 	how := lease.Done
-	if w.faults.FailAll {
+	if w.faults.FailAll || w.Fails(s.Task) {
 		r.length, how = leasedFailing, lease.Failed
 	}
 	if w.faults.Slowdown > 0 {
--- a/home/ends.go
+++ b/home/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"foxtailmux/lease"
@@ -55,8 +56,24 @@
 	}
 }
 
+// blame counts a bad run against its worker, unless the job does badly on others
+// too. It reports whether the worker seems to be at fault.
+func (j *job) blame(u *unit, now time.Time) bool {
+	if !slices.Contains(j.badOn, u) {
+		j.badOn = append(j.badOn, u)
+	}
+	if len(j.badOn) == 1 {
+		u.health.Blame(j.batch.ID, now)
+		return true
+	}
+	for _, other := range j.badOn {
+		other.health.Forgive(j.batch.ID)
+	}
+	return false
+}
+
 func (h *Home) taskFailed(u *unit, j *job, t *task, now time.Time) {
-	u.health.Failed(j.batch.ID, now)
+	j.blame(u, now)
 	t.failures++
 	t.mark(u.worker.ID)
 	h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Int64("run", t.run).Str("worker", u.worker.ID).
--- a/home/job.go
+++ b/home/job.go
@@ -24,6 +24,7 @@
 	tasks     []task
 	left      []int // tasks that are not done, by step
 	started   bool
+	badOn     []*unit // workers on which runs failed or were slow
 
 	outcome Outcome
 	over    chan struct{}
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -46,6 +46,8 @@
 	name    string
 	rate    float64 // jobs a second; 36 keep 0.75 of the workers busy
 	burst   float64 // times the rate from second 4 to 8
+	poison  float64 // share of the jobs whose tasks fail
+	long    float64 // share of the jobs that take six times as long as declared
 	trouble func(p *place)
 	share   float64
 }
@@ -90,7 +92,7 @@
 // play runs a pattern and returns what callers got.
 func play(t *testing.T, pt pattern, seed uint64) *result {
 	p := newPlace(t, 12)
-	runs := map[string]time.Duration{}
+	runs, poisoned := map[string]time.Duration{}, map[string]bool{}
 	var mu sync.Mutex
 	for i := range 4 {
 		id := fmt.Sprintf("w%d", i)
@@ -104,7 +106,12 @@
 		w.RunTime = func(task string) time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
-			return runs[task[:strings.Index(task, ".")]]
+			return runs[jobOf(task)]
+		}
+		w.Fails = func(task string) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return poisoned[jobOf(task)]
 		}
 	}
 	h := p.ready(1)
@@ -128,13 +135,20 @@
 		s := submission(fmt.Sprintf("j%d", n), min(max(1, int(k.tasks*(0.4+1.2*draw.Float64())+0.5)), k.widest))
 		s.Batch.Queue, s.Route.Name = k.name, k.name
 		s.Batch.Steps[0].Estimate = time.Duration(float64(run) * (0.6 + 0.8*draw.Float64()))
+		poison := draw.Float64() < pt.poison
+		if draw.Float64() < pt.long {
+			run *= 6
+		}
 		mu.Lock()
-		runs[s.Batch.ID] = run
+		runs[s.Batch.ID], poisoned[s.Batch.ID] = run, poison
 		mu.Unlock()
 		objective := time.Duration(s.Route.Stretch*float64(run)) + s.Route.Allowance
 		callers.Go(func() {
 			sent := time.Now()
 			o := submit(h, s)
+			if poison {
+				return // nothing is owed
+			}
 			r.add(k, o, time.Since(sent), objective, p.allStarted(s.Batch))
 		})
 	}
@@ -153,6 +167,8 @@
 	return true
 }
 
+func jobOf(task string) string { return task[:strings.Index(task, ".")] }
+
 func pick(draw *rand.Rand) kind {
 	at := draw.Float64()
 	for _, k := range mix {
@@ -188,6 +204,9 @@
 	{name: "a tenth of all orders is carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.1}), share: 0.9},
 	{name: "a third of all orders is carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.33}), share: 0.75},
 	{name: "half of all orders are carried out late", rate: 20, trouble: everyWorker(fakes.Faults{LateShare: 0.5}), share: 0.5},
+	{name: "a tenth of the jobs can never be done", rate: 26, poison: 0.1, share: 0.9},
+	{name: "a third of the jobs can never be done", rate: 26, poison: 0.33, share: 0.9},
+	{name: "a twentieth of the jobs takes six times as long", rate: 20, long: 0.05, share: 0.9},
 	{name: "all workers are half as fast", rate: 20, trouble: everyWorker(fakes.Faults{Slowdown: 2}), share: 0.4},
 }
 
--- a/home/stuck.go
+++ b/home/stuck.go
@@ -49,8 +49,12 @@
 		return
 	}
 	h := u.home
-	u.health.Stalled(now)
-	if !plan.Stuck(now.Sub(p.PercentAt), estimate) && !h.roomElsewhere(u, o, now) {
+	switch {
+	case plan.Stuck(now.Sub(p.PercentAt), estimate):
+		u.health.Stalled(now)
+	case !o.job.blame(u, now):
+		return // its estimate is at fault
+	case !h.roomElsewhere(u, o, now):
 		return
 	}
 	h.options.Log.Warn().Str("job", o.job.batch.ID).Str("task", p.Task).Int64("run", p.Run).Str("worker", u.worker.ID).
--- a/home/submit.go
+++ b/home/submit.go
@@ -163,6 +163,10 @@
 		}
 	}
 	if !plan.Admit(wait, times) {
+		h.options.Log.Info().Str("job", j.key).Int("claim", j.width()).Int("free", backlog.Free).Int("ahead", backlog.Ahead).
+			Int("capacity", backlog.Capacity).Int64("waitMillis", wait.Milliseconds()).Int64("ageMillis", times.Age.Milliseconds()).
+			Int64("chainMillis", times.Chain.Milliseconds()).Int64("objectiveMillis", times.Objective.Milliseconds()).
+			Msg("job not admitted")
 		reason := fmt.Sprintf("the backlog takes %d ms, the job has %d ms", wait.Milliseconds(), (j.objective - times.Chain).Milliseconds())
 		o := h.refused(reason, wait)
 		if len(j.batch.Steps) == 1 && s.Part == nil {
--- a/plan/health.go
+++ b/plan/health.go
@@ -1,6 +1,9 @@
 package plan
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Trust is how far a worker is used.
 type Trust int
@@ -42,10 +45,10 @@
 // or slow down all that they start while they say that they are well. The zero
 // value trusts.
 type Health struct {
-	failures  int
-	ignored   int // starts in a row that were not carried out
-	lastJob   string
-	pace      float64 // run time over the expected one, 0 is not known
+	blames    []string // jobs whose runs failed or were slow since the last one that ended well
+	ejected   bool     // for blames
+	ignored   int      // starts in a row that were not carried out
+	pace      float64  // run time over the expected one, 0 is not known
 	ejection  time.Duration
 	avoidTill time.Time
 	lossyTill time.Time
@@ -53,27 +56,47 @@
 	probing   bool // one run is out after an ejection
 }
 
-// Failed notes that a run of a job failed. Failures of one job count once,
-// since the job may be at fault.
-func (h *Health) Failed(job string, now time.Time) {
+// Blame notes that a run of a job failed, or is much slower than expected. The runs
+// of one job count once, since the job may be at fault.
+func (h *Health) Blame(job string, now time.Time) {
 	h.probing = false
-	if h.failures > 0 && job == h.lastJob {
+	if slices.Contains(h.blames, job) {
 		return
 	}
-	h.failures++
-	h.lastJob = job
-	if h.failures >= ejectAfter {
+	h.blames = append(h.blames, job)
+	if len(h.blames) >= ejectAfter {
 		h.eject(now)
+		h.ejected = true
+	}
+}
+
+// Forgive takes a blame back, since the job does no better on other workers. It
+// answers jobs that can never be done and jobs that take far longer than they
+// declare: they would eject one worker after the other.
+func (h *Health) Forgive(job string) {
+	i := slices.Index(h.blames, job)
+	if i < 0 {
+		return
+	}
+	h.blames = slices.Delete(h.blames, i, i+1)
+	if h.ejected && len(h.blames) < ejectAfter {
+		h.ejected, h.ejection, h.avoidTill, h.probing = false, 0, time.Time{}, false
 	}
 }
 
 // Done notes that a run ended well, after run in place of expected.
 func (h *Health) Done(run, expected time.Duration) {
-	h.failures, h.lastJob, h.ejection, h.probing = 0, "", 0, false
+	ratio := 1.0
+	if expected > 0 {
+		ratio = float64(run) / float64(expected)
+	}
+	h.probing = false
+	if ratio <= slowFactor {
+		h.blames, h.ejected, h.ejection = nil, false, 0
+	}
 	if expected <= 0 {
 		return
 	}
-	ratio := float64(run) / float64(expected)
 	if h.pace == 0 {
 		h.pace = ratio
 		return
@@ -81,7 +104,7 @@
 	h.pace += paceWeight * (ratio - h.pace)
 }
 
-// Stalled notes that a run makes no headway.
+// Stalled notes that a run stands still.
 func (h *Health) Stalled(now time.Time) {
 	h.probing = false
 	h.pace = max(h.pace, 2*slowFactor)
@@ -132,7 +155,6 @@
 func (h *Health) eject(now time.Time) {
 	h.ejection = min(max(2*h.ejection, minEjection), maxEjection)
 	h.avoidTill = now.Add(h.ejection)
-	h.failures = ejectAfter - 1 // one more failure ejects again
 }
 
 // Started notes that a run was ordered. A worker back from an ejection gets
@@ -144,7 +166,7 @@
 	switch {
 	case h.IsSilent(now), now.Before(h.avoidTill), h.probing:
 		return Avoided
-	case h.failures > 0, h.ejection > 0, h.pace > slowFactor:
+	case len(h.blames) > 0, h.ejection > 0, h.pace > slowFactor:
 		return Doubted
 	}
 	return Trusted
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -128,10 +128,10 @@
 
 func TestWorkerThatFailsJobsInARowIsAvoided(t *testing.T) {
 	var h plan.Health
-	h.Failed("a", at(0))
-	h.Failed("a", at(1)) // the same job may be at fault
+	h.Blame("a", at(0))
+	h.Blame("a", at(1)) // the same job may be at fault
 	got := []plan.Trust{h.Trust(at(2))}
-	h.Failed("b", at(2))
+	h.Blame("b", at(2))
 	got = append(got, h.Trust(at(3)), h.Trust(at(1100*ms)))
 	h.Started()
 	got = append(got, h.Trust(at(1100*ms)))
@@ -143,13 +143,47 @@
 	}
 }
 
+// Jobs that can never be done fail on each worker: the second worker that tells so
+// clears the first.
+func TestForgivenWorkerIsTrusted(t *testing.T) {
+	var h plan.Health
+	h.Blame("a", at(0))
+	h.Blame("b", at(1))
+	got := []plan.Trust{h.Trust(at(2))}
+	h.Forgive("b")
+	h.Forgive("unknown")
+	got = append(got, h.Trust(at(2)))
+	h.Forgive("a")
+	got = append(got, h.Trust(at(2)))
+	if diff := cmp.Diff([]plan.Trust{plan.Avoided, plan.Doubted, plan.Trusted}, got); diff != "" {
+		t.Error(diff)
+	}
+
+	h.Stalled(at(3)) // no matter of one job
+	h.Blame("c", at(4))
+	h.Forgive("c")
+	if h.Trust(at(5)) != plan.Avoided {
+		t.Error("a worker that stands still is forgiven")
+	}
+}
+
+func TestSlowRunClearsNobody(t *testing.T) {
+	var h plan.Health
+	h.Blame("a", at(0))
+	h.Done(400*ms, 60*ms)
+	h.Blame("b", at(1))
+	if h.Trust(at(2)) != plan.Avoided {
+		t.Error("a slow worker is used")
+	}
+}
+
 func TestEjectionGrowsUntilARunEndsWell(t *testing.T) {
 	var h plan.Health
-	h.Failed("a", at(0))
+	h.Blame("a", at(0))
 	var lasted []time.Duration
 	now := at(0)
 	for i := range 5 {
-		h.Failed(fmt.Sprint(i), now)
+		h.Blame(fmt.Sprint(i), now)
 		d := time.Duration(0)
 		for h.Trust(now.Add(d)) == plan.Avoided {
 			d += 100 * ms
