watch, fleet: follow the workers' table closely only where it is needed

Ruled out: longer pauses of the homes (a worker writes each 1.5 s, so that less than that saves nothing, and more comes too near to the 2 s after which a leaving worker may get no task); a read by data centre, which the store does not offer.

Change: an instance that is no home reads the table every 15 s. It follows closely for 10 s after its start, and from the moment on at which it would be the next home of a data centre; a new home starts with a table that is a second old at most, or after 300 ms.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,11 +31,6 @@
 // that changes with each start.
 const incarnationBytes = 8
 
-// workersPause is the time between two requests for changes of the workers'
-// table, which each worker writes every 1.5 s. A worker that leaves serves for
-// at least 2 s more, and no task may start on it after them.
-const workersPause = 700 * time.Millisecond
-
 // Fleet is one entry instance.
 type Fleet struct {
 	settings  setup.Settings
@@ -71,6 +66,8 @@
 	fenced    map[string]int64      // tokens that a worker refused, by data centre
 	claiming  map[string]bool
 	claimedAt map[string]time.Time    // when a home was seen to change, by data centre
+	takenAt   map[string]time.Time    // since when the store names this instance, by data centre
+	following bool                    // the workers' table closely
 	known     map[string]model.Worker // workers by id
 	missing   map[string]time.Time    // since when a worker is not listed
 	debits    map[string]debit        // by data centre
@@ -112,6 +109,7 @@
 		fenced:    map[string]int64{},
 		claiming:  map[string]bool{},
 		claimedAt: map[string]time.Time{},
+		takenAt:   map[string]time.Time{},
 		known:     map[string]model.Worker{},
 		missing:   map[string]time.Time{},
 		debits:    map[string]debit{},
@@ -131,10 +129,10 @@
 
 func (f *Fleet) build() {
 	l := &f.log.Logger
-	f.workers = watch.New(f.names.Workers, f.store, workersPause, f.onWorkers, l)
-	f.config = watch.New(f.names.Operator, f.store, 0, f.onConfig, l)
-	f.homes = watch.New(homesTable, f.store, 0, f.onHomes, l)
-	f.nodes = watch.New(nodesTable, f.store, 0, f.onNodes, l)
+	f.workers = watch.New(f.names.Workers, f.store, f.workersPause, f.onWorkers, l)
+	f.config = watch.New(f.names.Operator, f.store, nil, f.onConfig, l)
+	f.homes = watch.New(homesTable, f.store, nil, f.onHomes, l)
+	f.nodes = watch.New(nodesTable, f.store, nil, f.onNodes, l)
 	f.peers = peer.New(peer.Options{
 		Self:    model.Entry{ID: f.self.Instance, Incarnation: f.self.Incarnation},
 		Listen:  func(string) (net.Listener, error) { return f.listeners.peers, nil },
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -41,6 +41,7 @@
 		last = now
 		f.forgetMissing(time.Now())
 		f.dropSilentOrigins()
+		f.paceWorkers()
 		f.reviewHomes()
 		select {
 		case <-ctx.Done():
@@ -131,6 +132,9 @@
 		}
 		f.drop(dataCentre, h)
 	}
+	if !f.workersFresh(dataCentre) {
+		return // the next look comes with the answer of the store
+	}
 	h := home.New(home.Options{
 		DataCentre: dataCentre,
 		Token:      token,
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -34,7 +34,8 @@
 type Mirror struct {
 	name     string
 	source   Source
-	pause    time.Duration
+	pause    func() time.Duration
+	refresh  chan struct{}
 	onChange func(rows []table.Row)
 	log      *log.Logger
 	done     chan struct{}
@@ -43,16 +44,38 @@
 	rows     map[string]table.Row
 	version  int64
 	readAt   time.Time // when the table was read first
+	heardAt  time.Time // last answer
 	reached  bool
 	failedAt time.Time
 }
 
 // New returns the mirror of a table whose Run is still to be called. OnChange
-// is called after the rows changed, from one goroutine at a time. Pause is the
-// time between two requests for changes, which gathers those of a table that
-// is written all the time.
-func New(name string, source Source, pause time.Duration, onChange func(rows []table.Row), log *log.Logger) *Mirror {
-	return &Mirror{name: name, source: source, pause: pause, onChange: onChange, log: log, done: make(chan struct{}), rows: map[string]table.Row{}}
+// is called after the rows changed, from one goroutine at a time. Pause returns
+// the time between two requests for changes, which gathers those of a table that
+// is written all the time; without it there is none.
+func New(name string, source Source, pause func() time.Duration, onChange func(rows []table.Row), log *log.Logger) *Mirror {
+	if pause == nil {
+		pause = func() time.Duration { return 0 }
+	}
+	return &Mirror{
+		name: name, source: source, pause: pause, onChange: onChange, log: log,
+		done: make(chan struct{}), refresh: make(chan struct{}, 1), rows: map[string]table.Row{},
+	}
+}
+
+// Refresh asks for changes now, without the rest of a pause.
+func (m *Mirror) Refresh() {
+	select {
+	case m.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// Age returns the time since the last answer of the store.
+func (m *Mirror) Age() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return time.Since(m.heardAt)
 }
 
 // Done is closed when Run has returned.
@@ -113,20 +136,23 @@
 		m.note(err)
 		if err == nil {
 			retry = minRetry
-			sleep(ctx, m.pause)
+			m.sleep(ctx, m.pause())
 			continue
 		}
-		sleep(ctx, retry)
+		m.sleep(ctx, retry)
 		retry = min(2*retry, maxRetry)
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+func (m *Mirror) sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
+	t := time.NewTimer(d)
+	defer t.Stop()
 	select {
-	case <-time.After(d):
+	case <-t.C:
+	case <-m.refresh:
 	case <-ctx.Done():
 	}
 }
@@ -141,6 +167,9 @@
 	m.mu.Lock()
 	changed := m.reached != (err == nil)
 	m.reached = err == nil
+	if err == nil {
+		m.heardAt = time.Now()
+	}
 	version := m.version
 	since := m.failedAt
 	if changed && err != nil {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -120,7 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
 	var told []string
-	m := watch.New("t", s, 0, func(rows []table.Row) {
+	m := watch.New("t", s, nil, func(rows []table.Row) {
 		mu.Lock()
 		defer mu.Unlock()
 		for _, row := range rows {
@@ -244,7 +244,7 @@
 		s := newStore()
 		ctx, cancel := context.WithCancel(t.Context())
 		rows := 0
-		m := watch.New("t", s, 500*time.Millisecond, func(r []table.Row) { rows += len(r) }, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		m := watch.New("t", s, func() time.Duration { return 500 * time.Millisecond }, func(r []table.Row) { rows += len(r) }, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 		go m.Run(ctx)
 		for range 200 {
 			s.put("t/a", "1", false)
@@ -260,6 +260,35 @@
 	})
 }
 
+// An instance that needs a table only now and then reads it at once when it does.
+func TestRefreshEndsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		ctx, cancel := context.WithCancel(t.Context())
+		told := make(chan string, 10)
+		m := watch.New("t", s, func() time.Duration { return 15 * time.Second }, func(rows []table.Row) {
+			for _, row := range rows {
+				told <- string(row.Value)
+			}
+		}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		s.put("t/a", "1", false)
+		time.Sleep(3 * time.Second)
+		if age := m.Age(); len(told) != 0 || age < 3*time.Second {
+			t.Errorf("%d rows before the refresh, age %v", len(told), age)
+		}
+		m.Refresh()
+		m.Refresh()
+		time.Sleep(10 * time.Millisecond)
+		if age := m.Age(); len(told) != 1 || age > 10*time.Millisecond {
+			t.Errorf("%d rows after the refresh, age %v", len(told), age)
+		}
+		cancel()
+		<-m.Done()
+	})
+}
+
 func TestOwnWriteIsSeenAtOnceAndOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
