beat, fleet: bound the heartbeats and the reads of a large fleet

Cause: all instances of a data centre sent each other four heartbeats a second, all others one, and homes four to everybody: with 98 instances 204 wake-ups a second of an instance that does nothing else.

Ruled out: slower heartbeats of homes to those that follow them or that have jobs with them, since what a dead instance started must be over before its caller sends again after 1.3 s: instances with jobs at each other stay at 250 ms.

Change: the period grows with the number of instances that do not depend on each other, a heartbeat tells when the next one comes, and silence is counted in these periods. Up to 10 instances a data centre nothing changes. An idle instance reads the table each minute and knows the data centres by their homes.

Tests of beat are new; that of the rare heartbeats holds as it was.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -23,10 +23,11 @@
 	// farInterval is the same for the rest.
 	farInterval = time.Second
 
-	// Silence is how long an instance is not heard until it counts as dead:
-	// four heartbeats in a row were lost, or its process does not run.
-	Silence    = 1050 * time.Millisecond
-	farSilence = 4 * time.Second
+	// Silence is how long an instance that sends at the interval is not heard
+	// until it counts as dead: four heartbeats in a row were lost, or its process
+	// does not run. One that sends less often has as many periods.
+	Silence        = 1050 * time.Millisecond
+	silencePeriods = float64(Silence) / float64(interval)
 
 	// maxBytes of a heartbeat; it fits into one packet.
 	maxBytes = 1400
@@ -39,6 +40,13 @@
 	Leaving     bool                  `json:"leaving,omitempty"`
 	Homes       map[string]model.Room `json:"homes,omitempty"` // by data centre
 	Routing     int64                 `json:"routing"`         // version in force
+	Period      int64                 `json:"periodMillis"`    // until the next one to the same instance
+}
+
+// silence is how long the sender is not heard until it counts as dead.
+func (b Beat) silence() time.Duration {
+	period := max(time.Duration(b.Period)*time.Millisecond, interval)
+	return time.Duration(silencePeriods * float64(period))
 }
 
 // Peer is another instance as the store lists it.
@@ -77,8 +85,9 @@
 	mu      sync.Mutex
 	peers   map[string]Peer
 	members map[string]Member
-	sentAt  map[string]time.Time
-	alive   map[string]bool // as last logged
+	sent    map[string]sending
+	usedAt  map[string]time.Time // when jobs went to or came from an instance
+	alive   map[string]bool      // as last logged
 }
 
 // New returns a group whose Run is still to be called.
@@ -89,7 +98,8 @@
 		now:     make(chan struct{}, 1),
 		peers:   map[string]Peer{},
 		members: map[string]Member{},
-		sentAt:  map[string]time.Time{},
+		sent:    map[string]sending{},
+		usedAt:  map[string]time.Time{},
 		alive:   map[string]bool{},
 	}
 }
@@ -112,6 +122,8 @@
 	defer g.mu.Unlock()
 	delete(g.peers, instance)
 	delete(g.members, instance)
+	delete(g.sent, instance)
+	delete(g.usedAt, instance)
 }
 
 // Run sends and takes heartbeats until the context ends.
@@ -137,7 +149,7 @@
 // Announce sends a round of heartbeats at once.
 func (g *Group) Announce() {
 	g.mu.Lock()
-	clear(g.sentAt)
+	clear(g.sent)
 	g.mu.Unlock()
 	select {
 	case g.now <- struct{}{}:
@@ -147,45 +159,35 @@
 
 func (g *Group) send(now time.Time) {
 	own := g.options.Own()
-	body, err := json.Marshal(own)
-	if err != nil || len(body) > maxBytes {
-		g.options.Log.Error().Err(err).Int("bytes", len(body)).Msg("heartbeat not encoded")
-		return
-	}
-	for _, p := range g.due(now, len(own.Homes) > 0) {
-		addr, err := net.ResolveUDPAddr("udp", p.Addr)
+	bodies := map[time.Duration][]byte{}
+	for _, d := range g.due(now, len(own.Homes) > 0) {
+		body, ok := bodies[d.period]
+		if !ok {
+			own.Period = d.period.Milliseconds()
+			body = g.encode(own)
+			bodies[d.period] = body
+		}
+		if body == nil {
+			continue
+		}
+		addr, err := net.ResolveUDPAddr("udp", d.peer.Addr)
 		if err == nil {
 			_, err = g.options.Conn.WriteTo(body, addr)
 		}
 		if err != nil {
-			g.options.Log.Debug().Err(err).Str("peer", p.Instance).Msg("heartbeat not sent")
+			g.options.Log.Debug().Err(err).Str("peer", d.peer.Instance).Msg("heartbeat not sent")
 		}
 	}
 }
 
-// due returns the instances that get a heartbeat now.
-func (g *Group) due(now time.Time, home bool) []Peer {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	var list []Peer
-	for id, p := range g.peers {
-		wait := farInterval
-		if home || g.near(id) {
-			wait = interval
-		}
-		// Rounds come a little early or late.
-		if now.Sub(g.sentAt[id]) < wait-interval/4 {
-			continue
-		}
-		g.sentAt[id] = now
-		list = append(list, p)
+// encode returns nil for a heartbeat that can't be sent.
+func (g *Group) encode(b Beat) []byte {
+	body, err := json.Marshal(b)
+	if err != nil || len(body) > maxBytes {
+		g.options.Log.Error().Err(err).Int("bytes", len(body)).Msg("heartbeat not encoded")
+		return nil
 	}
-	return list
-}
-
-// near reports whether heartbeats of an instance come at the short interval.
-func (g *Group) near(id string) bool {
-	return g.peers[id].DataCentre == g.options.Self.DataCentre || len(g.members[id].Homes) > 0
+	return body
 }
 
 func (g *Group) receive() {
@@ -227,11 +229,7 @@
 
 func (g *Group) aliveAt(instance string, now time.Time) bool {
 	m, ok := g.members[instance]
-	limit := farSilence
-	if g.near(instance) || len(m.Homes) > 0 {
-		limit = Silence
-	}
-	return ok && now.Sub(m.HeardAt) < limit
+	return ok && now.Sub(m.HeardAt) < m.silence()
 }
 
 // Member returns what was heard of an instance last.
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -110,6 +111,74 @@
 	})
 }
 
+// In a large fleet the heartbeats of an instance are bounded, except between those
+// that depend on each other.
+func TestHeartbeatsOfALargeFleetAreBounded(t *testing.T) {
+	count := func(homes map[string]model.Room, peers int, dc string, use bool) (sent int) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWire()
+			a := w.member(t, "a", "kochi", "10.0.0.1:7", homes)
+			for i := range peers {
+				a.SetPeer(beat.Peer{Instance: fmt.Sprint(i), DataCentre: dc, Addr: fmt.Sprintf("10.0.1.%d:7", i)})
+			}
+			if use {
+				a.Use("0")
+			}
+			time.Sleep(5*time.Second + time.Millisecond)
+			w.mu.Lock()
+			sent = w.sent
+			w.mu.Unlock()
+		})
+		return sent
+	}
+	home := map[string]model.Room{"kochi": {}}
+	cases := map[string]struct{ got, most int }{
+		"others here":         {count(nil, 100, "kochi", false), 5*40 + 100},
+		"others elsewhere":    {count(nil, 100, "tvm", false), 5*40 + 100},
+		"others and one used": {count(nil, 100, "tvm", true), 5*44 + 100},
+		"home to elsewhere":   {count(home, 100, "tvm", false), 5*200 + 100},
+	}
+	for name, c := range cases {
+		if c.got > c.most {
+			t.Errorf("%s: %d in 5 s, want at most %d", name, c.got, c.most)
+		}
+	}
+	if got := count(home, 100, "kochi", false); got != 21*100 {
+		t.Errorf("%d of a home in its data centre, want one each 250 ms for each", got)
+	}
+	if got := count(nil, 1, "tvm", true); got != 21 {
+		t.Errorf("%d to an instance in use", got)
+	}
+}
+
+// An instance that sends less often is not taken for dead in between, also when it
+// has just changed to it.
+func TestSilenceFollowsThePeriod(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		a := w.member(t, "a", "kochi", "10.0.0.1:7", nil)
+		b := w.member(t, "b", "tvm", "10.0.0.2:7", nil)
+		a.SetPeer(beat.Peer{Instance: "b", DataCentre: "tvm", Addr: "10.0.0.2:7"})
+		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		for i := range 100 { // 99 further instances: a period of 2.5 s
+			b.SetPeer(beat.Peer{Instance: fmt.Sprint(i), DataCentre: "kochi", Addr: fmt.Sprintf("10.0.1.%d:7", i)})
+		}
+		b.Use("a")
+		time.Sleep(time.Second)
+		for range 200 {
+			time.Sleep(100 * time.Millisecond)
+			if !a.Alive("b") {
+				t.Fatal("taken for dead")
+			}
+		}
+		w.set("10.0.0.2:7", "10.0.0.1:7", true)
+		time.Sleep(12 * time.Second)
+		if a.Alive("b") {
+			t.Error("not taken for dead")
+		}
+	})
+}
+
 // Instances that do not depend on each other spend a quarter of the packets.
 func TestHeartbeatsAreRareWhereNothingDependsOnThem(t *testing.T) {
 	count := func(dc string, homes map[string]model.Room) (sent int) {
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -85,6 +85,7 @@
 		return h.Submit(ctx, s), nil
 	}
 
+	f.beats.Use(owner.Instance)
 	var outcome home.Outcome
 	err := f.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
 	if ctx.Err() != nil {
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -103,16 +104,19 @@
 	}
 }
 
-// dataCentres returns those that have workers.
+// dataCentres returns those that have workers or had a home.
 func (f *Fleet) dataCentres() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	var list []string
+	for key := range f.homes.Rows() {
+		list = append(list, strings.TrimPrefix(key, homesTable+"/"))
+	}
+	f.mu.Lock()
 	for _, w := range f.known {
 		if !slices.Contains(list, w.DataCentre) {
 			list = append(list, w.DataCentre)
 		}
 	}
+	f.mu.Unlock()
 	slices.Sort(list)
 	return list
 }
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -9,14 +9,14 @@
 	// on it after them.
 	closePause = 700 * time.Millisecond
 
-	// idlePause is the same for an instance that is no home, and needs to know
-	// the data centres and whom to dial. Each answer holds the rows of all
-	// workers. It is below the 20 s for which the store keeps its history.
-	idlePause = 15 * time.Second
+	// idlePause is the same for an instance that is no home, and only needs to
+	// know whom to dial in a data centre without a home. Each answer holds the
+	// rows of all workers: 1,000 of them are 200 kB.
+	idlePause = time.Minute
 
 	// closeStart is how long after its start an instance follows the table
-	// closely: workers that start with it register within seconds.
-	closeStart = 10 * time.Second
+	// closely: workers that start with it register meanwhile.
+	closeStart = 2 * time.Second
 
 	// freshFor is the age up to which the table is good enough for a new home.
 	freshFor = time.Second
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -40,6 +40,7 @@
 	if h == nil {
 		return nil, errNoHome
 	}
+	f.beats.Use(r.Job.Origin)
 	return h.Submit(ctx, r.Job), nil
 }
 
