fleet, plan: let a job wait for a home only while its answer is of use

Cause: while no home is in reach, as after a restart of all instances, each job waited 1.5 s for one, also those whose callers want the answer within 156 ms, and was refused then.

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"foxtailmux/home"
+	"foxtailmux/plan"
 )
 
 const (
@@ -45,7 +46,7 @@
 func (f *Fleet) forward(ctx context.Context, s home.Submission, j *forwarding, began time.Time) home.Outcome {
 	deadline := began.Add(s.Left)
 	for range maxHops {
-		dc, token, ok := f.awaitHome(ctx, j)
+		dc, token, ok := f.awaitHome(ctx, j, homePatience(s, j.resumed, time.Since(began)))
 		if !ok {
 			break
 		}
@@ -74,6 +75,20 @@
 	return j.end()
 }
 
+// homePatience is how long a job waits for a home. One that a home may have begun
+// can't be refused, and waits as long as a takeover takes.
+func homePatience(s home.Submission, resumed bool, age time.Duration) time.Duration {
+	if resumed {
+		return homeWait
+	}
+	estimates := make([]time.Duration, len(s.Batch.Steps))
+	for i, step := range s.Batch.Steps {
+		estimates[i] = step.Estimate
+	}
+	chain := plan.Chain(s.Batch.Steps, estimates)
+	return min(plan.StartWithin(plan.Objective(s.Route, chain), chain)-age, homeWait)
+}
+
 // submit hands a job to the home of a data centre.
 func (f *Fleet) submit(ctx context.Context, dataCentre string, s home.Submission) (home.Outcome, error) {
 	owner, _ := f.homeOf(dataCentre)
--- a/fleet/reached.go
+++ b/fleet/reached.go
@@ -20,11 +20,12 @@
 }
 
 // awaitHome waits until a home is in reach: that of the data centre asked for,
-// or, for a job that no home has begun, one elsewhere.
-func (f *Fleet) awaitHome(ctx context.Context, j *forwarding) (string, int64, bool) {
+// or, for a job that no home has begun, one elsewhere. It reports false if there is
+// none within the limit.
+func (f *Fleet) awaitHome(ctx context.Context, j *forwarding, limit time.Duration) (string, int64, bool) {
 	var dataCentre string
 	var token int64
-	ok := f.await(ctx, homeWait, func() (found bool) {
+	ok := f.await(ctx, limit, func() (found bool) {
 		dataCentre, token, found = f.findHome(j)
 		return found
 	})
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -36,6 +36,13 @@
 	return longest
 }
 
+// StartWithin is how long after its arrival a job may start and still be of use to
+// its caller. It answers the time without a home after a restart of all instances:
+// a job that would only wait for its refusal is refused sooner.
+func StartWithin(objective, chain time.Duration) time.Duration {
+	return max(lateFactor*objective-chain, 0)
+}
+
 // Waiting is a job with tasks that wait.
 type Waiting struct {
 	Arrived   time.Time
@@ -53,7 +60,7 @@
 
 // Expired reports whether a job that has not started can no longer be of use.
 func (w Waiting) Expired(now time.Time) bool {
-	return !w.Started && now.After(w.latestStart().Add((lateFactor-1)*w.Objective))
+	return !w.Started && now.Sub(w.Arrived) > StartWithin(w.Objective, w.Remaining)
 }
 
 // Compare orders jobs by the time at which they must start. It answers bursts
