proof: cut instances off the store, one way and slowly, and lose a share of the orders

Cause: the soak had neither orders that are lost one by one, which the repeated starts answer, nor cuts of single instances from the store, cuts of one direction or delays.

Ruled out: more kinds for the seeds that failed before: they keep theirs.

--- a/model/batch.go
+++ b/model/batch.go
@@ -57,9 +57,9 @@
 // Routing is the configuration of the queues, as the platform's operator
 // wrote it. Version only rises.
 type Routing struct {
-	Version  int64                  `json:"version"`
-	Routes   []Route                `json:"routes"`
-	Limits   RequestLimits          `json:"limits"`
+	Version int64         `json:"version"`
+	Routes  []Route       `json:"routes"`
+	Limits  RequestLimits `json:"limits"`
 }
 
 // RequestLimits bound the requests of callers, in bytes; 0 is no limit.
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -44,11 +44,21 @@
 	11, // deadlock: a home called the fleet under its lock, and the fleet the home
 	13, // run twice: a start that reached a worker's new life was taken as lost
 	14, // as 11
+	300,
 }
 
+// Seeds below laterSeeds draw from the first earlierFaults kinds of faults, so that
+// they mean what they did when they failed.
+const (
+	laterSeeds    = 100
+	earlierFaults = 13
+	allFaults     = 17
+)
+
 type soak struct {
 	t         *testing.T
 	draw      *rand.Rand
+	kinds     int // of faults
 	store     *stand.Store
 	ledger    *fakes.Ledger
 	workers   []*fakes.LeasedWorker
@@ -67,18 +77,38 @@
 type soakInstance struct {
 	name, settings, callers string
 
+	store *cutter
+
 	mu   sync.Mutex
 	proc *process
 }
 
-// cutter is a TCP proxy in front of a worker that can be made silent or reset.
+// cutter is a TCP proxy in front of a worker or the store, whose connections can be
+// made silent, cut one way, delayed or reset.
 type cutter struct {
 	listener net.Listener
 	target   string
 	silent   atomic.Bool
+	mute     atomic.Bool // answers are held up
+	slow     atomic.Bool
 	reset    atomic.Bool
 }
 
+// cutDelay is the delay of each read of a slow cutter.
+const cutDelay = 40 * time.Millisecond
+
+func newCutter(t *testing.T, target string) *cutter {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cutter{listener: listener, target: target}
+	go c.serve()
+	t.Cleanup(func() { _ = listener.Close() })
+	return c
+}
+
 func (c *cutter) serve() {
 	for {
 		in, err := c.listener.Accept()
@@ -90,12 +120,12 @@
 			_ = in.Close()
 			continue
 		}
-		go c.copy(in, out)
-		go c.copy(out, in)
+		go c.copy(in, out, &c.mute)
+		go c.copy(out, in, &c.silent)
 	}
 }
 
-func (c *cutter) copy(to, from net.Conn) {
+func (c *cutter) copy(to, from net.Conn, held *atomic.Bool) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
@@ -104,7 +134,10 @@
 		if c.reset.Load() {
 			return
 		}
-		for c.silent.Load() {
+		if c.slow.Load() {
+			time.Sleep(cutDelay)
+		}
+		for c.silent.Load() || held.Load() {
 			time.Sleep(10 * time.Millisecond)
 		}
 		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
@@ -116,7 +149,10 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, draw: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		statuses: map[string][]int{},
+		statuses: map[string][]int{}, kinds: allFaults,
+	}
+	if seed < laterSeeds {
+		s.kinds = earlierFaults
 	}
 	store := httptest.NewServer(s.store)
 	t.Cleanup(store.Close)
@@ -141,15 +177,9 @@
 		server.Close()
 	})
 
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	c := &cutter{listener: listener, target: server.Listener.Addr().String()}
-	go c.serve()
-	s.t.Cleanup(func() { _ = listener.Close() })
+	c := newCutter(s.t, server.Listener.Addr().String())
 	s.workers, s.cuts = append(s.workers, w), append(s.cuts, c)
-	key, value := stand.WorkerRow(id, listener.Addr().String(), dc, 64_000)
+	key, value := stand.WorkerRow(id, c.listener.Addr().String(), dc, 64_000)
 	s.rows = append(s.rows, soakRow{key, value})
 	s.store.Put(key, value)
 }
@@ -191,9 +221,9 @@
 }
 
 func (s *soak) addInstance(name, dc, store string) {
-	i := &soakInstance{name: name, callers: reserve(s.t), settings: filepath.Join(s.t.TempDir(), name+".yaml")}
+	i := &soakInstance{name: name, callers: reserve(s.t), store: newCutter(s.t, store), settings: filepath.Join(s.t.TempDir(), name+".yaml")}
 	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nstop: {drainDelay: 300ms, limit: 3s}\n",
-		name, dc, i.callers, reserve(s.t), reserve(s.t), reserve(s.t), store)
+		name, dc, i.callers, reserve(s.t), reserve(s.t), reserve(s.t), i.store.listener.Addr())
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -256,7 +286,7 @@
 	lasts := time.Duration(300+s.draw.IntN(1700)) * time.Millisecond
 	until := func(end func()) { time.AfterFunc(lasts, end) }
 	worker, cut := s.workers[w], s.cuts[w]
-	switch s.draw.IntN(13) {
+	switch s.draw.IntN(s.kinds) {
 	case 0:
 		s.restart(i, syscall.SIGKILL)
 	case 1:
@@ -294,6 +324,20 @@
 		row := s.rows[w]
 		s.store.Delete(row.key)
 		until(func() { s.store.Put(row.key, row.value) })
+	case 13:
+		for _, w := range s.workers {
+			w.SetFaults(fakes.Faults{LateShare: 0.3})
+			until(func() { w.SetFaults(fakes.Faults{}) })
+		}
+	case 14:
+		i.store.silent.Store(true)
+		until(func() { i.store.silent.Store(false) })
+	case 15:
+		cut.mute.Store(true)
+		until(func() { cut.mute.Store(false) })
+	case 16:
+		cut.slow.Store(true)
+		until(func() { cut.slow.Store(false) })
 	}
 }
 
