--- a/beat/beat.go
+++ b/beat/beat.go
@@ -40,12 +40,12 @@
 	Leaving     bool                  `json:"leaving,omitempty"`
 	Homes       map[string]model.Room `json:"homes,omitempty"` // by data centre
 	Routing     int64                 `json:"routing"`         // version in force
-	Period      int64                 `json:"periodMillis"`    // until the next one to the same instance
+	Next        int64                 `json:"nextMillis"`      // time until the next one to the same instance
 }
 
 // silence is how long the sender is not heard until it counts as dead.
 func (b Beat) silence() time.Duration {
-	period := max(time.Duration(b.Period)*time.Millisecond, interval)
+	period := max(time.Duration(b.Next)*time.Millisecond, interval)
 	return time.Duration(silencePeriods * float64(period))
 }
 
@@ -163,7 +163,7 @@
 	for _, d := range g.due(now, len(own.Homes) > 0) {
 		body, ok := bodies[d.period]
 		if !ok {
-			own.Period = d.period.Milliseconds()
+			own.Next = d.period.Milliseconds()
 			body = g.encode(own)
 			bodies[d.period] = body
 		}
--- a/home/hold.go
+++ b/home/hold.go
@@ -110,16 +110,16 @@
 // holdWait returns how long the next hold waits for an end: a little beyond the
 // first one that is expected, so that an answer that is lost is missed soon.
 func (u *unit) holdWait(now time.Time) time.Duration {
-	wait := maxHoldWait
+	wait, least := maxHoldWait, minHoldWait
 	if u.health.Lossy(now) {
-		wait = lossyHoldWait
+		wait, least = lossyHoldWait, lossyHoldWait
 	}
 	for _, p := range u.book.Progress() {
 		if o, ok := u.owners[p.Task]; ok && !p.Stopping {
 			wait = min(wait, plan.EndBy(p.StartedAt, o.job.estimates[o.task.step]).Sub(now))
 		}
 	}
-	return max(wait, min(minHoldWait, lossyHoldWait))
+	return max(wait, least)
 }
 
 var (
