--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -54,6 +54,7 @@
 
 const (
 	replayLasts    = 16 * time.Second
+	replayPlaces   = 4*3 + 8*2 // tasks that run at once
 	betweenReviews = 80 * time.Millisecond
 )
 
@@ -66,6 +67,7 @@
 	jobs    int
 	slowest time.Duration // a refusal, beyond the time that its objective left
 	held    int           // jobs that their callers gave up before all tasks had started
+	came    []arrival     // of jobs that are owed
 }
 
 func (r *result) add(k kind, o home.Outcome, took, objective time.Duration, started bool) {
@@ -143,6 +145,9 @@
 		runs[s.Batch.ID], poisoned[s.Batch.ID] = run, poison
 		mu.Unlock()
 		objective := time.Duration(s.Route.Stretch*float64(run)) + s.Route.Allowance
+		if !poison {
+			r.came = append(r.came, arrival{time.Since(began), s.Batch.Steps[0].Replicas, run, objective, k.worth})
+		}
 		callers.Go(func() {
 			sent := time.Now()
 			o := submit(h, s)
@@ -225,8 +230,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			r := play(t, pt, seed)
 			share := r.earned / r.owed
-			t.Logf("%d jobs, worth %.3f, refused %.3f, held to the end %.3f, latest refusal %v after the objective",
-				r.jobs, share, r.part(r.refused), r.part(r.held), r.slowest.Round(time.Millisecond))
+			t.Logf("%d jobs, worth %.3f, refused %.3f, held to the end %.3f, latest refusal %v after the objective, perfect knowledge %.3f",
+				r.jobs, share, r.part(r.refused), r.part(r.held), r.slowest.Round(time.Millisecond), perfect(replayPlaces, r.came))
 			if share < pt.share {
 				t.Errorf("worth %.3f, want at least %.2f", share, pt.share)
 			}
