home, plan: let orders wait longer while the process itself is late

Ruled out: the workers (those of other homes answered), the admission.

A slow home stays slow, and is handed over next.

--- a/home/home.go
+++ b/home/home.go
@@ -16,6 +16,7 @@
 	"foxtailmux/learn"
 	"foxtailmux/lease"
 	"foxtailmux/model"
+	"foxtailmux/plan"
 )
 
 // Endpoint sends orders to one worker, each once. An error that has a method
@@ -88,7 +89,8 @@
 	finished     map[string]finished
 	orphans      map[string]lease.End // ends of runs of earlier homes, by task
 	dispatchedAt time.Time
-	behind       bool      // the last tick came too late
+	behind       bool // the last tick came too late
+	lag          time.Duration
 	orphansAt    time.Time // when the last ones came
 	lastRun      int64
 	reviewedAt   time.Time
@@ -248,6 +250,7 @@
 const maxLag = 100 * time.Millisecond
 
 func (h *Home) noteLag(lag time.Duration) {
+	h.lag = plan.Lag(h.lag, lag)
 	if behind := lag > maxLag; behind != h.behind {
 		h.behind = behind
 		h.options.Log.Warn().Bool("behind", behind).Int64("lagMillis", lag.Milliseconds()).Int("jobs", len(h.jobs)).
--- a/home/settle.go
+++ b/home/settle.go
@@ -68,7 +68,9 @@
 )
 
 func (u *unit) settleRetry() time.Duration {
-	if u.lossy() {
+	u.home.mu.Lock()
+	defer u.home.mu.Unlock()
+	if u.health.Lossy(time.Now()) {
 		return minRetryHold
 	}
 	return maxSettleRetry
--- a/home/unit.go
+++ b/home/unit.go
@@ -94,16 +94,12 @@
 
 // timeout is how long an order waits for its answer that usually waits that long.
 func (u *unit) timeout(usual time.Duration) time.Duration {
-	if u.lossy() {
-		return lossyTimeout
-	}
-	return usual
-}
-
-func (u *unit) lossy() bool {
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
-	return u.health.Lossy(time.Now())
+	if u.health.Lossy(time.Now()) {
+		usual = lossyTimeout
+	}
+	return plan.AnswerWithin(usual, u.home.lag)
 }
 
 func (u *unit) wakeUp() {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -113,6 +113,22 @@
 	}
 }
 
+// A machine turns eight times slower for a while: ticks come 150 ms late, then in time
+// again.
+func TestOrdersWaitLongerWhileTheProcessIsLate(t *testing.T) {
+	lag := plan.Lag(0, time.Millisecond)
+	got := []time.Duration{plan.AnswerWithin(30*ms, lag)}
+	lag = plan.Lag(lag, 150*ms)
+	got = append(got, plan.AnswerWithin(30*ms, lag))
+	for range 30 { // 0.6 s
+		lag = plan.Lag(lag, 0)
+	}
+	got = append(got, plan.AnswerWithin(30*ms, lag).Round(ms))
+	if diff := cmp.Diff([]time.Duration{32 * ms, 330 * ms, 43 * ms}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestHopelessTasks(t *testing.T) {
 	if plan.Hopeless(900*ms, 450*ms) || !plan.Hopeless(900*ms, 449*ms) {
 		t.Error("a task takes half of its estimate at least")
