plan, beat, fleet: hand a slow home over

Change: an instance whose ticks come 50 ms late on average, three in a row, says so in its heartbeat; a fast one takes its homes over, 3.2 s after the last claim at the earliest.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -38,6 +38,7 @@
 	Instance    string                `json:"instance"`
 	Incarnation string                `json:"incarnation"`
 	Leaving     bool                  `json:"leaving,omitempty"`
+	Slow        bool                  `json:"slow,omitempty"`  // its process runs too late to be a home
 	Homes       map[string]model.Room `json:"homes,omitempty"` // by data centre
 	Routing     int64                 `json:"routing"`         // version in force
 	Next        int64                 `json:"nextMillis"`      // time until the next one to the same instance
@@ -210,7 +211,7 @@
 	g.mu.Lock()
 	old := g.members[b.Instance]
 	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
-	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Routing != b.Routing || now.Sub(old.HeardAt) > Silence
+	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow || old.Routing != b.Routing || now.Sub(old.HeardAt) > Silence
 	g.mu.Unlock()
 	if fresh {
 		g.options.OnBeat(b)
--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -14,6 +14,9 @@
 	if f.leaving.Load() || !f.homes.Reached() {
 		return false
 	}
+	if f.slow() && owner.Instance != f.self.Instance {
+		return false
+	}
 	if owner.Instance == f.self.Instance {
 		return true // an earlier life of this very process, which is over
 	}
@@ -35,7 +38,7 @@
 func (f *Fleet) successor(dataCentre string, living map[string]beat.Member) string {
 	list := []candidate{{peer: f.self, homes: f.homeCount()}}
 	for id, m := range living {
-		if !m.Leaving {
+		if !m.Leaving && !m.Slow {
 			list = append(list, candidate{peer: f.beats.Peer(id), homes: len(m.Homes)})
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"foxtailmux/model"
 	"foxtailmux/pause"
 	"foxtailmux/peer"
+	"foxtailmux/plan"
 	"foxtailmux/setup"
 	"foxtailmux/watch"
 )
@@ -68,6 +69,7 @@
 	claimedAt map[string]time.Time    // when a home was seen to change, by data centre
 	takenAt   map[string]time.Time    // since when the store names this instance, by data centre
 	following bool                    // the workers' table closely
+	slowness  plan.Slowness           // of this process
 	known     map[string]model.Worker // workers by id
 	missing   map[string]time.Time    // since when a worker is not listed
 	debits    map[string]debit        // by data centre
@@ -187,7 +189,7 @@
 func (f *Fleet) Routing() *model.Routing { return f.routing.Load() }
 
 func (f *Fleet) ownBeat() beat.Beat {
-	b := beat.Beat{Instance: f.self.Instance, Incarnation: f.self.Incarnation, Leaving: f.leaving.Load()}
+	b := beat.Beat{Instance: f.self.Instance, Incarnation: f.self.Incarnation, Leaving: f.leaving.Load(), Slow: f.slow()}
 	if r := f.routing.Load(); r != nil {
 		b.Routing = r.Version
 	}
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -47,12 +47,33 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case due := <-ticker.C:
+			f.noteLag(time.Since(due))
 		case <-next:
 		}
 	}
 }
 
+// noteLag takes how late a look comes.
+func (f *Fleet) noteLag(lag time.Duration) {
+	f.mu.Lock()
+	before := f.slowness.Slow()
+	f.slowness.Note(lag)
+	slow := f.slowness.Slow()
+	f.mu.Unlock()
+	if slow != before {
+		f.log.Warn().Bool("slow", slow).Int64("lagMillis", lag.Milliseconds()).Msg("process is slow, others may take its homes")
+		f.beats.Announce()
+	}
+}
+
+// slow reports whether this process is too slow to be a home.
+func (f *Fleet) slow() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.slowness.Slow()
+}
+
 // suspendedClock counts the time in which the machine was suspended too.
 func suspendedClock() time.Duration {
 	var ts unix.Timespec
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -60,7 +60,7 @@
 			return true
 		}
 		_, ok := f.inReach(dc)
-		if ok && !f.beats.Member(owner.Instance).Leaving {
+		if m := f.beats.Member(owner.Instance); ok && !m.Leaving && !m.Slow {
 			continue
 		}
 		if f.successor(dc, f.beats.Living()) == f.self.Instance {
--- a/fleet/successor.go
+++ b/fleet/successor.go
@@ -11,19 +11,24 @@
 )
 
 // gone reports whether the owner of a home is to be followed by another
-// instance. Member is what was heard of the owner, if it was heard lately. An
-// owner that has just claimed, after a restart, is not heard yet under its new
+// instance. Member is what was heard of the owner, if it was heard lately. A slow
+// owner is followed too, but not before it was home for a while: homes must not take
+// turns. An owner that has just claimed, after a restart, is not heard yet under its new
 // incarnation: without the time since its claim two instances would take turns.
 func gone(owner homeRow, member beat.Member, heard bool, sinceClaim time.Duration) bool {
 	switch {
 	case owner.Instance == "":
 		return true
 	case heard && member.Incarnation == owner.Incarnation:
-		return member.Leaving
+		return member.Leaving || member.Slow && sinceClaim > slowStay
 	}
 	return sinceClaim > beat.Silence
 }
 
+// slowStay is how long a slow owner stays the home after its claim. Owners in touch may
+// not take turns within 3 s.
+const slowStay = 3200 * time.Millisecond
+
 // candidate is an instance that could be the home of a data centre.
 type candidate struct {
 	peer  beat.Peer
--- a/fleet/successor_test.go
+++ b/fleet/successor_test.go
@@ -34,6 +34,8 @@
 	heard := func(incarnation string, leaving bool) beat.Member {
 		return beat.Member{Beat: beat.Beat{Instance: "a", Incarnation: incarnation, Leaving: leaving}}
 	}
+	slow := heard("2", false)
+	slow.Slow = true
 	cases := []struct {
 		name       string
 		owner      homeRow
@@ -45,6 +47,8 @@
 		{"no owner", homeRow{}, beat.Member{}, false, time.Hour, true},
 		{"alive", owner, heard("2", false), true, time.Hour, false},
 		{"leaving", owner, heard("2", true), true, 0, true},
+		{"slow", owner, slow, true, time.Hour, true},
+		{"slow and home for a moment", owner, slow, true, 3 * time.Second, false},
 		{"silent", owner, beat.Member{}, false, time.Hour, true},
 		{"restarted since", owner, heard("3", false), true, time.Hour, true},
 		{"claimed a moment ago, heard under its old incarnation", owner, heard("1", false), true, 20 * time.Millisecond, false},
--- a/plan/move.go
+++ b/plan/move.go
@@ -32,21 +32,6 @@
 	return started.Add(time.Duration(endFactor*float64(estimate)) + endDelay)
 }
 
-// lagFactor is how often an order waits for this process to run: to be sent, and to
-// take its answer.
-const lagFactor = 2
-
-// AnswerWithin returns how long an order waits for its answer that usually waits that
-// long, while this process runs late by lag. It answers homes on machines that turn
-// slow: they would take all workers for silent and refuse all jobs.
-func AnswerWithin(usual, lag time.Duration) time.Duration { return usual + lagFactor*lag }
-
-// Lag follows how late a process runs, by how late its ticks come: at once when it
-// rises, and by a tenth with each tick when it falls.
-func Lag(before, tick time.Duration) time.Duration {
-	return max(tick, before-before/10, 0)
-}
-
 // Left predicts how much longer a run takes that has done percent of its work
 // within elapsed.
 func Left(elapsed time.Duration, percent int) time.Duration {
