beat: count heartbeats after the first round in tests

Cause: TestHeartbeatsOfALargeFleetAreBounded failed once in the whole check beside load: 2002 heartbeats in place of 2100. The first round goes out when the group starts, with the instances that are known by then, 2 of 100 in that run. The test for rare heartbeats had the same race.

Ruled out: a lost heartbeat (the other 2000 are 20 rounds of 100).

The counts are exact as before and no longer leave room for the first round.

Conclusion: replaced by checks as strict.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -83,6 +83,20 @@
 	return g
 }
 
+// during returns how many packets are sent in a time that begins now, after the first
+// round, which may come before the instances are known.
+func (w *wire) during(d time.Duration) int {
+	count := func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.sent
+	}
+	time.Sleep(time.Millisecond)
+	before := count()
+	time.Sleep(d)
+	return count() - before
+}
+
 func newWire() *wire { return &wire{ends: map[string]*packetConn{}, cut: map[string]bool{}} }
 
 func TestSilentInstanceIsDeadAfterASecond(t *testing.T) {
@@ -124,29 +138,26 @@
 			if use {
 				a.Use("0")
 			}
-			time.Sleep(5*time.Second + time.Millisecond)
-			w.mu.Lock()
-			sent = w.sent
-			w.mu.Unlock()
+			sent = w.during(5 * time.Second)
 		})
 		return sent
 	}
 	home := map[string]model.Room{"kochi": {}}
 	cases := map[string]struct{ got, most int }{
-		"others here":         {count(nil, 100, "kochi", false), 5*40 + 100},
-		"others elsewhere":    {count(nil, 100, "tvm", false), 5*40 + 100},
-		"others and one used": {count(nil, 100, "tvm", true), 5*44 + 100},
-		"home to elsewhere":   {count(home, 100, "tvm", false), 5*200 + 100},
+		"others here":         {count(nil, 100, "kochi", false), 5 * 40},
+		"others elsewhere":    {count(nil, 100, "tvm", false), 5 * 40},
+		"others and one used": {count(nil, 100, "tvm", true), 5 * 44},
+		"home to elsewhere":   {count(home, 100, "tvm", false), 5 * 200},
 	}
 	for name, c := range cases {
 		if c.got > c.most {
 			t.Errorf("%s: %d in 5 s, want at most %d", name, c.got, c.most)
 		}
 	}
-	if got := count(home, 100, "kochi", false); got != 21*100 {
+	if got := count(home, 100, "kochi", false); got != 20*100 {
 		t.Errorf("%d of a home in its data centre, want one each 250 ms for each", got)
 	}
-	if got := count(nil, 1, "tvm", true); got != 21 {
+	if got := count(nil, 1, "tvm", true); got != 20 {
 		t.Errorf("%d to an instance in use", got)
 	}
 }
@@ -186,15 +197,12 @@
 			w := newWire()
 			a := w.member(t, "a", "kochi", "10.0.0.1:7", homes)
 			a.SetPeer(beat.Peer{Instance: "b", DataCentre: dc, Addr: "10.0.0.2:7"})
-			time.Sleep(10*time.Second + time.Millisecond)
-			w.mu.Lock()
-			sent = w.sent
-			w.mu.Unlock()
+			sent = w.during(10 * time.Second)
 		})
 		return sent
 	}
 	got := []int{count("kochi", nil), count("tvm", map[string]model.Room{"kochi": {}}), count("tvm", nil)}
-	if diff := cmp.Diff([]int{41, 41, 11}, got); diff != "" {
+	if diff := cmp.Diff([]int{40, 40, 10}, got); diff != "" {
 		t.Error(diff)
 	}
 }
