fleet: leave a slow home to weaker instances only if it is gone

Ruled out: nothing measured; machines of the small sites are alike, so nothing changes there.

Conclusion: a slow home goes to an instance at least as strong.

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -25,7 +25,8 @@
 	}
 	living := f.beats.Living()
 	member, heard := living[owner.Instance]
-	if !gone(owner, member, heard, f.sinceClaim(dataCentre)) {
+	weaker := f.self.Processor < f.beats.Peer(owner.Instance).Processor
+	if !gone(owner, member, heard, weaker, f.sinceClaim(dataCentre)) {
 		return false
 	}
 	if f.successor(dataCentre, living) != f.self.Instance {
--- a/fleet/successor.go
+++ b/fleet/successor.go
@@ -12,15 +12,16 @@
 
 // gone reports whether the owner of a home is to be followed by another
 // instance. Member is what was heard of the owner, if it was heard lately. A slow
-// owner is followed too, but not before it was home for a while: homes must not take
-// turns. An owner that has just claimed, after a restart, is not heard yet under its new
-// incarnation: without the time since its claim two instances would take turns.
-func gone(owner homeRow, member beat.Member, heard bool, sinceClaim time.Duration) bool {
+// owner is followed too, but not before it was home for a while, since homes must not
+// take turns, and not by a weaker instance, which would be slower still where the load
+// is the cause. An owner that has just claimed, after a restart, is not heard yet under
+// its new incarnation: without the time since its claim two instances would take turns.
+func gone(owner homeRow, member beat.Member, heard, weaker bool, sinceClaim time.Duration) bool {
 	switch {
 	case owner.Instance == "":
 		return true
 	case heard && member.Incarnation == owner.Incarnation:
-		return member.Leaving || member.Slow && sinceClaim > slowStay
+		return member.Leaving || member.Slow && !weaker && sinceClaim > slowStay
 	}
 	return sinceClaim > beat.Silence
 }
--- a/fleet/successor_test.go
+++ b/fleet/successor_test.go
@@ -41,21 +41,23 @@
 		owner      homeRow
 		member     beat.Member
 		heard      bool
+		weaker     bool
 		sinceClaim time.Duration
 		want       bool
 	}{
-		{"no owner", homeRow{}, beat.Member{}, false, time.Hour, true},
-		{"alive", owner, heard("2", false), true, time.Hour, false},
-		{"leaving", owner, heard("2", true), true, 0, true},
-		{"slow", owner, slow, true, time.Hour, true},
-		{"slow and home for a moment", owner, slow, true, 3 * time.Second, false},
-		{"silent", owner, beat.Member{}, false, time.Hour, true},
-		{"restarted since", owner, heard("3", false), true, time.Hour, true},
-		{"claimed a moment ago, heard under its old incarnation", owner, heard("1", false), true, 20 * time.Millisecond, false},
-		{"claimed a moment ago, not heard yet", owner, beat.Member{}, false, 20 * time.Millisecond, false},
+		{"no owner", homeRow{}, beat.Member{}, false, false, time.Hour, true},
+		{"alive", owner, heard("2", false), true, false, time.Hour, false},
+		{"leaving", owner, heard("2", true), true, false, 0, true},
+		{"slow", owner, slow, true, false, time.Hour, true},
+		{"slow, and this one is weaker", owner, slow, true, true, time.Hour, false},
+		{"slow and home for a moment", owner, slow, true, false, 3 * time.Second, false},
+		{"silent", owner, beat.Member{}, false, false, time.Hour, true},
+		{"restarted since", owner, heard("3", false), true, false, time.Hour, true},
+		{"claimed a moment ago, heard under its old incarnation", owner, heard("1", false), true, false, 20 * time.Millisecond, false},
+		{"claimed a moment ago, not heard yet", owner, beat.Member{}, false, false, 20 * time.Millisecond, false},
 	}
 	for _, c := range cases {
-		if got := gone(c.owner, c.member, c.heard, c.sinceClaim); got != c.want {
+		if got := gone(c.owner, c.member, c.heard, c.weaker, c.sinceClaim); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
 	}
