home, plan, platform: wait for answers as long as the link takes

Cause: on thin links (--small, 2 Mbit/s) the starts of one wide job queue for 90 ms behind each other, and a start was taken for lost after 30 ms. It was sent again, over a new connection, with the whole specification; its worker counted as silent or as one that loses single orders, was asked each 20 ms, and nothing brought the load down.

Change: an order waits for its answer by the queue of the machine's link (limits.link, bytes sent) and by what answers took lately (mean and four spreads, RFC 6298). Repeats of starts are bounded by the answers that come; silent workers are asked with a quarter of the link.

--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -28,7 +28,7 @@
 // Adapter speaks one users' platform.
 type Adapter interface {
 	NewStore(addr string, timeout time.Duration) Store
-	NewEndpoint(w model.Worker) home.Endpoint
+	NewEndpoint(w model.Worker, late func(took time.Duration)) home.Endpoint
 	Names() Names
 	DecodeWorker(row table.Row) (model.Worker, error)
 	DecodeRouting(row table.Row) (model.Routing, error)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -43,6 +43,7 @@
 	meter     *meter.Meter
 	store     Store
 	paused    *pause.Watch
+	link      *plan.Link
 
 	workers *watch.Mirror
 	config  *watch.Mirror
@@ -104,6 +105,7 @@
 		meter:     meter.New(s.Instance, s.DataCentre),
 		store:     adapter.NewStore(s.Platform.Addr, s.Platform.Timeout),
 		paused:    pause.NewWatch(),
+		link:      plan.NewLink(s.Limits.Link),
 		ctx:       ctx,
 		cancel:    cancel,
 		changed:   newNotifier(),
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -10,7 +10,6 @@
 
 	"foxtailmux/beat"
 	"foxtailmux/home"
-	"foxtailmux/model"
 )
 
 const (
@@ -164,7 +163,8 @@
 		DataCentre: dataCentre,
 		Token:      token,
 		MaxLease:   f.settings.Platform.MaxLease,
-		Connect:    func(w model.Worker) home.Endpoint { return f.adapter.NewEndpoint(w) },
+		Connect:    f.adapter.NewEndpoint,
+		Link:       f.link,
 		Elsewhere:  func(processor int) (string, bool) { return f.roomElsewhere(dataCentre, processor) },
 		OnFenced:   func() { f.onFenced(dataCentre, token) },
 		Observer:   f.meter,
--- a/home/hold.go
+++ b/home/hold.go
@@ -34,6 +34,8 @@
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
 	switch {
+	case u.settling && u.health.IsSilent(time.Now()):
+		return u.home.probePause(maxRetryHold), false // the goroutine that settles asks
 	case !u.listed, u.book.Len() > 0:
 		return 0, true
 	case u.book.Unacked():
@@ -48,13 +50,22 @@
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
 	limit := maxRetryHold
-	if u.health.Lossy(time.Now()) {
+	if u.lossy(time.Now()) {
 		limit = minRetryHold
 	}
 	if u.listed && u.book.Len() == 0 {
 		limit = maxRetryIdle
 	}
-	return min(max(2*before, minRetryHold), limit)
+	pause := min(max(2*before, minRetryHold), limit)
+	if u.health.IsSilent(time.Now()) {
+		pause = u.home.probePause(pause)
+	}
+	return pause
+}
+
+// probePause is the time between two questions to a silent worker. The lock is held.
+func (h *Home) probePause(usual time.Duration) time.Duration {
+	return max(usual, h.options.Link.Spread(len(h.units), orderBytes))
 }
 
 // sleep waits for the time, or 0 without limit, unless the unit is woken by the
@@ -91,8 +102,8 @@
 	}
 	h.mu.Unlock()
 
-	timeout := u.timeout(orderTimeout) + time.Duration(request.WaitMillis)*time.Millisecond
-	report, err := u.endpoint.Hold(request, timeout)
+	timeout, _ := u.timeout(orderTimeout, orderBytes)
+	report, err := u.endpoint.Hold(request, timeout+time.Duration(request.WaitMillis)*time.Millisecond)
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -111,7 +122,7 @@
 // first one that is expected, so that an answer that is lost is missed soon.
 func (u *unit) holdWait(now time.Time) time.Duration {
 	wait, least := maxHoldWait, minHoldWait
-	if u.health.Lossy(now) {
+	if u.lossy(now) {
 		wait, least = lossyHoldWait, lossyHoldWait
 	}
 	for _, p := range u.book.Progress() {
--- a/home/home.go
+++ b/home/home.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
 
+	"foxtailmux/budget"
 	"foxtailmux/learn"
 	"foxtailmux/lease"
 	"foxtailmux/model"
@@ -35,16 +36,19 @@
 	QueueWait(d time.Duration)
 }
 
-// Options configure a Home. Elsewhere returns the data centre that has most
+// Options configure a Home. Connect returns the endpoint of a worker, which tells the
+// time of answers that come after the time-out of their order. Link is the machine's,
+// which all homes of the process share. Elsewhere returns the data centre that has most
 // room, if one has room for that many thousandths of a core. OnFenced is
 // called once, when a worker tells that it has a later home.
 type Options struct {
 	DataCentre string
 	Token      int64
 	MaxLease   time.Duration
-	Connect    func(w model.Worker) Endpoint
+	Connect    func(w model.Worker, late func(took time.Duration)) Endpoint
 	Elsewhere  func(processor int) (dataCentre string, ok bool)
 	OnFenced   func()
+	Link       *plan.Link
 	Observer   Observer
 	Log        *log.Logger
 }
@@ -97,6 +101,8 @@
 	typical      int             // claim of a task on processors, in thousandths of a core
 	ratios       learn.Estimator // run time over the declared one, by queue
 	means        learn.Estimator // run time, by queue
+	answers      plan.Answers    // of orders that don't wait at the worker
+	repeats      *budget.Budget  // of starts without an answer
 }
 
 type finished struct {
@@ -119,6 +125,7 @@
 		finished: map[string]finished{},
 		orphans:  map[string]lease.End{},
 		lastRun:  o.Token << runBits,
+		repeats:  budget.New(repeatsPerAnswer),
 	}
 	h.tasks.Go(h.run)
 	return h
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -16,6 +16,7 @@
 	"foxtailmux/fakes"
 	"foxtailmux/home"
 	"foxtailmux/model"
+	"foxtailmux/plan"
 )
 
 const (
@@ -42,11 +43,15 @@
 	listed    map[string]model.Worker
 	elsewhere func(int) (string, bool)
 	fenced    atomic.Int32
+	link      *plan.Link
+	connect   func(w model.Worker, late func(took time.Duration)) home.Endpoint
 }
 
 func newPlace(t testing.TB, workers int) *place {
 	p := &place{t: t, ledger: fakes.NewLedger(), workers: map[string]*fakes.LeasedWorker{}, listed: map[string]model.Worker{}}
 	p.elsewhere = func(int) (string, bool) { return "", false }
+	p.link = plan.NewLink(0)
+	p.connect = func(w model.Worker, _ func(took time.Duration)) home.Endpoint { return p.workers[w.ID] }
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
 		capacity := model.Needs{MilliCores: workerSize, MemoryMB: 1000}
@@ -64,7 +69,8 @@
 		DataCentre: "kochi",
 		Token:      token,
 		MaxLease:   time.Second,
-		Connect:    func(w model.Worker) home.Endpoint { return p.workers[w.ID] },
+		Connect:    p.connect,
+		Link:       p.link,
 		Elsewhere:  func(n int) (string, bool) { return p.elsewhere(n) },
 		OnFenced:   func() { p.fenced.Add(1) },
 		Observer:   nothing{},
--- a/home/settle.go
+++ b/home/settle.go
@@ -19,7 +19,8 @@
 
 func (u *unit) sendStop(task string, run int64) bool {
 	h := u.home
-	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, u.timeout(orderTimeout))
+	timeout, _ := u.timeout(orderTimeout, orderBytes)
+	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, timeout)
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -70,10 +71,10 @@
 func (u *unit) settleRetry() time.Duration {
 	u.home.mu.Lock()
 	defer u.home.mu.Unlock()
-	if u.health.Lossy(time.Now()) {
+	if u.lossy(time.Now()) {
 		return minRetryHold
 	}
-	return maxSettleRetry
+	return u.home.probePause(maxSettleRetry)
 }
 
 func (u *unit) settleAll() {
--- a/home/start.go
+++ b/home/start.go
@@ -30,6 +30,14 @@
 	return !errors.As(err, &told) || told.Sent()
 }
 
+// noteAnswer takes the time of an answer without what its order waited for the link.
+func (h *Home) noteAnswer(took time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers.Note(max(took, 0))
+	h.repeats.Deposit(1)
+}
+
 const (
 	// startTimeout is how long a start waits for its answer until it is sent
 	// again. Sound workers answer 999 of 1000 starts within 25 ms.
@@ -38,13 +46,23 @@
 	// startTries bounds the sends of one start. Of the starts on a worker that
 	// loses half of its orders, 3% are lost so often in a row.
 	startTries = 5
+
+	// repeatsPerAnswer bounds the starts that are sent again by the answers that come:
+	// while a full link lets none through, more of them keep it full. Where half of
+	// all orders are lost there is one answer for each repeat.
+	repeatsPerAnswer = 3
 )
 
 // start sends a start and takes its answer. One without an answer is sent again
 // with the same run, which the worker carries out once.
 func (u *unit) start(s lease.Start) {
 	for try := 1; ; try++ {
-		reply, err := u.endpoint.Start(s, u.timeout(startTimeout))
+		timeout, queued := u.timeout(startTimeout, orderBytes+len(s.Spec))
+		sentAt := time.Now()
+		reply, err := u.endpoint.Start(s, timeout)
+		if err == nil {
+			u.home.noteAnswer(time.Since(sentAt) - queued)
+		}
 		if !u.startAgain(&s, try, err) {
 			u.started(s, reply, err, try > 1)
 			return
@@ -65,6 +83,9 @@
 	if !ok || o.task.run != s.Run || u.ctx.Err() != nil || h.fenced || u.gone {
 		return false
 	}
+	if !h.repeats.Withdraw() {
+		return false
+	}
 	until, ok := u.book.Repeat(s.Task, s.Run, now)
 	if !ok {
 		return false
--- a/home/unit.go
+++ b/home/unit.go
@@ -75,16 +75,17 @@
 
 func newUnit(h *Home, w model.Worker) *unit {
 	ctx, cancel := context.WithCancel(h.ctx)
-	return &unit{
-		home:     h,
-		worker:   w,
-		endpoint: h.options.Connect(w),
-		ctx:      ctx,
-		cancel:   cancel,
-		wake:     make(chan struct{}, 1),
-		book:     lease.NewBook(w.Capacity, h.options.MaxLease),
-		owners:   map[string]owner{},
+	u := &unit{
+		home:   h,
+		worker: w,
+		ctx:    ctx,
+		cancel: cancel,
+		wake:   make(chan struct{}, 1),
+		book:   lease.NewBook(w.Capacity, h.options.MaxLease),
+		owners: map[string]owner{},
 	}
+	u.endpoint = h.options.Connect(w, u.late)
+	return u
 }
 
 // usable reports whether new tasks may start on the worker.
@@ -92,14 +93,37 @@
 	return u.listed && !u.gone && u.worker.State == model.Live
 }
 
-// timeout is how long an order waits for its answer that usually waits that long.
-func (u *unit) timeout(usual time.Duration) time.Duration {
-	u.home.mu.Lock()
-	defer u.home.mu.Unlock()
-	if u.health.Lossy(time.Now()) {
+// orderBytes is what an order takes on the wire beside the specification of its task:
+// headers, names and what the network adds.
+const orderBytes = 420
+
+// timeout is how long an order of that many bytes that is sent now waits for its
+// answer, and how much of it is the wait for the link. Usual is the time without any.
+func (u *unit) timeout(usual time.Duration, bytes int) (timeout, queued time.Duration) {
+	h := u.home
+	now := time.Now()
+	queued = h.options.Link.Send(bytes, now)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if u.lossy(now) {
 		usual = lossyTimeout
 	}
-	return plan.AnswerWithin(usual, u.home.lag)
+	return max(plan.AnswerWithin(usual, h.lag), h.answers.Within(usual)) + queued, queued
+}
+
+// lossy reports whether the worker leaves single orders unanswered. While answers come
+// late from all workers, those that are missed are late too. The lock is held.
+func (u *unit) lossy(now time.Time) bool {
+	return u.health.Lossy(now) && u.home.answers.Within(lossyTimeout) == lossyTimeout
+}
+
+// late takes an answer that came after the time-out of its order.
+func (u *unit) late(took time.Duration) {
+	h := u.home
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.answers.Note(took)
+	u.health.Late()
 }
 
 func (u *unit) wakeUp() {
--- a/plan/health.go
+++ b/plan/health.go
@@ -124,6 +124,10 @@
 	return again
 }
 
+// Late notes an answer that came after the time for it. The worker is neither silent nor
+// lossy.
+func (h *Health) Late() { h.silent = 0 }
+
 // Lossy reports whether orders to the worker get lost one by one. It answers
 // networks and workers that leave a share of all orders unanswered: such a worker
 // is worth asking again soon.
--- /dev/null
+++ b/plan/link.go
@@ -0,0 +1,65 @@
+package plan
+
+import (
+	"sync"
+	"time"
+)
+
+// Link estimates how long what this machine sends waits for its network link. It
+// answers thin links, on which the starts of one wide job queue for longer than a
+// worker takes to answer: taken for lost, they would be sent again and make the
+// queue longer. It is safe for concurrent use.
+type Link struct {
+	rate float64 // bytes a second, 0 is without limit
+
+	mu     sync.Mutex
+	freeAt time.Time // when what was sent has left
+}
+
+// bitsPerByte on the wire.
+const bitsPerByte = 8
+
+// NewLink returns a link of that many megabits a second; 0 is without limit.
+func NewLink(megabits float64) *Link { return &Link{rate: megabits * 1e6 / bitsPerByte} }
+
+// Send notes that bytes are sent now. It returns the time until they have left.
+func (l *Link) Send(bytes int, now time.Time) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(l.duration(bytes))
+	return l.freeAt.Sub(now)
+}
+
+// Wait returns the time until bytes that would be sent now had left.
+func (l *Link) Wait(bytes int, now time.Time) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(l.freeAt.Sub(now), 0) + l.duration(bytes)
+}
+
+// probeShare is the share of the link that questions to silent workers may take; the
+// rest is left for the orders that end the silence.
+const probeShare = 0.25
+
+// Spread returns the time over which that many questions have to be spread. It answers a
+// link that was full: while nothing gets through, all workers look silent, and asking
+// them often keeps the link full.
+func (l *Link) Spread(questions, bytes int) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(l.duration(questions*bytes)) / probeShare)
+}
+
+func (l *Link) duration(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / l.rate * float64(time.Second))
+}
--- /dev/null
+++ b/plan/link_test.go
@@ -0,0 +1,81 @@
+package plan_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/plan"
+)
+
+// thinLink carries 250 bytes in a millisecond.
+const thinLink = 2
+
+func TestBytesQueueForTheLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := plan.NewLink(thinLink)
+		var got []time.Duration
+		for range 3 {
+			got = append(got, l.Send(2500, time.Now()))
+		}
+		got = append(got, l.Wait(2500, time.Now()))
+		time.Sleep(25 * time.Millisecond)
+		got = append(got, l.Send(2500, time.Now()))
+		time.Sleep(time.Second)
+		got = append(got, l.Wait(0, time.Now()))
+
+		ms := time.Millisecond
+		if diff := cmp.Diff([]time.Duration{10 * ms, 20 * ms, 30 * ms, 40 * ms, 15 * ms, 0}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+func TestLinkOfUnknownBandwidthNeverQueues(t *testing.T) {
+	l := plan.NewLink(0)
+	now := time.Now()
+	got := []time.Duration{l.Send(1<<30, now), l.Wait(1<<30, now), l.Spread(1000, 1000)}
+	if diff := cmp.Diff([]time.Duration{0, 0, 0}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Twenty questions of 400 bytes take 32 ms of the link.
+func TestQuestionsTakeAQuarterOfTheLink(t *testing.T) {
+	if got := plan.NewLink(thinLink).Spread(20, 400); got != 128*time.Millisecond {
+		t.Errorf("spread over %v", got)
+	}
+}
+
+func TestOrdersWaitAsLongAsAnswersTake(t *testing.T) {
+	const usual = 30 * time.Millisecond
+	for name, c := range map[string]struct {
+		took     []time.Duration
+		min, max time.Duration
+	}{
+		"none seen":     {nil, usual, usual},
+		"quick":         {repeat(3*time.Millisecond, 50), usual, usual},
+		"a single late": {append(repeat(3*time.Millisecond, 50), 60*time.Millisecond), 30 * time.Millisecond, 90 * time.Millisecond},
+		"all late":      {repeat(200*time.Millisecond, 20), 200 * time.Millisecond, 350 * time.Millisecond},
+		"far too late":  {repeat(5*time.Second, 50), 350 * time.Millisecond, 350 * time.Millisecond},
+		"quick again":   {append(repeat(200*time.Millisecond, 20), repeat(3*time.Millisecond, 60)...), usual, usual},
+	} {
+		var a plan.Answers
+		for _, d := range c.took {
+			a.Note(d)
+		}
+		if got := a.Within(usual); got < c.min || got > c.max {
+			t.Errorf("%s: within %v", name, got)
+		}
+	}
+}
+
+func repeat(d time.Duration, n int) []time.Duration {
+	list := make([]time.Duration, n)
+	for i := range list {
+		list[i] = d
+	}
+	return list
+}
--- a/setup/check.go
+++ b/setup/check.go
@@ -18,6 +18,7 @@
 	maxCount       = 1_000_000
 	maxTickets     = 100_000
 	maxCores       = 1024
+	maxLink        = 1_000_000 // Mbit/s, above any network card
 	minTimeout     = time.Millisecond
 	maxTimeout     = time.Hour
 )
@@ -106,6 +107,7 @@
 		{"limits.queuedTasks", checkInt(l.QueuedTasks, 1, maxCount)},
 		{"limits.ticketsPerRequest", checkInt(l.TicketsPerRequest, 1, maxTickets)},
 		{"limits.processor", checkProcessor(l.Processor)},
+		{"limits.link", checkLink(l.Link)},
 	}
 }
 
@@ -226,6 +228,13 @@
 	return nil
 }
 
+func checkLink(megabits float64) error {
+	if megabits < 0 || megabits > maxLink {
+		return eris.Errorf("%v is not between 0 and %d", megabits, maxLink)
+	}
+	return nil
+}
+
 func checkDuration(d, low time.Duration) error {
 	if d < low || d > maxTimeout {
 		return eris.Errorf("%v is not between %v and %v", d, low, maxTimeout)
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -65,6 +65,7 @@
 	fs.IntVar(&l.QueuedTasks, "limits.queuedTasks", l.QueuedTasks, "most queued tasks")
 	fs.IntVar(&l.TicketsPerRequest, "limits.ticketsPerRequest", l.TicketsPerRequest, "most tickets in one request")
 	fs.Float64Var(&l.Processor, "limits.processor", l.Processor, "cores of the machine")
+	fs.Float64Var(&l.Link, "limits.link", l.Link, "bandwidth of the machine's link, in Mbit/s; 0 is not known")
 }
 
 // Variable returns the name of the environment variable that sets a field.
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -67,6 +67,10 @@
 	// Processor is what the machine has, in cores. On a users' platform the
 	// homes go to the instances that have most.
 	Processor float64 `yaml:"processor" json:"processor"`
+
+	// Link is the bandwidth of the machine's network link, in megabits a second; 0 is
+	// not known. Orders wait for their answers longer by the time that they queue.
+	Link float64 `yaml:"link" json:"link"`
 }
 
 // Stop is the course of a graceful shutdown. The process stays open for
