peer, beat, fleet: spend less on peers that nothing is exchanged with

Cause: an instance of the large site woke up 290 times a second for the probes of peers that it has no connection with, took each heartbeat of a period above a second for news and reviewed all homes for it, and walked all 1,100 workers for the names of the data centres in each review.

Change: probes tick while there is a connection; a heartbeat is news after the silence that its period allows; workers are counted by data centre.

TestRareHeartbeatsAreNoNews failed first (8 of them).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -211,7 +211,7 @@
 	g.mu.Lock()
 	old := g.members[b.Instance]
 	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
-	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow || old.Routing != b.Routing || now.Sub(old.HeardAt) > Silence
+	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow || old.Routing != b.Routing || now.Sub(old.HeardAt) > old.silence()
 	g.mu.Unlock()
 	if fresh {
 		g.options.OnBeat(b)
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -221,3 +221,32 @@
 		}
 	})
 }
+
+// An instance that sends rarely tells nothing new with each heartbeat: whoever follows
+// news would review all homes for each.
+func TestRareHeartbeatsAreNoNews(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		news := 0
+		c := &packetConn{wire: w, addr: "10.0.0.1:7", queue: make(chan packet, 1000), closed: make(chan struct{})}
+		w.ends[c.addr] = c
+		ctx, cancel := context.WithCancel(context.Background())
+		a := beat.New(beat.Options{
+			Self: beat.Peer{Instance: "a", DataCentre: "kochi"}, Conn: c,
+			Own:    func() beat.Beat { return beat.Beat{Instance: "a"} },
+			OnBeat: func(beat.Beat) { news++ },
+			Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		})
+		go a.Run(ctx)
+		defer func() { cancel(); <-a.Done() }()
+		b := w.member(t, "b", "tvm", "10.0.0.2:7", nil)
+		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		for i := range 100 {
+			b.SetPeer(beat.Peer{Instance: fmt.Sprint(i), DataCentre: "kochi", Addr: fmt.Sprintf("10.0.1.%d:7", i)})
+		}
+		time.Sleep(20 * time.Second)
+		if news != 1 {
+			t.Errorf("%d heartbeats were news", news)
+		}
+	})
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,7 @@
 	following bool                    // the workers' table closely
 	slowness  plan.Slowness           // of this process
 	known     map[string]model.Worker // workers by id
+	centres   map[string]int          // number of known workers by data centre
 	missing   map[string]time.Time    // since when a worker is not listed
 	debits    map[string]debit        // by data centre
 	reaches   map[string]*reach       // by data centre
@@ -115,6 +116,7 @@
 		claimedAt: map[string]time.Time{},
 		takenAt:   map[string]time.Time{},
 		known:     map[string]model.Worker{},
+		centres:   map[string]int{},
 		missing:   map[string]time.Time{},
 		debits:    map[string]debit{},
 		reaches:   map[string]*reach{},
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -131,9 +131,9 @@
 		list = append(list, strings.TrimPrefix(key, homesTable+"/"))
 	}
 	f.mu.Lock()
-	for _, w := range f.known {
-		if !slices.Contains(list, w.DataCentre) {
-			list = append(list, w.DataCentre)
+	for dc := range f.centres {
+		if !slices.Contains(list, dc) {
+			list = append(list, dc)
 		}
 	}
 	f.mu.Unlock()
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -33,13 +33,27 @@
 			continue
 		}
 		delete(f.missing, id)
+		f.forget(id)
 		f.known[id] = w
+		f.centres[w.DataCentre]++
 	}
 	f.mu.Unlock()
 	f.setWorkers()
 	f.changed.fire()
 }
 
+// forget takes a worker off those that are known. The lock is held.
+func (f *Fleet) forget(id string) {
+	w, ok := f.known[id]
+	if !ok {
+		return
+	}
+	delete(f.known, id)
+	if f.centres[w.DataCentre]--; f.centres[w.DataCentre] == 0 {
+		delete(f.centres, w.DataCentre)
+	}
+}
+
 // setWorkers tells the homes of this instance their workers. A home calls back
 // under its own lock, so none is called under that of the fleet.
 func (f *Fleet) setWorkers() {
@@ -94,7 +108,7 @@
 			continue
 		}
 		delete(f.missing, id)
-		delete(f.known, id)
+		f.forget(id)
 		dropped = true
 	}
 	f.mu.Unlock()
--- a/peer/link.go
+++ b/peer/link.go
@@ -22,6 +22,7 @@
 	cancel  context.CancelFunc
 	done    chan struct{}
 
+	checks    *time.Ticker // runs while there is a connection
 	backoff   time.Duration
 	notBefore time.Time
 	failure   error
@@ -49,8 +50,9 @@
 	defer close(l.done)
 	defer l.drop()
 
-	ticker := time.NewTicker(l.options.HeartbeatInterval)
-	defer ticker.Stop()
+	l.checks = time.NewTicker(l.options.HeartbeatInterval)
+	l.checks.Stop()
+	defer l.checks.Stop()
 
 	for {
 		select {
@@ -59,7 +61,7 @@
 		case reply := <-l.wanted:
 			c, err := l.fresh(ctx)
 			reply <- lease{conn: c, err: err}
-		case <-ticker.C:
+		case <-l.checks.C:
 			l.check(ctx)
 		}
 	}
@@ -145,6 +147,7 @@
 	if c := l.present.Swap(nil); c != nil {
 		c.close()
 	}
+	l.checks.Stop()
 }
 
 func (l *link) connect(ctx context.Context) (*conn, error) {
@@ -160,6 +163,7 @@
 	}
 	l.backoff = 0
 	l.present.Store(c)
+	l.checks.Reset(l.options.HeartbeatInterval)
 	l.report(ctx, true)
 	return c, nil
 }
