watch: read on at once after a full answer

Cause: an answer of the store's feed holds 500 rows. The 1,100 workers of the large site write 733 rows a second, 513 in the pause between two requests, so the copy of the table fell behind by a little more with each answer, and tasks were started on workers that had told 4 s ago that they leave.

TestMirrorKeepsUpWithATableThatFillsItsAnswers failed first (0.82 s behind after 5.6 s of writes, and growing).

--- a/table/table.go
+++ b/table/table.go
@@ -42,10 +42,12 @@
 	Version   int64 `json:"version,omitempty"`
 }
 
-// Changes are rows that changed, in order, up to a version of the table.
+// Changes are rows that changed, in order, up to a version of the table. More tells that
+// an answer was full, so that later changes may be there already.
 type Changes struct {
 	Rows    []Row
 	Version int64
+	More    bool
 }
 
 // Paths of the platform's HTTP interface. RowsPath and ObjectsPath take the
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -126,17 +126,20 @@
 	listed := false
 	for ctx.Err() == nil {
 		var err error
+		more := false
 		if !listed {
 			err = m.list(ctx)
 			listed = err == nil
-		} else if err = m.follow(ctx); historyLost(err) {
+		} else if more, err = m.follow(ctx); historyLost(err) {
 			listed = false
 		}
 
 		m.note(err)
 		if err == nil {
 			retry = minRetry
-			m.sleep(ctx, m.pause())
+			if !more { // a pause after each full answer falls further and further behind
+				m.sleep(ctx, m.pause())
+			}
 			continue
 		}
 		m.sleep(ctx, retry)
@@ -219,17 +222,18 @@
 	return nil
 }
 
-func (m *Mirror) follow(ctx context.Context) error {
+// follow takes the next changes, and reports whether there may be more by now.
+func (m *Mirror) follow(ctx context.Context) (more bool, err error) {
 	m.mu.Lock()
 	after := m.version
 	m.mu.Unlock()
 
 	c, err := m.source.Watch(ctx, m.name, after, feedWait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	m.apply(c, false)
-	return nil
+	return c.More, nil
 }
 
 // Put enters a row that this process has written itself.
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"slices"
 	"sync"
@@ -299,3 +300,53 @@
 		expect(t, told, "t/a=1")
 	})
 }
+
+// paged is a store whose answers hold a bounded number of changes, as of the last one.
+type paged struct {
+	*store
+	most int
+}
+
+// Watch returns the oldest changes.
+func (p paged) Watch(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error) {
+	c, err := p.store.Watch(ctx, name, after, wait)
+	if err == nil && len(c.Rows) > p.most {
+		c.Rows = c.Rows[:p.most]
+		c.Version = c.Rows[p.most-1].Version
+		c.More = true
+	}
+	return c, err
+}
+
+// 1,100 workers write their rows each 1.5 s, more than one answer holds after a pause.
+func TestMirrorKeepsUpWithATableThatFillsItsAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rows, period, pause = 1100, 1500 * time.Millisecond, 700 * time.Millisecond
+		s := newStore()
+		m := watch.New("workers", paged{s, 500}, func() time.Duration { return pause }, func([]table.Row) {},
+			&log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); <-m.Done() }()
+		go m.Run(ctx)
+		for n := 0; n < 20*rows; n++ {
+			s.put(fmt.Sprintf("workers/%d", n%rows), time.Now().Format(time.RFC3339Nano), false)
+			time.Sleep(period / rows)
+			if n%100 != 0 || n < 2*rows {
+				continue
+			}
+			var newest time.Time
+			for key, row := range m.Rows() {
+				at, err := time.Parse(time.RFC3339Nano, string(row.Value))
+				if err != nil {
+					t.Fatalf("%s: %v", key, err)
+				}
+				if at.After(newest) {
+					newest = at
+				}
+			}
+			if behind := time.Since(newest); behind > pause+100*time.Millisecond {
+				t.Fatalf("%v behind after %d writes", behind, n)
+			}
+		}
+	})
+}
