home, fleet, plan: let the origin of a job send its starts where links are thin

Cause: all starts of a data centre leave through the link of its home, which carries a specification once for each task.

Change: where it is quicker (plan.Withhold), the instance that holds the caller keeps the specification, and the home asks it to send each start (task.start). The home decides, holds the leases and takes the ends as before. An origin that does not answer costs its own jobs, not the workers' good name; an order of a home with a successor is refused as the worker would. Bytes are noted on the links when a task is dispatched.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -57,7 +57,8 @@
 	DataCentre  string `json:"dataCentre"`
 	Addr        string `json:"addr"`
 
-	Processor float64 `json:"processor"` // cores of the machine
+	Processor float64 `json:"processor"`      // cores of the machine
+	Link      float64 `json:"link,omitempty"` // bandwidth of the machine in Mbit/s, 0 is not known
 }
 
 // Member is what was heard of an instance.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,6 +77,9 @@
 	debits    map[string]debit        // by data centre
 	reaches   map[string]*reach       // by data centre
 	vanished  map[string]time.Time    // when a worker of a data centre left the list
+	links     map[linkKey]*plan.Link  // of the instances that start tasks for homes here
+	withheld  map[string]*withheld    // specifications of jobs that homes elsewhere run, by key
+	starters  map[string]*starter     // clients of workers for starts of such jobs
 }
 
 // New opens the ports of an instance and assembles its parts. Its log goes to
@@ -98,7 +101,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		settings:  s,
-		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr, Processor: s.Limits.Processor},
+		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr, Processor: s.Limits.Processor, Link: s.Limits.Link},
 		adapter:   adapter,
 		names:     adapter.Names(),
 		listeners: opened,
@@ -121,6 +124,9 @@
 		debits:    map[string]debit{},
 		reaches:   map[string]*reach{},
 		vanished:  map[string]time.Time{},
+		links:     map[linkKey]*plan.Link{},
+		withheld:  map[string]*withheld{},
+		starters:  map[string]*starter{},
 	}
 	f.stop.Store(&s.Stop)
 	f.build()
@@ -164,6 +170,7 @@
 	})
 	f.peers.Handle(methodRun, f.serveRun)
 	f.peers.Handle(methodCancel, f.serveCancel)
+	f.peers.Handle(methodStart, f.serveStart)
 	f.peers.Handle(methodPending, f.servePending)
 	f.peers.Handle(methodRouting, f.serveRouting)
 }
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -101,6 +101,11 @@
 	}
 
 	f.beats.Use(owner.Instance)
+	if f.withholds(owner.Instance, dataCentre, s) {
+		defer f.withhold(s)()
+		s.Withheld, s.Batch.Spec = len(s.Batch.Spec), ""
+	}
+	f.link.Send(len(s.Batch.Spec)+jobBytes, time.Now())
 	var outcome home.Outcome
 	err := f.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
 	if ctx.Err() != nil {
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -42,6 +42,7 @@
 		f.forgetMissing(time.Now())
 		f.dropSilentOrigins()
 		f.paceWorkers()
+		f.closeIdleStarters()
 		f.reviewHomes()
 		select {
 		case <-ctx.Done():
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -15,6 +15,7 @@
 const (
 	methodRun     = "home.run"
 	methodCancel  = "home.cancel"
+	methodStart   = "task.start"
 	methodPending = "home.pending"
 	methodRouting = "routing.get"
 )
@@ -41,6 +42,9 @@
 		return nil, errNoHome
 	}
 	f.beats.Use(r.Job.Origin)
+	if r.Job.Withheld > 0 {
+		r.Job.Relay = f.relay(r)
+	}
 	return h.Submit(ctx, r.Job), nil
 }
 
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -166,7 +166,9 @@
 	h.options.Observer.QueueWait(now.Sub(t.readyAt))
 
 	s := lease.Start{Task: t.name, Run: t.run, Spec: j.batch.Spec, Until: until, Token: h.options.Token}
-	h.tasks.Go(func() { u.start(s) })
+	w, via := u.worker, j.sending
+	h.noteSent(s, via, now)
+	h.tasks.Go(func() { u.start(w, s, via) })
 	u.wakeUp()
 }
 
--- a/home/hold.go
+++ b/home/hold.go
@@ -102,7 +102,8 @@
 	}
 	h.mu.Unlock()
 
-	timeout, _ := u.timeout(orderTimeout, orderBytes)
+	h.options.Link.Send(orderBytes, sentAt)
+	timeout, _ := u.timeout(orderTimeout)
 	report, err := u.endpoint.Hold(request, timeout+time.Duration(request.WaitMillis)*time.Millisecond)
 
 	h.mu.Lock()
--- a/home/job.go
+++ b/home/job.go
@@ -19,6 +19,8 @@
 	deadline  time.Time
 	objective time.Duration
 	resumed   bool
+	sending   sending
+	misses    int // starts that the origin did not send
 
 	estimates []time.Duration // of a task, by step
 	tasks     []task
@@ -62,6 +64,7 @@
 		entered:  now,
 		deadline: now.Add(s.Left),
 		resumed:  s.Resumed,
+		sending:  s.sending(),
 		over:     make(chan struct{}),
 	}
 	for i, step := range s.Batch.Steps {
--- a/home/settle.go
+++ b/home/settle.go
@@ -19,7 +19,8 @@
 
 func (u *unit) sendStop(task string, run int64) bool {
 	h := u.home
-	timeout, _ := u.timeout(orderTimeout, orderBytes)
+	h.options.Link.Send(orderBytes, time.Now())
+	timeout, _ := u.timeout(orderTimeout)
 	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, timeout)
 
 	h.mu.Lock()
--- a/home/start.go
+++ b/home/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"foxtailmux/lease"
+	"foxtailmux/model"
 	"foxtailmux/plan"
 )
 
@@ -55,24 +56,20 @@
 
 // start sends a start and takes its answer. One without an answer is sent again
 // with the same run, which the worker carries out once.
-func (u *unit) start(s lease.Start) {
+func (u *unit) start(w model.Worker, s lease.Start, via sending) {
 	for try := 1; ; try++ {
-		timeout, queued := u.timeout(startTimeout, orderBytes+len(s.Spec))
-		sentAt := time.Now()
-		reply, err := u.endpoint.Start(s, timeout)
-		if err == nil {
-			u.home.noteAnswer(time.Since(sentAt) - queued)
-		}
-		if !u.startAgain(&s, try, err) {
-			u.started(s, reply, err, try > 1)
+		reply, err := u.sendStart(w, s, via)
+		if !u.startAgain(&s, try, err, via) {
+			u.started(s, reply, err, try > 1, via)
 			return
 		}
 	}
 }
 
 // startAgain decides whether a start is sent again, and renews its lease if so.
-func (u *unit) startAgain(s *lease.Start, try int, err error) bool {
-	if err == nil || !sent(err) || try == startTries {
+func (u *unit) startAgain(s *lease.Start, try int, err error, via sending) bool {
+	var origin *OriginError
+	if err == nil || !sent(err) || try == startTries || errors.As(err, &origin) {
 		return false
 	}
 	h := u.home
@@ -92,11 +89,12 @@
 	}
 	u.unanswered("start", err, now)
 	s.Until = until
+	h.noteSent(*s, via, now)
 	return true
 }
 
 // started takes the answer to a start, or that there was none.
-func (u *unit) started(s lease.Start, reply lease.Reply, err error, repeated bool) {
+func (u *unit) started(s lease.Start, reply lease.Reply, err error, repeated bool, via sending) {
 	h := u.home
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -105,14 +103,7 @@
 	}
 	now := time.Now()
 	if err != nil {
-		u.unanswered("start", err, now)
-		if repeated || sent(err) {
-			u.book.Doubt(s.Task, s.Run, now)
-			u.settle()
-			return
-		}
-		u.notStarted(s, "not sent", now)
-		u.wakeUp()
+		u.startFailed(s, err, repeated, via, now)
 		return
 	}
 
@@ -131,6 +122,25 @@
 	}
 }
 
+// startFailed takes a start without an answer.
+func (u *unit) startFailed(s lease.Start, err error, repeated bool, via sending, now time.Time) {
+	o, ok := u.owners[s.Task]
+	var origin *OriginError
+	switch {
+	case !errors.As(err, &origin):
+		u.unanswered("start", err, now)
+	case ok && o.task.run == s.Run:
+		u.home.missed(o, via, origin)
+	}
+	if repeated || sent(err) {
+		u.book.Doubt(s.Task, s.Run, now)
+		u.settle()
+	} else {
+		u.notStarted(s, "not sent", now)
+		u.wakeUp()
+	}
+}
+
 // refused takes a start that the worker did not carry out.
 func (u *unit) refused(s lease.Start, why lease.Refusal, repeated bool, now time.Time) {
 	if why != lease.Late && why != lease.Outdated {
--- a/home/submit.go
+++ b/home/submit.go
@@ -66,8 +66,16 @@
 	Done  []string `json:"done,omitempty"`
 	Begun []string `json:"begun,omitempty"`
 	Told  bool     `json:"told,omitempty"`
+
+	// Withheld is the length in bytes of the specification if the origin keeps it and
+	// sends the starts itself, through Relay.
+	Withheld int    `json:"withheld,omitempty"`
+	Relay    *Relay `json:"-"`
 }
 
+// sending returns how the starts of the job leave.
+func (s Submission) sending() sending { return sending{relay: s.Relay, withheld: s.Withheld} }
+
 // Part is a share of the tasks of a job with one step: Count of them, from
 // First on.
 type Part struct {
@@ -110,6 +118,7 @@
 	}
 	if j := h.jobs[s.Key()]; j != nil {
 		j.origin, j.entered = s.Origin, time.Now()
+		j.sending, j.batch.Spec, j.misses = s.sending(), s.Batch.Spec, 0
 		return j, Outcome{}
 	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Verdict == Succeeded {
--- a/home/unit.go
+++ b/home/unit.go
@@ -97,12 +97,13 @@
 // headers, names and what the network adds.
 const orderBytes = 420
 
-// timeout is how long an order of that many bytes that is sent now waits for its
-// answer, and how much of it is the wait for the link. Usual is the time without any.
-func (u *unit) timeout(usual time.Duration, bytes int) (timeout, queued time.Duration) {
+// timeout is how long an order that is sent now waits for its answer, and how much of it
+// is the wait for the link. Usual is the time without any. What was noted to be sent
+// counts whole, since other orders may get to the link first.
+func (u *unit) timeout(usual time.Duration) (timeout, queued time.Duration) {
 	h := u.home
 	now := time.Now()
-	queued = h.options.Link.Send(bytes, now)
+	queued = h.options.Link.Wait(0, now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if u.lossy(now) {
--- a/lease/order.go
+++ b/lease/order.go
@@ -5,11 +5,11 @@
 // Start orders one run of a task. Until is the end of the lease on the
 // worker's clock, in milliseconds. Run rises with each start of a task.
 type Start struct {
-	Task  string
-	Run   int64
-	Spec  string
-	Until int64
-	Token int64 // fencing token of the home
+	Task  string `json:"task"`
+	Run   int64  `json:"run"`
+	Spec  string `json:"spec,omitempty"`
+	Until int64  `json:"until"`
+	Token int64  `json:"token"` // fencing token of the home
 }
 
 // Stop orders the end of a run, or that it never starts.
@@ -50,8 +50,8 @@
 // Reply is the answer to a start or a stop. Clock is the worker's clock in
 // milliseconds, 0 if the answer did not tell it.
 type Reply struct {
-	Clock   int64
-	Refusal Refusal
+	Clock   int64   `json:"clock"`
+	Refusal Refusal `json:"refusal,omitempty"`
 }
 
 // Ending is how a run ended.
--- a/plan/link.go
+++ b/plan/link.go
@@ -60,6 +60,24 @@
 	return time.Duration(float64(l.duration(questions*bytes)) / probeShare)
 }
 
+// relayHop is what a further message between two instances of a data centre takes,
+// their own time included.
+const relayHop = 3 * time.Millisecond
+
+// Withhold reports whether the instance that holds a job's caller does better to keep the
+// specification and send the starts itself than to hand it to the home. It answers data
+// centres of thin links: all starts leave through that of the home otherwise. Spec is the
+// length of the specification and order what a start takes beside it, in bytes.
+func Withhold(own, home *Link, spec, order, tasks int) bool {
+	direct := own.duration(tasks * (spec + order))
+	forwarded := own.duration(spec) + home.duration(tasks*(spec+order))
+	return forwarded-direct > relayHop
+}
+
+// duration is how long bytes take on the link, 0 on one without limit.
 func (l *Link) duration(bytes int) time.Duration {
+	if l.rate <= 0 {
+		return 0
+	}
 	return time.Duration(float64(bytes) / l.rate * float64(time.Second))
 }
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -45,6 +46,7 @@
 	13, // run twice: a start that reached a worker's new life was taken as lost
 	14, // as 11
 	300,
+	400, // thin links
 }
 
 // Seeds below laterSeeds draw from the first earlierFaults kinds of faults, so that
@@ -55,10 +57,19 @@
 	allFaults     = 17
 )
 
+// Instances of seeds from thinSeeds on take their links for thin, so that those that hold
+// a caller's connection send the starts, of which thinSpec bytes are the specification.
+const (
+	thinSeeds = 400
+	thinSpec  = 1000
+)
+
 type soak struct {
 	t         *testing.T
 	draw      *rand.Rand
 	kinds     int // of faults
+	link      int // Mbit/s that the instances are told
+	spec      string
 	store     *stand.Store
 	ledger    *fakes.Ledger
 	workers   []*fakes.LeasedWorker
@@ -149,7 +160,10 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, draw: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		statuses: map[string][]int{}, kinds: allFaults,
+		statuses: map[string][]int{}, kinds: allFaults, spec: "s",
+	}
+	if seed >= thinSeeds {
+		s.link, s.spec = 2, strings.Repeat("s", thinSpec)
 	}
 	if seed < laterSeeds {
 		s.kinds = earlierFaults
@@ -222,8 +236,8 @@
 
 func (s *soak) addInstance(name, dc, store string) {
 	i := &soakInstance{name: name, callers: reserve(s.t), store: newCutter(s.t, store), settings: filepath.Join(s.t.TempDir(), name+".yaml")}
-	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nstop: {drainDelay: 300ms, limit: 3s}\n",
-		name, dc, i.callers, reserve(s.t), reserve(s.t), reserve(s.t), i.store.listener.Addr())
+	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nlimits: {link: %d}\nstop: {drainDelay: 300ms, limit: 3s}\n",
+		name, dc, i.callers, reserve(s.t), reserve(s.t), reserve(s.t), i.store.listener.Addr(), s.link)
 	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -262,7 +276,7 @@
 func (s *soak) post(client *http.Client, id, addr string, tasks int) int {
 	ctx, cancel := context.WithTimeout(context.Background(), jobPatience)
 	defer cancel()
-	req, err := stand.Job(addr, id, tasks, soakTask, 70*time.Millisecond, jobPatience)
+	req, err := stand.Job(addr, id, tasks, soakTask, 70*time.Millisecond, jobPatience, s.spec)
 	if err != nil {
 		s.t.Error(err)
 		return 0
