entry, home, peer, beat, watch: keep a panic to what it was about

Cause: the users' list asks whether one malformed message or unexpected error takes a whole process down. A panic while a caller's request or a row of a table was taken did; one in a goroutine of a home was kept until the home closed and then ended the process, while the worker was no longer held; one over a heartbeat ended the reception of all. A handler of a peer that panicked told the forwarder that nothing had been begun, so that the job could start a second time elsewhere.

Change: a request that panics is answered 504 (it may have run); a home gives itself up, and the next one learns from the workers what runs; heartbeats, rows and reviews are passed over with a line in the log; the panic of a peer's handler is Unknown to the caller.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -11,6 +11,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/model"
 )
@@ -204,7 +205,9 @@
 			g.options.Log.Warn().Err(err).Int("bytes", n).Msg("heartbeat not understood")
 			continue
 		}
-		g.take(b, time.Now())
+		if recovered := panics.Try(func() { g.take(b, time.Now()) }); recovered != nil {
+			g.options.Log.Error().Err(recovered.AsError()).Str("peer", b.Instance).Msg("heartbeat panicked")
+		}
 	}
 }
 
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -250,3 +250,26 @@
 		}
 	})
 }
+
+func TestPanicOverOneHeartbeatCostsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		c := &packetConn{wire: w, addr: "10.0.0.1:7", queue: make(chan packet, 1000), closed: make(chan struct{})}
+		w.ends[c.addr] = c
+		ctx, cancel := context.WithCancel(context.Background())
+		a := beat.New(beat.Options{
+			Self: beat.Peer{Instance: "a", DataCentre: "kochi"}, Conn: c,
+			Own:    func() beat.Beat { return beat.Beat{Instance: "a"} },
+			OnBeat: func(b beat.Beat) { panic("unexpected " + b.Instance) },
+			Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		})
+		go a.Run(ctx)
+		defer func() { cancel(); <-a.Done() }()
+		c.queue <- packet{body: []byte(`{"instance":"b","incarnation":"1"}`)}
+		c.queue <- packet{body: []byte(`{"instance":"c","incarnation":"1"}`)}
+		time.Sleep(time.Millisecond)
+		if !a.Alive("b") || !a.Alive("c") {
+			t.Error("an instance was not heard")
+		}
+	})
+}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/home"
 	"foxtailmux/model"
@@ -75,7 +76,7 @@
 
 		DisablePreParseMultipartForm: true,
 	})
-	s.app.Use(s.serve)
+	s.app.Use(s.serveWhole)
 	s.ready = fiber.New(fiber.Config{ReadTimeout: o.Limits.ReadTimeout, IdleTimeout: o.Limits.IdleTimeout})
 	s.ready.Get(o.Protocol.ReadyPath(), s.serveReady)
 	return s
@@ -133,6 +134,18 @@
 	return c.Status(status).SendString(err.Error())
 }
 
+// serveWhole answers a request also if serving it panics. What ran of its job is not
+// known then.
+func (s *QueueServer) serveWhole(c fiber.Ctx) (err error) {
+	recovered := panics.Try(func() { err = s.serve(c) })
+	if recovered == nil {
+		return err
+	}
+	s.options.Log.Error().Err(recovered.AsError()).Str("path", loggedTail(c.Path())).Msg("request panicked")
+	s.options.Observer.Answered("panic", "maybe")
+	return c.Status(http.StatusGatewayTimeout).SendString("internal error")
+}
+
 func (s *QueueServer) serve(c fiber.Ctx) error {
 	s.open.Add(1)
 	defer s.open.Add(-1)
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
 	"golang.org/x/sys/unix"
 
 	"foxtailmux/beat"
@@ -39,11 +40,9 @@
 			f.closeHomes()
 		}
 		last = now
-		f.forgetMissing(time.Now())
-		f.dropSilentOrigins()
-		f.paceWorkers()
-		f.closeIdleStarters()
-		f.reviewHomes()
+		if recovered := panics.Try(f.review); recovered != nil {
+			f.log.Error().Err(recovered.AsError()).Msg("review of the homes panicked")
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -54,6 +53,15 @@
 	}
 }
 
+// review brings what this instance does in line with what it knows.
+func (f *Fleet) review() {
+	f.forgetMissing(time.Now())
+	f.dropSilentOrigins()
+	f.paceWorkers()
+	f.closeIdleStarters()
+	f.reviewHomes()
+}
+
 // noteLag takes how late a look comes.
 func (f *Fleet) noteLag(lag time.Duration) {
 	f.mu.Lock()
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -168,7 +168,7 @@
 	s := lease.Start{Task: t.name, Run: t.run, Spec: j.batch.Spec, Until: until, Token: h.options.Token}
 	w, via := u.worker, j.sending
 	h.noteSent(s, via, now)
-	h.tasks.Go(func() { u.start(w, s, via) })
+	h.spawn(func() { u.start(w, s, via) })
 	u.wakeUp()
 }
 
--- a/home/hold.go
+++ b/home/hold.go
@@ -89,19 +89,8 @@
 // alive.
 func (u *unit) hold(wait bool) error {
 	h := u.home
-	h.mu.Lock()
 	sentAt := time.Now()
-	request := lease.Hold{Token: h.options.Token, Seen: u.book.Seen()}
-	// A worker that does not answer is only asked: a renewal might be carried
-	// out and keep alive what could otherwise be taken as over.
-	if u.listed && !u.health.IsSilent(sentAt) {
-		request.Until = u.book.Until(sentAt)
-	}
-	if wait && request.Until > 0 && u.book.Len() > 0 {
-		request.WaitMillis = u.holdWait(sentAt).Milliseconds()
-	}
-	h.mu.Unlock()
-
+	request := u.nextHold(wait, sentAt)
 	h.options.Link.Send(orderBytes, sentAt)
 	timeout, _ := u.timeout(orderTimeout)
 	report, err := u.endpoint.Hold(request, timeout+time.Duration(request.WaitMillis)*time.Millisecond)
@@ -119,6 +108,22 @@
 	return u.report(request, report, sentAt, now)
 }
 
+// nextHold returns the hold that is sent now.
+func (u *unit) nextHold(wait bool, now time.Time) lease.Hold {
+	u.home.mu.Lock()
+	defer u.home.mu.Unlock()
+	request := lease.Hold{Token: u.home.options.Token, Seen: u.book.Seen()}
+	// A worker that does not answer is only asked: a renewal might be carried
+	// out and keep alive what could otherwise be taken as over.
+	if u.listed && !u.health.IsSilent(now) {
+		request.Until = u.book.Until(now)
+	}
+	if wait && request.Until > 0 && u.book.Len() > 0 {
+		request.WaitMillis = u.holdWait(now).Milliseconds()
+	}
+	return request
+}
+
 // holdWait returns how long the next hold waits for an end: a little beyond the
 // first one that is expected, so that an answer that is lost is missed soon.
 func (u *unit) holdWait(now time.Time) time.Duration {
--- a/home/home.go
+++ b/home/home.go
@@ -12,6 +12,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/budget"
 	"foxtailmux/learn"
@@ -127,7 +128,7 @@
 		lastRun:  o.Token << runBits,
 		repeats:  budget.New(repeatsPerAnswer),
 	}
-	h.tasks.Go(h.run)
+	h.spawn(h.run)
 	return h
 }
 
@@ -140,21 +141,28 @@
 // Close gives the workers up at once. Jobs in progress end as Moved; what runs
 // is left to the next home or to the end of its lease.
 func (h *Home) Close() {
+	if !h.moveJobs() {
+		return
+	}
+	h.cancel()
+	go func() {
+		defer close(h.done)
+		h.tasks.Wait()
+	}()
+}
+
+// moveJobs ends all jobs. It reports false for a home that was closed before.
+func (h *Home) moveJobs() bool {
 	h.mu.Lock()
-	first := !h.closed
+	defer h.mu.Unlock()
+	if h.closed {
+		return false
+	}
 	h.closed = true
 	for _, j := range h.jobs {
 		h.finish(j, j.tell(Outcome{Verdict: Moved, Reason: "the workers have another home"}))
 	}
-	h.mu.Unlock()
-
-	if first {
-		h.cancel()
-		go func() {
-			defer close(h.done)
-			h.tasks.Wait()
-		}()
-	}
+	return true
 }
 
 // SetWorkers replaces the workers of the home. Complete tells that no other
@@ -198,7 +206,7 @@
 	}
 	u := newUnit(h, w)
 	h.units[id] = u
-	h.tasks.Go(u.run)
+	h.spawn(u.run)
 }
 
 // run looks at what is due until the home is closed.
@@ -265,6 +273,19 @@
 	}
 }
 
+// spawn runs a function in a goroutine of the home. One that panics gives the home up:
+// the next one learns from the workers what runs.
+func (h *Home) spawn(f func()) {
+	h.tasks.Go(func() {
+		recovered := panics.Try(f)
+		if recovered == nil {
+			return
+		}
+		h.options.Log.Error().Err(recovered.AsError()).Str("home", h.options.DataCentre).Msg("home panicked and is given up")
+		go h.options.OnFenced()
+	})
+}
+
 // fence gives the home up after a worker told of a later one.
 func (h *Home) fence(worker string) {
 	if h.fenced {
--- a/home/settle.go
+++ b/home/settle.go
@@ -13,7 +13,7 @@
 		return
 	}
 	u.book.Unwant(task, run)
-	u.home.tasks.Go(func() { u.sendStop(task, run) })
+	u.home.spawn(func() { u.sendStop(task, run) })
 	u.wakeUp()
 }
 
@@ -56,7 +56,7 @@
 		return
 	}
 	u.settling = true
-	u.home.tasks.Go(u.settleAll)
+	u.home.spawn(u.settleAll)
 }
 
 const (
--- a/home/stuck.go
+++ b/home/stuck.go
@@ -18,7 +18,7 @@
 			u.home.options.Log.Info().Str("task", f.Task).Int64("run", f.Run).Str("worker", u.worker.ID).
 				Msg("run of an earlier home stopped")
 			u.book.Halt(f.Task, f.Run, now)
-			u.home.tasks.Go(func() { u.sendStop(f.Task, f.Run) })
+			u.home.spawn(func() { u.sendStop(f.Task, f.Run) })
 		}
 	}
 	for _, p := range u.book.Progress() {
@@ -68,7 +68,7 @@
 func (u *unit) move(o owner, p lease.Progress, now time.Time) {
 	o.task.mark(u.worker.ID)
 	u.book.Halt(p.Task, p.Run, now)
-	u.home.tasks.Go(func() { u.sendStop(p.Task, p.Run) })
+	u.home.spawn(func() { u.sendStop(p.Task, p.Run) })
 }
 
 // mark remembers that a run on a worker came to nothing.
@@ -95,7 +95,7 @@
 		return
 	}
 	u.looking = true
-	u.home.tasks.Go(func() {
+	u.home.spawn(func() {
 		_ = u.hold(false) // a failure is logged and noted by hold
 		u.home.mu.Lock()
 		defer u.home.mu.Unlock()
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -104,6 +104,9 @@
 func classify(op string, a *attempt, err error) *Error {
 	var answer *jsonrpc2.Error
 	if errors.As(err, &answer) {
+		if answer.Code == CodePanicked {
+			return &Error{Op: op, Kind: Unknown, Code: answer.Code, Err: eris.New(answer.Message)}
+		}
 		return &Error{Op: op, Kind: Refused, Code: answer.Code, Err: eris.New(answer.Message)}
 	}
 	if !a.begun.Load() {
--- a/peer/error.go
+++ b/peer/error.go
@@ -25,12 +25,14 @@
 const (
 	CodeBusy       int64 = -32000
 	CodeFailed     int64 = -32001
+	CodePanicked   int64 = -32003
 	CodeTooLarge   int64 = -32002
 	CodeBadRequest int64 = -32600
 	CodeNoMethod   int64 = -32601
 )
 
-// Error is returned by Call and Start. Code is set for Refused only.
+// Error is returned by Call and Start. Code is set for Refused, and for the panic of a
+// handler, which is Unknown: it may have done a part of its work.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -16,7 +16,8 @@
 
 // Handler answers one method. Its context ends with the connection that the
 // request came on, and with a pause of the process: the connection then closes,
-// since what came on it may have waited for long. An error reaches the caller as Refused with CodeFailed.
+// since what came on it may have waited for long. An error reaches the
+// caller as Refused with CodeFailed, a panic as Unknown with CodePanicked.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
 // server answers the requests of one incoming connection.
@@ -94,7 +95,11 @@
 	if ctx.Err() != nil {
 		return // The connection is closing; its end leaves the call unknown.
 	}
-	if err != nil {
+	switch {
+	case eris.Is(err, errPanicked):
+		refuse(ctx, c, req.ID, CodePanicked, err.Error())
+		return
+	case err != nil:
 		refuse(ctx, c, req.ID, CodeFailed, err.Error())
 		return
 	}
@@ -111,6 +116,9 @@
 	refuse(ctx, c, req.ID, CodeFailed, err.Error())
 }
 
+// errPanicked is in the chain of errors of handlers that panicked.
+var errPanicked = eris.New("the handler panicked")
+
 func run(ctx context.Context, req *jsonrpc2.Request, handler Handler) (result any, err error) {
 	var params json.RawMessage
 	if req.Params != nil {
@@ -124,7 +132,7 @@
 		result, err = handler(ctx, params)
 	})
 	if recovered != nil {
-		return nil, eris.Errorf("handler of %s panicked: %v", req.Method, recovered.Value)
+		return nil, eris.Wrapf(errPanicked, "%s: %v", req.Method, recovered.Value)
 	}
 	return result, err
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/table"
 )
@@ -260,7 +261,10 @@
 	m.version = max(m.version, c.Version)
 	m.mu.Unlock()
 
-	if len(changed) > 0 || always {
-		m.onChange(changed)
+	if len(changed) == 0 && !always {
+		return
+	}
+	if recovered := panics.Try(func() { m.onChange(changed) }); recovered != nil {
+		m.log.Error().Err(recovered.AsError()).Str("table", m.name).Int64("version", c.Version).Msg("change of a table panicked")
 	}
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -350,3 +350,26 @@
 		}
 	})
 }
+
+func TestPanicOverOneChangeCostsNoLaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		calls := 0
+		m := watch.New("t", s, nil, func([]table.Row) {
+			if calls++; calls == 2 {
+				panic("unexpected row")
+			}
+		}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); <-m.Done() }()
+		go m.Run(ctx)
+		for _, key := range []string{"t/a", "t/b", "t/c"} {
+			time.Sleep(time.Second)
+			s.put(key, "x", false)
+		}
+		time.Sleep(time.Second)
+		if got := m.Get("t/c"); got.Version == 0 || calls < 4 {
+			t.Errorf("%d calls, last row %+v", calls, got)
+		}
+	})
+}
