beat: let those that may follow a home hear each other often, the rest rarely

Cause: with 24 instances in a data centre one that is no home beat each other each 0.6 s, also where neither would ever be the home, and a successor that was lost with its home was noticed after 2.5 s only.

Change: the three that suit best as the home hear each other at the interval of 250 ms (found dead after 1.05 s); other pairs of a data centre beat each 100 ms times their number. An instance that hears a new life answers with its next round.

Ruled out: rarer heartbeats between data centres, since one that lost all its instances is followed from another, and a dead successor must be noticed (TestSilenceFollowsThePeriod).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -215,6 +215,9 @@
 	g.mu.Lock()
 	old := g.members[b.Instance]
 	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
+	if old.Incarnation != b.Incarnation {
+		delete(g.sent, b.Instance) // it has heard of no one yet
+	}
 	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow || old.Routing != b.Routing || now.Sub(old.HeardAt) > old.silence()
 	g.mu.Unlock()
 	if fresh {
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -68,13 +68,18 @@
 
 // member starts an instance and tells the others of it.
 func (w *wire) member(t *testing.T, name, dc, addr string, homes map[string]model.Room) *beat.Group {
-	c := &packetConn{wire: w, addr: addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
-	w.ends[addr] = c
+	return w.peer(t, beat.Peer{Instance: name, DataCentre: dc, Addr: addr, Incarnation: "1"}, homes)
+}
+
+// peer starts an instance as the store lists it.
+func (w *wire) peer(t *testing.T, p beat.Peer, homes map[string]model.Room) *beat.Group {
+	c := &packetConn{wire: w, addr: p.Addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
+	w.ends[p.Addr] = c
 	ctx, cancel := context.WithCancel(context.Background())
 	g := beat.New(beat.Options{
-		Self:   beat.Peer{Instance: name, DataCentre: dc},
+		Self:   p,
 		Conn:   c,
-		Own:    func() beat.Beat { return beat.Beat{Instance: name, Incarnation: "1", Homes: homes} },
+		Own:    func() beat.Beat { return beat.Beat{Instance: p.Instance, Incarnation: p.Incarnation, Homes: homes} },
 		OnBeat: func(beat.Beat) {},
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
@@ -273,3 +278,60 @@
 		}
 	})
 }
+
+// The instances that may follow a home hear each other at the interval also in a large
+// data centre, so that the loss of two of them with the home costs no longer than that of
+// the home.
+func TestThoseThatMayFollowAHomeHearEachOtherOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		peers := make([]beat.Peer, 25)
+		groups := make([]*beat.Group, len(peers))
+		for i := range peers {
+			p := beat.Peer{Instance: fmt.Sprintf("i%d", i), DataCentre: "kochi", Addr: fmt.Sprintf("10.0.0.%d:7", i), Processor: 0.2}
+			if i < 3 {
+				p.Processor = 0.8
+			}
+			peers[i] = p
+			groups[i] = w.peer(t, p, nil)
+		}
+		for _, g := range groups {
+			for _, p := range peers {
+				g.SetPeer(p)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		w.set(peers[1].Addr, peers[0].Addr, true)
+		w.set(peers[9].Addr, peers[0].Addr, true)
+		time.Sleep(1500 * time.Millisecond)
+		got := []bool{groups[0].Alive("i1"), groups[0].Alive("i2"), groups[0].Alive("i9")}
+		if diff := cmp.Diff([]bool{false, true, true}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
+// An instance that starts again hears the others soon, however rarely they send.
+func TestNewLifeHearsTheOthersSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		a := w.member(t, "a", "kochi", "10.0.0.1:7", nil)
+		for i := range 100 {
+			a.SetPeer(beat.Peer{Instance: fmt.Sprint(i), DataCentre: "tvm", Addr: fmt.Sprintf("10.0.1.%d:7", i)})
+		}
+		time.Sleep(20 * time.Second)
+		b := w.member(t, "b", "tvm", "10.0.0.2:7", nil)
+		a.SetPeer(beat.Peer{Instance: "b", DataCentre: "tvm", Addr: "10.0.0.2:7"})
+		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		time.Sleep(600 * time.Millisecond)
+		if !a.Alive("b") || !b.Alive("a") {
+			t.Fatal("not heard at first")
+		}
+		b2 := w.peer(t, beat.Peer{Instance: "b", DataCentre: "tvm", Addr: "10.0.0.2:7", Incarnation: "2"}, nil)
+		b2.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		time.Sleep(600 * time.Millisecond)
+		if !b2.Alive("a") {
+			t.Error("the new life does not hear the other")
+		}
+	})
+}
--- a/beat/period.go
+++ b/beat/period.go
@@ -1,19 +1,38 @@
 package beat
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 const (
 	// useTime is how long instances depend on each other after a job went from
 	// one to the other; jobs last a few seconds at most.
 	useTime = 5 * time.Second
 
-	// homeShare and otherShare bound the heartbeats that an instance sends and
+	// homeShare, farShare and nearShare bound the heartbeats that an instance sends and
 	// takes in large fleets: with more instances of a kind the period is their
 	// number times the share.
-	homeShare  = 5 * time.Millisecond
-	otherShare = 25 * time.Millisecond
+	homeShare = 5 * time.Millisecond
+	farShare  = 25 * time.Millisecond
+	nearShare = 100 * time.Millisecond
+
+	// heirs is the number of instances of a data centre that hear each other as often
+	// as they hear its home, since one of them follows it: two may be lost with it.
+	heirs = 3
 )
 
+// Heirs orders instances of a data centre by how well they suit as its home: those with
+// most processor first, and equal ones so that all instances find the same order.
+func Heirs(a, b Peer) int {
+	return cmp.Or(-cmp.Compare(a.Processor, b.Processor), cmp.Compare(rank(a), rank(b)))
+}
+
+func rank(p Peer) uint64 { return xxhash.Sum64String(p.DataCentre + "/" + p.Instance) }
+
 // sending is the last heartbeat to an instance, and when it told the next one for.
 type sending struct {
 	at     time.Time
@@ -37,18 +56,10 @@
 func (g *Group) due(now time.Time, home bool) []dueBeat {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	near, far := 0, 0
-	for _, p := range g.peers {
-		if p.DataCentre == g.options.Self.DataCentre {
-			near++
-		} else {
-			far++
-		}
-	}
-
+	r := g.ranks(now)
 	var list []dueBeat
 	for id, p := range g.peers {
-		d := dueBeat{peer: p, period: g.period(p, home, near, far, now)}
+		d := dueBeat{peer: p, period: g.period(p, home, r, now)}
 		wait := d.period
 		last, ok := g.sent[id]
 		if ok {
@@ -64,21 +75,52 @@
 	return list
 }
 
+// ranks are the numbers of instances in the data centre and elsewhere, and the heirs of
+// the data centre if this instance is one of them.
+type ranks struct {
+	near, far int
+	heirs     map[string]bool
+}
+
+func (g *Group) ranks(now time.Time) ranks {
+	var r ranks
+	living := []Peer{g.options.Self}
+	for id, p := range g.peers {
+		if p.DataCentre != g.options.Self.DataCentre {
+			r.far++
+			continue
+		}
+		r.near++
+		if g.aliveAt(id, now) {
+			living = append(living, p)
+		}
+	}
+	slices.SortFunc(living, Heirs)
+	list := map[string]bool{}
+	for _, p := range living[:min(len(living), heirs)] {
+		list[p.Instance] = true
+	}
+	if list[g.options.Self.Instance] {
+		r.heirs = list
+	}
+	return r
+}
+
 // period returns the time between heartbeats to an instance. Home tells whether this
-// one is a home, near and far are the numbers of instances in its data centre and
-// elsewhere. Homes are watched by those that may follow them and by those that
-// forward jobs; the others only have to be known.
-func (g *Group) period(p Peer, home bool, near, far int, now time.Time) time.Duration {
+// one is a home. Homes are watched by those that may follow them and by those that
+// forward jobs, and those that may follow watch each other; the others only have to be
+// known.
+func (g *Group) period(p Peer, home bool, r ranks, now time.Time) time.Duration {
 	same := p.DataCentre == g.options.Self.DataCentre
 	other := len(g.members[p.Instance].Homes) > 0
 	used, ok := g.usedAt[p.Instance]
 	switch {
-	case ok && now.Sub(used) < useTime, home && other, same && (home || other):
+	case ok && now.Sub(used) < useTime, home && other, same && (home || other), r.heirs[p.Instance]:
 		return interval
 	case home, other:
-		return max(interval, time.Duration(far)*homeShare)
+		return max(interval, time.Duration(r.far)*homeShare)
 	case same:
-		return max(interval, time.Duration(near)*otherShare)
+		return max(interval, time.Duration(r.near)*nearShare)
 	}
-	return max(farInterval, time.Duration(far)*otherShare)
+	return max(farInterval, time.Duration(r.far)*farShare)
 }
--- a/fleet/successor.go
+++ b/fleet/successor.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"foxtailmux/beat"
 )
 
@@ -46,16 +44,12 @@
 			-compareBool(a.peer.DataCentre == dataCentre, b.peer.DataCentre == dataCentre),
 			-cmp.Compare(a.peer.Processor, b.peer.Processor),
 			cmp.Compare(a.homes, b.homes),
-			cmp.Compare(rank(dataCentre, a), rank(dataCentre, b)),
+			beat.Heirs(a.peer, b.peer),
 		)
 	})
 	return best.peer.Instance
 }
 
-func rank(dataCentre string, c candidate) uint64 {
-	return xxhash.Sum64String(dataCentre + "/" + c.peer.Instance)
-}
-
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
