fleet, beat, peer, platform: look for late workers, take answers as signs of life, count bytes

It now looks for workers of its own data centre for 20 s. - heartbeats get lost on a full link, and homes changed hands although they answered. Bytes on a connection to an instance count as a sign of life of it (not as news of its room). - bytes_total{to,direction} counts what goes to workers and to the store; the first read of a table is logged with its rows and time.

Ruled out: the panics kept, the heartbeats of heirs (near is 2 to 4 there, the period the same).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -65,7 +65,8 @@
 // Member is what was heard of an instance.
 type Member struct {
 	Beat
-	HeardAt time.Time
+	HeardAt time.Time // last heartbeat
+	LiveAt  time.Time // last sign of life, a heartbeat or another message
 }
 
 // Options configure a Group. Own is called for each round of heartbeats. OnBeat
@@ -214,7 +215,7 @@
 func (g *Group) take(b Beat, now time.Time) {
 	g.mu.Lock()
 	old := g.members[b.Instance]
-	g.members[b.Instance] = Member{Beat: b, HeardAt: now}
+	g.members[b.Instance] = Member{Beat: b, HeardAt: now, LiveAt: now}
 	if old.Incarnation != b.Incarnation {
 		delete(g.sent, b.Instance) // it has heard of no one yet
 	}
@@ -225,6 +226,17 @@
 	}
 }
 
+// Heard notes that something else than a heartbeat came from an instance. It answers links
+// that are full: heartbeats get lost on them, while answers arrive.
+func (g *Group) Heard(instance string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m, ok := g.members[instance]; ok {
+		m.LiveAt = time.Now()
+		g.members[instance] = m
+	}
+}
+
 // Alive reports whether an instance was heard lately.
 func (g *Group) Alive(instance string) bool {
 	if instance == g.options.Self.Instance {
@@ -237,7 +249,7 @@
 
 func (g *Group) aliveAt(instance string, now time.Time) bool {
 	m, ok := g.members[instance]
-	return ok && now.Sub(m.HeardAt) < m.silence()
+	return ok && now.Sub(m.LiveAt) < m.silence()
 }
 
 // Member returns what was heard of an instance last.
@@ -260,7 +272,7 @@
 		if alive := g.aliveAt(id, now); alive != g.alive[id] {
 			g.alive[id] = alive
 			g.options.Log.Info().Str("peer", id).Bool("alive", alive).Str("incarnation", m.Incarnation).
-				Int64("heardMillisAgo", now.Sub(m.HeardAt).Milliseconds()).Msg("peer changed")
+				Int64("heardMillisAgo", now.Sub(m.LiveAt).Milliseconds()).Msg("peer changed")
 		}
 	}
 	return list
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,7 +75,9 @@
 // peer starts an instance as the store lists it.
 func (w *wire) peer(t *testing.T, p beat.Peer, homes map[string]model.Room) *beat.Group {
 	c := &packetConn{wire: w, addr: p.Addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
+	w.mu.Lock()
 	w.ends[p.Addr] = c
+	w.mu.Unlock()
 	ctx, cancel := context.WithCancel(context.Background())
 	g := beat.New(beat.Options{
 		Self:   p,
@@ -232,14 +235,14 @@
 func TestRareHeartbeatsAreNoNews(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWire()
-		news := 0
+		var news atomic.Int32
 		c := &packetConn{wire: w, addr: "10.0.0.1:7", queue: make(chan packet, 1000), closed: make(chan struct{})}
 		w.ends[c.addr] = c
 		ctx, cancel := context.WithCancel(context.Background())
 		a := beat.New(beat.Options{
 			Self: beat.Peer{Instance: "a", DataCentre: "kochi"}, Conn: c,
 			Own:    func() beat.Beat { return beat.Beat{Instance: "a"} },
-			OnBeat: func(beat.Beat) { news++ },
+			OnBeat: func(beat.Beat) { news.Add(1) },
 			Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 		})
 		go a.Run(ctx)
@@ -250,8 +253,8 @@
 			b.SetPeer(beat.Peer{Instance: fmt.Sprint(i), DataCentre: "kochi", Addr: fmt.Sprintf("10.0.1.%d:7", i)})
 		}
 		time.Sleep(20 * time.Second)
-		if news != 1 {
-			t.Errorf("%d heartbeats were news", news)
+		if n := news.Load(); n != 1 {
+			t.Errorf("%d heartbeats were news", n)
 		}
 	})
 }
@@ -335,3 +338,28 @@
 		}
 	})
 }
+
+// On a full link heartbeats get lost, while answers arrive late.
+func TestInstanceThatAnswersIsAliveWithoutHeartbeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		a := w.member(t, "a", "kochi", "10.0.0.1:7", nil)
+		b := w.member(t, "b", "kochi", "10.0.0.2:7", nil)
+		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		time.Sleep(600 * time.Millisecond)
+		heartbeat := a.Member("b").HeardAt
+		w.set("10.0.0.2:7", "10.0.0.1:7", true)
+		for range 4 {
+			time.Sleep(900 * time.Millisecond)
+			a.Heard("b")
+		}
+		time.Sleep(900 * time.Millisecond)
+		a.Heard("stranger")
+		got := []bool{a.Alive("b"), a.Alive("stranger"), a.Member("b").HeardAt.Sub(heartbeat) < time.Second}
+		time.Sleep(200 * time.Millisecond)
+		got = append(got, a.Alive("b"))
+		if diff := cmp.Diff([]bool{true, false, true, false}, got); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -27,8 +27,8 @@
 
 // Adapter speaks one users' platform.
 type Adapter interface {
-	NewStore(addr string, timeout time.Duration) Store
-	NewEndpoint(w model.Worker, late func(took time.Duration)) home.Endpoint
+	NewStore(addr string, timeout time.Duration, onBytes func(direction string, n int)) Store
+	NewEndpoint(w model.Worker, o home.EndpointOptions) home.Endpoint
 	Names() Names
 	DecodeWorker(row table.Row) (model.Worker, error)
 	DecodeRouting(row table.Row) (model.Routing, error)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -111,7 +111,6 @@
 		listeners: opened,
 		log:       l,
 		meter:     meter.New(s.Instance, s.DataCentre),
-		store:     adapter.NewStore(s.Platform.Addr, s.Platform.Timeout),
 		paused:    pause.NewWatch(),
 		link:      plan.NewLink(s.Limits.Link),
 		ctx:       ctx,
@@ -137,6 +136,7 @@
 		starters:  map[string]*starter{},
 	}
 	f.stop.Store(&s.Stop)
+	f.store = adapter.NewStore(s.Platform.Addr, s.Platform.Timeout, f.meter.Bytes(meter.ToStore))
 	f.build()
 	return f, nil
 }
@@ -158,6 +158,7 @@
 		Listen:  func(string) (net.Listener, error) { return f.listeners.peers, nil },
 		Watch:   f.paused,
 		OnBytes: f.meter.PeerBytes,
+		OnHeard: func(peerID string) { f.beats.Heard(peerID) },
 		Log:     f.log,
 	})
 	f.beats = beat.New(beat.Options{Self: f.self, Conn: f.listeners.beats, Own: f.ownBeat, OnBeat: f.onBeat, Log: l})
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -11,6 +11,8 @@
 
 	"foxtailmux/beat"
 	"foxtailmux/home"
+	"foxtailmux/meter"
+	"foxtailmux/model"
 )
 
 const (
@@ -172,7 +174,7 @@
 		DataCentre: dataCentre,
 		Token:      token,
 		MaxLease:   f.settings.Platform.MaxLease,
-		Connect:    f.adapter.NewEndpoint,
+		Connect:    f.connect,
 		Link:       f.link,
 		Elsewhere:  func(processor int) (string, bool) { return f.roomElsewhere(dataCentre, processor) },
 		OnFenced:   func() { f.onFenced(dataCentre, token) },
@@ -188,6 +190,14 @@
 	f.changed.fire()
 }
 
+// connect returns a client of a worker. Late may be nil.
+func (f *Fleet) connect(w model.Worker, late func(took time.Duration)) home.Endpoint {
+	if late == nil {
+		late = func(time.Duration) {}
+	}
+	return f.adapter.NewEndpoint(w, home.EndpointOptions{Late: late, OnBytes: f.meter.Bytes(meter.ToWorker)})
+}
+
 // giveUp closes a home that the store gives to another instance.
 func (f *Fleet) giveUp(dataCentre string, token int64) {
 	h := f.localHome(dataCentre)
@@ -229,5 +239,5 @@
 	if instance == f.self.Instance {
 		return time.Now()
 	}
-	return f.beats.Member(instance).HeardAt
+	return f.beats.Member(instance).LiveAt
 }
--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -25,6 +26,10 @@
 	lazyRead   = time.Second
 	lazySpread = 3 * time.Second
 
+	// ownWait is how long an instance looks for workers of its own data centre after its
+	// start. Those that start with it register within a few seconds.
+	ownWait = 20 * time.Second
+
 	// freshFor is the age up to which the table is good enough for a new home.
 	freshFor = time.Second
 
@@ -76,6 +81,9 @@
 		return true
 	}
 	list := f.dataCentres()
+	if !slices.Contains(list, f.self.DataCentre) && time.Since(f.started) < ownWait {
+		return true // its workers may register later than this instance
+	}
 	listened := time.Since(f.started) >= settleTime
 	for _, dc := range list {
 		owner, _ := f.homeOf(dc)
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -188,7 +188,7 @@
 	key := r.Worker + "@" + r.Addr
 	s := f.starters[key]
 	if s == nil {
-		s = &starter{endpoint: f.adapter.NewEndpoint(model.Worker{ID: r.Worker, Addr: r.Addr}, func(time.Duration) {})}
+		s = &starter{endpoint: f.connect(model.Worker{ID: r.Worker, Addr: r.Addr}, nil)}
 		f.starters[key] = s
 	}
 	s.usedAt = time.Now()
--- a/home/hold.go
+++ b/home/hold.go
@@ -92,7 +92,7 @@
 	sentAt := time.Now()
 	request := u.nextHold(wait, sentAt)
 	h.options.Link.Send(orderBytes, sentAt)
-	timeout, _ := u.timeout(orderTimeout)
+	timeout, _ := u.timeout(orderTimeout, h.options.Link)
 	report, err := u.endpoint.Hold(request, timeout+time.Duration(request.WaitMillis)*time.Millisecond)
 
 	h.mu.Lock()
--- a/home/relay.go
+++ b/home/relay.go
@@ -62,15 +62,16 @@
 // sendStart sends a start once, and notes the time of its answer.
 func (u *unit) sendStart(w model.Worker, s lease.Start, via sending) (lease.Reply, error) {
 	sentAt := time.Now()
-	timeout, queued := u.timeout(startTimeout)
+	link := u.home.options.Link
+	var timeout, queued time.Duration
 	var reply lease.Reply
 	var err error
 	if via.relay == nil {
+		timeout, queued = u.timeout(startTimeout, link)
 		reply, err = u.endpoint.Start(s, timeout)
 	} else {
-		remote := via.relay.Link.Wait(0, sentAt)
-		queued += remote
-		reply, err = via.relay.Start(w, s, timeout+remote)
+		timeout, queued = u.timeout(startTimeout, link, via.relay.Link)
+		reply, err = via.relay.Start(w, s, timeout)
 	}
 	if err == nil {
 		u.home.noteAnswer(time.Since(sentAt) - queued)
--- a/home/relay_test.go
+++ b/home/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -19,12 +20,12 @@
 	place *place
 	spec  string
 	fail  error
-	calls int
+	calls atomic.Int32
 }
 
 // start sends a start to its worker, with the specification that the home has not.
 func (o *origin) start(w model.Worker, s lease.Start, timeout time.Duration) (lease.Reply, error) {
-	o.calls++
+	o.calls.Add(1)
 	if o.fail != nil {
 		time.Sleep(timeout)
 		return lease.Reply{}, o.fail
@@ -46,8 +47,8 @@
 		if got := verdict(submit(h, relayed(o, "a", 4))); got != home.Succeeded {
 			t.Errorf("verdict %q", got)
 		}
-		if o.calls != 4 {
-			t.Errorf("%d starts by the origin", o.calls)
+		if n := o.calls.Load(); n != 4 {
+			t.Errorf("%d starts by the origin", n)
 		}
 		p.check()
 	})
@@ -83,8 +84,8 @@
 		if got := verdict(submit(h, relayed(gone, "a", 1))); got != home.Cancelled {
 			t.Errorf("verdict %q", got)
 		}
-		if gone.calls != 1 {
-			t.Errorf("%d starts", gone.calls)
+		if n := gone.calls.Load(); n != 1 {
+			t.Errorf("%d starts", n)
 		}
 		p.check()
 	})
@@ -98,10 +99,10 @@
 		h := p.ready(1)
 		defer p.close(h)
 		o := &origin{place: p, spec: "x"}
-		late := 0
+		var late atomic.Int32
 		s := relayed(o, "a", 1)
 		s.Relay.Start = func(w model.Worker, s lease.Start, timeout time.Duration) (lease.Reply, error) {
-			if late++; late > 1 {
+			if late.Add(1) > 1 {
 				return o.start(w, s, timeout)
 			}
 			go func() {
--- a/home/unit.go
+++ b/home/unit.go
@@ -98,14 +98,17 @@
 const orderBytes = 420
 
 // timeout is how long an order that is sent now waits for its answer, and how much of it
-// is the wait for the link. Usual is the time without any. What was noted to be sent
-// counts whole, since other orders may get to the link first.
-func (u *unit) timeout(usual time.Duration) (timeout, queued time.Duration) {
+// is the wait for the links that it takes. Usual is the time without any. What was noted
+// to be sent counts whole, since other orders may get to the link first; the lock makes
+// sure that all starts of a dispatch are noted.
+func (u *unit) timeout(usual time.Duration, links ...*plan.Link) (timeout, queued time.Duration) {
 	h := u.home
-	now := time.Now()
-	queued = h.options.Link.Wait(0, now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
+	for _, l := range links {
+		queued += l.Wait(0, now)
+	}
 	if u.lossy(now) {
 		usual = lossyTimeout
 	}
--- a/meter/count.go
+++ b/meter/count.go
@@ -17,7 +17,13 @@
 	StatusProbe = "statusProbe"
 )
 
-// The directions of the traffic with peers.
+// The other ends of the traffic on a users' platform.
+const (
+	ToWorker = "worker"
+	ToStore  = "store"
+)
+
+// The directions of traffic.
 const (
 	Sent     = "sent"
 	Received = "received"
@@ -54,6 +60,12 @@
 	m.peerBytes.WithLabelValues(direction).Add(float64(n))
 }
 
+// Bytes returns a counter of the bytes Sent and Received on connections to workers or to the
+// store.
+func (m *Meter) Bytes(to string) func(direction string, n int) {
+	return func(direction string, n int) { m.bytes.WithLabelValues(to, direction).Add(float64(n)) }
+}
+
 // QueueLength sets the number of tasks that wait for a slot.
 func (m *Meter) QueueLength(n int) { m.queue.Set(float64(n)) }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -24,6 +24,7 @@
 	unauthorized prometheus.Counter
 	controlBytes *prometheus.CounterVec
 	peerBytes    *prometheus.CounterVec
+	bytes        *prometheus.CounterVec
 
 	queue         prometheus.Gauge
 	configVersion prometheus.Gauge
@@ -64,6 +65,7 @@
 	m.messages.WithLabelValues("needed", "start") // shown as 0 before the first one
 	m.unauthorized = counter("unauthorized_total", "Requests of operators without a valid key.")
 	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, sent and received, by kind.", "kind")
+	m.bytes = counters("bytes_total", "Bytes of all connections to workers and to the platform's store, by direction.", "to", "direction")
 	m.peerBytes = counters("peer_bytes_total", "Bytes of all connections with peers, data included, by direction.", "direction")
 }
 
@@ -89,6 +91,7 @@
 		m.unauthorized,
 		m.controlBytes,
 		m.peerBytes,
+		m.bytes,
 		m.queue,
 		m.configVersion,
 		m.queueWait,
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -29,8 +29,9 @@
 	open   atomic.Int64 // calls that wait for an answer
 }
 
-func newConn(ctx context.Context, c net.Conn, o *Options) *conn {
+func newConn(ctx context.Context, c net.Conn, o *Options, peerID string) *conn {
 	s := newStream(c, o, o.IdleTimeout)
+	s.peer = peerID
 	rpc := jsonrpc2.NewConn(ctx, s, refuseAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.SetLogger(rpcLogger{o.Log}))
 	return &conn{stream: s, rpc: rpc}
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -186,7 +186,7 @@
 		return nil, eris.Wrapf(err, "dial %s", l.addr)
 	}
 
-	c := newConn(ctx, raw, l.options)
+	c := newConn(ctx, raw, l.options, l.id)
 	found, err := c.ping(ctx)
 	if err != nil {
 		c.close()
--- a/peer/options.go
+++ b/peer/options.go
@@ -37,6 +37,10 @@
 	// OnBytes is called with the bytes of every read and write.
 	OnBytes func(direction string, n int)
 
+	// OnHeard is called when bytes of a peer came on a connection to it, at most each
+	// heardInterval. It must not block.
+	OnHeard func(peerID string)
+
 	// OnReach is called when a peer answered on a new connection, and when
 	// none to it could be opened. It must not block.
 	OnReach func(peerID string, reached bool)
@@ -62,6 +66,8 @@
 }
 
 const (
+	heardInterval = 100 * time.Millisecond // a fraction of the silence after which a peer counts as dead
+
 	defaultMaxFrame          = 32 << 20 // bytes
 	defaultMaxCalls          = 1024
 	defaultMaxServed         = 1024
@@ -91,6 +97,9 @@
 	if o.Watch == nil {
 		o.Watch = pause.NewWatch()
 	}
+	if o.OnHeard == nil {
+		o.OnHeard = func(string) {}
+	}
 	if o.OnReach == nil {
 		o.OnReach = func(string, bool) {}
 	}
--- a/peer/reach_test.go
+++ b/peer/reach_test.go
@@ -90,3 +90,23 @@
 func (s *swallower) freeze(frozen bool) {
 	s.frozen.Store(frozen)
 }
+
+func TestAnswersTellThatThePeerIsHeard(t *testing.T) {
+	heard := make(chan string, 100)
+	o := named("a")
+	o.OnHeard = func(id string) { heard <- id }
+	a, b := startGroup(t, o), startGroup(t, named("b"))
+	b.Handle("echo", echo)
+	a.SetPeer("b", b.Addr())
+	for i := range 20 {
+		if err := call(t, a, "b", "echo", i, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(heard); n == 0 || n > 10 {
+		t.Fatalf("told %d times", n)
+	}
+	if id := <-heard; id != "b" {
+		t.Errorf("heard %q", id)
+	}
+}
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -32,6 +32,8 @@
 	options *Options
 
 	readTimeout time.Duration
+	peer        string       // at the other end of an outgoing connection
+	toldAt      atomic.Int64 // last call of OnHeard, as heardAt
 	heardAt     atomic.Int64 // nanoseconds since started
 	started     time.Time
 	expired     atomic.Bool // it ended because it was idle
@@ -50,6 +52,7 @@
 		started:     time.Now(),
 		attempts:    map[jsonrpc2.ID]*attempt{},
 	}
+	s.toldAt.Store(-int64(heardInterval))
 	s.reader = bufio.NewReader(readerFunc(s.read))
 	return s
 }
@@ -68,8 +71,10 @@
 
 	n, err := s.conn.Read(p)
 	if n > 0 {
-		s.heardAt.Store(int64(time.Since(s.started)))
+		now := int64(time.Since(s.started))
+		s.heardAt.Store(now)
 		s.options.OnBytes(Received, n)
+		s.tell(now)
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		s.expired.Store(true)
@@ -78,6 +83,15 @@
 	return n, err
 }
 
+// tell reports that the peer was heard.
+func (s *stream) tell(now int64) {
+	if s.peer == "" || now-s.toldAt.Load() < int64(heardInterval) {
+		return
+	}
+	s.toldAt.Store(now)
+	s.options.OnHeard(s.peer)
+}
+
 // silence returns the time since the last byte was received.
 func (s *stream) silence() time.Duration {
 	return time.Since(s.started) - time.Duration(s.heardAt.Load())
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -158,28 +158,52 @@
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
-	s := &soak{
-		t: t, draw: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		statuses: map[string][]int{}, kinds: allFaults, spec: "s",
-	}
+	s, store := newFleet(t, seed)
 	if seed >= thinSeeds {
 		s.link, s.spec = 2, strings.Repeat("s", thinSpec)
 	}
 	if seed < laterSeeds {
 		s.kinds = earlierFaults
 	}
-	store := httptest.NewServer(s.store)
-	t.Cleanup(store.Close)
 	for i := range 6 {
 		s.addWorker(i, []string{"kochi", "tvm"}[i%2])
 	}
-	s.configure()
 	for i, dc := range []string{"kochi", "kochi", "tvm"} {
-		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store.Listener.Addr().String())
+		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
 	}
 	return s
 }
 
+// newFleet returns a configured store, with its address, and no workers or instances.
+func newFleet(t *testing.T, seed uint64) (s *soak, store string) {
+	s = &soak{
+		t: t, draw: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
+		statuses: map[string][]int{}, kinds: allFaults, spec: "s",
+	}
+	server := httptest.NewServer(s.store)
+	t.Cleanup(server.Close)
+	s.configure()
+	return s, server.Listener.Addr().String()
+}
+
+// A data centre whose workers register after its instances have started gets a home,
+// although the other one has had its home for a while.
+func TestWorkersThatRegisterLateGetAHome(t *testing.T) {
+	s, store := newFleet(t, 1)
+	s.addWorker(0, "kochi")
+	s.addInstance("entry-0", "kochi", store)
+	s.addInstance("entry-1", "tvm", store)
+	s.recovers()
+	time.Sleep(5 * time.Second) // all instances have read the workers' table
+	s.addWorker(1, "tvm")
+	began := time.Now()
+	waitFor(t, "a home of the late worker", func() bool { return s.workers[1].Holds() > 0 })
+	if took := time.Since(began); took > 10*time.Second {
+		t.Errorf("it took %v", took)
+	}
+	s.check()
+}
+
 func (s *soak) addWorker(i int, dc string) {
 	id := fmt.Sprintf("w%d", i)
 	w := fakes.NewLeasedWorker(id, model.Needs{MilliCores: 64_000, MemoryMB: 1 << 10}, s.ledger)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -194,10 +194,13 @@
 
 // list reads the whole table.
 func (m *Mirror) list(ctx context.Context) error {
+	began := time.Now()
 	c, err := m.source.List(ctx, m.name)
 	if err != nil {
 		return err
 	}
+	m.log.Info().Str("table", m.name).Int("rows", len(c.Rows)).Int64("version", c.Version).
+		Int64("tookMillis", time.Since(began).Milliseconds()).Msg("table read")
 
 	m.mu.Lock()
 	if c.Version < m.version {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -354,9 +355,9 @@
 func TestPanicOverOneChangeCostsNoLaterOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStore()
-		calls := 0
+		var calls atomic.Int32
 		m := watch.New("t", s, nil, func([]table.Row) {
-			if calls++; calls == 2 {
+			if calls.Add(1) == 2 {
 				panic("unexpected row")
 			}
 		}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
@@ -368,8 +369,8 @@
 			s.put(key, "x", false)
 		}
 		time.Sleep(time.Second)
-		if got := m.Get("t/c"); got.Version == 0 || calls < 4 {
-			t.Errorf("%d calls, last row %+v", calls, got)
+		if got := m.Get("t/c"); got.Version == 0 || calls.Load() < 4 {
+			t.Errorf("%d calls, last row %+v", calls.Load(), got)
 		}
 	})
 }
