fleet: leave the row of an instance that starts again as it is

All 147 instances wrote their rows anew, the store writes a part's 200 a second one after the other, and the claims of the homes waited behind them for 0.65 s.

Change: the incarnation, which heartbeats tell, is no longer in the row, and a row that is right is not written.

TestInstancesThatStartAgainWriteOnlyTheirClaims failed first (6 rows, 3 before).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -51,10 +51,11 @@
 	return time.Duration(silencePeriods * float64(period))
 }
 
-// Peer is another instance as the store lists it.
+// Peer is another instance as the store lists it. The list leaves its incarnation out,
+// which heartbeats tell, so that an instance that starts again finds its row as it is.
 type Peer struct {
 	Instance    string `json:"instance"`
-	Incarnation string `json:"incarnation"`
+	Incarnation string `json:"-"`
 	DataCentre  string `json:"dataCentre"`
 	Addr        string `json:"addr"`
 
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"strings"
@@ -115,25 +116,39 @@
 	f.changed.fire()
 }
 
-// registerRetry is the time between two tries to register.
-const registerRetry = 200 * time.Millisecond
+const (
+	// registerRetry is the time between two tries to register.
+	registerRetry = 200 * time.Millisecond
+
+	// registerPoll is the time between looks whether the list was read; the store
+	// answers within a few milliseconds.
+	registerPoll = 5 * time.Millisecond
+)
 
-// register writes this instance into the list.
+// register makes sure that the list holds this instance. One that is there already is not
+// written again: after a restart of a large fleet the claims of the homes would wait
+// behind the rows of all instances, which the store writes one after the other.
 func (f *Fleet) register(ctx context.Context) {
 	value, err := json.Marshal(f.self)
 	if err != nil {
 		f.log.Error().Err(eris.Wrap(err, "encode")).Msg("instance not registered")
 		return
 	}
-	put := table.Transaction{Puts: []table.Put{{Key: nodesTable + "/" + f.self.Instance, Value: value}}}
-	for ctx.Err() == nil {
-		if _, err := f.store.Commit(ctx, put); err == nil {
-			return
-		} else {
-			f.log.Warn().Err(err).Msg("instance not registered yet")
+	key := nodesTable + "/" + f.self.Instance
+	for pause := registerPoll; ctx.Err() == nil; {
+		if f.nodes.Read() {
+			if bytes.Equal(f.nodes.Get(key).Value, value) {
+				return
+			}
+			pause = registerRetry
+			if _, err := f.store.Commit(ctx, table.Transaction{Puts: []table.Put{{Key: key, Value: value}}}); err == nil {
+				return
+			} else {
+				f.log.Warn().Err(err).Msg("instance not registered yet")
+			}
 		}
 		select {
-		case <-time.After(registerRetry):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -174,6 +174,32 @@
 	return s
 }
 
+// The store writes the rows of a table one after the other, so that claims would wait behind
+// the rows of a large fleet that starts again.
+func TestInstancesThatStartAgainWriteOnlyTheirClaims(t *testing.T) {
+	s, store := newFleet(t, 1)
+	s.addWorker(0, "kochi")
+	for i := range 3 {
+		s.addInstance(fmt.Sprintf("entry-%d", i), "kochi", store)
+	}
+	s.recovers()
+	before := []int{s.store.Commits("nodes"), s.store.Commits("homes")}
+	for _, i := range s.instances {
+		_ = i.process().cmd.Process.Kill()
+	}
+	for _, i := range s.instances {
+		s.restart(i, syscall.SIGKILL)
+	}
+	s.recovers()
+	if n := s.store.Commits("nodes"); n != before[0] {
+		t.Errorf("%d rows of instances, %d before", n, before[0])
+	}
+	if n := s.store.Commits("homes"); n == before[1] {
+		t.Error("no home was claimed")
+	}
+	s.check()
+}
+
 // newFleet returns a configured store, with its address, and no workers or instances.
 func newFleet(t *testing.T, seed uint64) (s *soak, store string) {
 	s = &soak{
