--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,12 @@
 export CGO_ENABLED = 1
 export GOFLAGS = -buildvcs=false
 
-.PHONY: all setup build demo check format lint test bench fuzz clean
+# Site files that regress plays: the large one in place of the oldest two.
+SITES = large/mfat-quotes-large further-grown/kiskadee-pos-grown further/kiskadee-pos \
+	grown/mfat-quotes-grown grown/tihizvok-lj-grown
+JOBS = 3
+
+.PHONY: all setup build demo check regress format lint test bench fuzz clean
 
 all: build
 
@@ -31,6 +36,11 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "known red:"; cat KNOWN-RED.txt; fi
 	go test -race -count=1 ./...
 
+# Scores the users' deployments: make regress BENCH=PROGRAM KIT=FOLDER
+regress:
+	@test -n "$(BENCH)" -a -n "$(KIT)" || { echo "usage: make regress BENCH=PROGRAM KIT=FOLDER"; exit 2; }
+	@for s in $(SITES); do $(BENCH) score $(KIT)/$$s.toml --jobs $(JOBS) --why "regression" || exit 1; done
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
 
