watch, fleet: count a copy as fresh only when it has all changes

The new home had not read the workers' table for 16 s. It asked for the changes, got the 500 oldest of some 3,700, and took its copy for fresh. Workers that had registered since were missing on it, so that what the earlier home ran there was started again.

Ruled out: the later first read of the table (14.4 s in place of 12.7 s; the list was 16 s old either way); a claim before the earlier home had let go (its jobs had ended as moved).

TestCopyThatIsFarBehindIsFreshOnlyWithAllChanges failed first.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -26,6 +26,10 @@
 	// priced, and a silent connection costs at most this time.
 	feedWait = 4 * time.Second
 
+	// relistAfter is the time without an answer after which a table is read whole instead
+	// of all its changes since: the rows of workers change each 1.5 s.
+	relistAfter = 2 * feedWait
+
 	minRetry = 50 * time.Millisecond
 	maxRetry = 500 * time.Millisecond // a fraction of the time in which a configuration must be in force
 )
@@ -45,7 +49,7 @@
 	rows     map[string]table.Row
 	version  int64
 	readAt   time.Time // when the table was read first
-	heardAt  time.Time // last answer
+	freshAt  time.Time // last answer that was not full
 	reached  bool
 	failedAt time.Time
 }
@@ -72,11 +76,11 @@
 	}
 }
 
-// Age returns the time since the last answer of the store.
+// Age returns the time since the copy held all changes that the store knew of.
 func (m *Mirror) Age() time.Duration {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return time.Since(m.heardAt)
+	return time.Since(m.freshAt)
 }
 
 // Done is closed when Run has returned.
@@ -128,14 +132,14 @@
 	for ctx.Err() == nil {
 		var err error
 		more := false
-		if !listed {
+		if !listed || m.Age() > relistAfter {
 			err = m.list(ctx)
 			listed = err == nil
 		} else if more, err = m.follow(ctx); historyLost(err) {
 			listed = false
 		}
 
-		m.note(err)
+		m.note(err, more)
 		if err == nil {
 			retry = minRetry
 			if !more { // a pause after each full answer falls further and further behind
@@ -167,12 +171,12 @@
 }
 
 // note logs when the store is lost and found again.
-func (m *Mirror) note(err error) {
+func (m *Mirror) note(err error, more bool) {
 	m.mu.Lock()
 	changed := m.reached != (err == nil)
 	m.reached = err == nil
-	if err == nil {
-		m.heardAt = time.Now()
+	if err == nil && !more {
+		m.freshAt = time.Now()
 	}
 	version := m.version
 	since := m.failedAt
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -302,6 +302,9 @@
 	})
 }
 
+// pagedAnswer is how long a paged store takes to answer.
+const pagedAnswer = 5 * time.Millisecond
+
 // paged is a store whose answers hold a bounded number of changes, as of the last one.
 type paged struct {
 	*store
@@ -310,6 +313,7 @@
 
 // Watch returns the oldest changes.
 func (p paged) Watch(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error) {
+	time.Sleep(pagedAnswer)
 	c, err := p.store.Watch(ctx, name, after, wait)
 	if err == nil && len(c.Rows) > p.most {
 		c.Rows = c.Rows[:p.most]
@@ -374,3 +378,35 @@
 		}
 	})
 }
+
+// An instance that reads the workers' table once a minute becomes a home: its copy counts as
+// fresh only when it has all changes, of which one answer holds the oldest.
+func TestCopyThatIsFarBehindIsFreshOnlyWithAllChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		m := watch.New("workers", paged{s, 500}, func() time.Duration { return time.Minute }, func([]table.Row) {},
+			&log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer func() { cancel(); <-m.Done() }()
+		s.put("workers/0", "x", false)
+		go m.Run(ctx)
+		time.Sleep(time.Second)
+		for n := range 3700 {
+			s.put(fmt.Sprintf("workers/%d", n%350), "x", false)
+		}
+		s.put("workers/new", "x", false)
+		time.Sleep(16 * time.Second)
+		m.Refresh()
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			if m.Age() > time.Second {
+				continue
+			}
+			if m.Get("workers/new").Version == 0 {
+				t.Error("a copy without the newest row counts as fresh")
+			}
+			return
+		}
+		t.Error("the copy was not fresh within a second")
+	})
+}
