beat, fleet, home, platform: name and split what a newcomer would stumble over

successors for heirs, surroundings for ranks, one constant for the bytes of an order, the description of a process and the news of a heartbeat in functions of their own, no connection beside an error.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -220,13 +220,18 @@
 	if old.Incarnation != b.Incarnation {
 		delete(g.sent, b.Instance) // it has heard of no one yet
 	}
-	fresh := old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow || old.Routing != b.Routing || now.Sub(old.HeardAt) > old.silence()
 	g.mu.Unlock()
-	if fresh {
+	if b.tellsMore(old, now) {
 		g.options.OnBeat(b)
 	}
 }
 
+// tellsMore reports whether a heartbeat tells something that the last one did not.
+func (b Beat) tellsMore(old Member, now time.Time) bool {
+	return old.Incarnation != b.Incarnation || old.Leaving != b.Leaving || old.Slow != b.Slow ||
+		old.Routing != b.Routing || now.Sub(old.HeardAt) > old.silence()
+}
+
 // Heard notes that something else than a heartbeat came from an instance. It answers links
 // that are full: heartbeats get lost on them, while answers arrive.
 func (g *Group) Heard(instance string) {
--- a/beat/period.go
+++ b/beat/period.go
@@ -20,14 +20,15 @@
 	farShare  = 25 * time.Millisecond
 	nearShare = 100 * time.Millisecond
 
-	// heirs is the number of instances of a data centre that hear each other as often
-	// as they hear its home, since one of them follows it: two may be lost with it.
-	heirs = 3
+	// successors is the number of instances of a data centre that hear each other as
+	// often as they hear its home, since one of them follows it: two may be lost with it.
+	successors = 3
 )
 
-// Heirs orders instances of a data centre by how well they suit as its home: those with
-// most processor first, and equal ones so that all instances find the same order.
-func Heirs(a, b Peer) int {
+// CompareSuccessors orders instances by how well they suit as the home of their data
+// centre: those with most processor first, and equal ones so that all instances find the
+// same order.
+func CompareSuccessors(a, b Peer) int {
 	return cmp.Or(-cmp.Compare(a.Processor, b.Processor), cmp.Compare(rank(a), rank(b)))
 }
 
@@ -56,7 +57,7 @@
 func (g *Group) due(now time.Time, home bool) []dueBeat {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := g.ranks(now)
+	r := g.surroundings(now)
 	var list []dueBeat
 	for id, p := range g.peers {
 		d := dueBeat{peer: p, period: g.period(p, home, r, now)}
@@ -75,15 +76,15 @@
 	return list
 }
 
-// ranks are the numbers of instances in the data centre and elsewhere, and the heirs of
-// the data centre if this instance is one of them.
-type ranks struct {
-	near, far int
-	heirs     map[string]bool
+// surroundings are the numbers of instances in the data centre and elsewhere, and the
+// successors of the data centre's home if this instance is one of them.
+type surroundings struct {
+	near, far  int
+	successors map[string]bool
 }
 
-func (g *Group) ranks(now time.Time) ranks {
-	var r ranks
+func (g *Group) surroundings(now time.Time) surroundings {
+	var r surroundings
 	living := []Peer{g.options.Self}
 	for id, p := range g.peers {
 		if p.DataCentre != g.options.Self.DataCentre {
@@ -95,13 +96,13 @@
 			living = append(living, p)
 		}
 	}
-	slices.SortFunc(living, Heirs)
+	slices.SortFunc(living, CompareSuccessors)
 	list := map[string]bool{}
-	for _, p := range living[:min(len(living), heirs)] {
+	for _, p := range living[:min(len(living), successors)] {
 		list[p.Instance] = true
 	}
 	if list[g.options.Self.Instance] {
-		r.heirs = list
+		r.successors = list
 	}
 	return r
 }
@@ -110,12 +111,12 @@
 // one is a home. Homes are watched by those that may follow them and by those that
 // forward jobs, and those that may follow watch each other; the others only have to be
 // known.
-func (g *Group) period(p Peer, home bool, r ranks, now time.Time) time.Duration {
+func (g *Group) period(p Peer, home bool, r surroundings, now time.Time) time.Duration {
 	same := p.DataCentre == g.options.Self.DataCentre
 	other := len(g.members[p.Instance].Homes) > 0
 	used, ok := g.usedAt[p.Instance]
 	switch {
-	case ok && now.Sub(used) < useTime, home && other, same && (home || other), r.heirs[p.Instance]:
+	case ok && now.Sub(used) < useTime, home && other, same && (home || other), r.successors[p.Instance]:
 		return interval
 	case home, other:
 		return max(interval, time.Duration(r.far)*homeShare)
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -269,25 +269,28 @@
 	}
 }
 
+// postJob returns the status of the answer to a job.
+func postJob(t *testing.T, callers string) int {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+callers+"/q/1", strings.NewReader("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
 // A request that panics may have run in part: its caller must not hear that it did not.
 // The others are served.
 func TestPanicOfARequestIsAnsweredAndCostsNoOther(t *testing.T) {
 	d := &dispatcher{routing: testRouting, outcome: home.Outcome{Verdict: home.Succeeded}, panics: true}
 	_, callers, _ := serveQueues(t, d)
-	var got []int
-	for range 2 {
-		req, err := http.NewRequest(http.MethodPost, "http://"+callers+"/q/1", strings.NewReader("1"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Host = "h.example"
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = resp.Body.Close()
-		got = append(got, resp.StatusCode)
-	}
+	got := []int{postJob(t, callers), postJob(t, callers)}
 	if diff := cmp.Diff([]int{http.StatusGatewayTimeout, http.StatusOK}, got); diff != "" {
 		t.Error(diff)
 	}
@@ -298,26 +301,13 @@
 func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
 	d := &dispatcher{routing: testRouting, later: make(chan struct{}), outcome: home.Outcome{Verdict: home.Succeeded}}
 	_, callers, _ := serveQueues(t, d)
-	post := func() int {
-		req, err := http.NewRequest(http.MethodPost, "http://"+callers+"/q/1", strings.NewReader("1"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Host = "h.example"
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode
-	}
 	began := time.Now()
-	got := []int{post()}
+	got := []int{postJob(t, callers)}
 	if took := time.Since(began); took < configurationWait || took > 20*configurationWait {
 		t.Errorf("refused after %v", took)
 	}
 	time.AfterFunc(configurationWait/5, func() { close(d.later) })
-	got = append(got, post())
+	got = append(got, postJob(t, callers))
 	if diff := cmp.Diff([]int{http.StatusServiceUnavailable, http.StatusOK}, got); diff != "" {
 		t.Error(diff)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,7 +105,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Fleet{
 		settings:  s,
-		self:      beat.Peer{Instance: s.Instance, Incarnation: newIncarnation(), DataCentre: s.DataCentre, Addr: s.Peers.Addr, Processor: s.Limits.Processor, Link: s.Limits.Link},
+		self:      describe(s),
 		adapter:   adapter,
 		names:     adapter.Names(),
 		listeners: opened,
@@ -141,6 +141,18 @@
 	return f, nil
 }
 
+// describe returns this process as others know it.
+func describe(s setup.Settings) beat.Peer {
+	return beat.Peer{
+		Instance:    s.Instance,
+		Incarnation: newIncarnation(),
+		DataCentre:  s.DataCentre,
+		Addr:        s.Peers.Addr,
+		Processor:   s.Limits.Processor,
+		Link:        s.Limits.Link,
+	}
+}
+
 func newIncarnation() string {
 	var b [incarnationBytes]byte
 	_, _ = rand.Read(b[:]) // never fails, by its documentation
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -15,10 +15,8 @@
 )
 
 const (
-	// jobBytes is what a job takes on the wire beside its specification, and
-	// startBytes a start.
-	jobBytes   = 700
-	startBytes = 420
+	// jobBytes is what a job takes on the wire beside its specification.
+	jobBytes = 700
 
 	// relaySlack is how long a home waits for an instance that starts a task for it,
 	// beyond the time-out of the worker: the process may run late.
@@ -86,7 +84,7 @@
 	if s.Part != nil {
 		tasks = s.Part.Count
 	}
-	return plan.Withhold(f.link, f.linkOf(owner), len(s.Batch.Spec), startBytes, tasks)
+	return plan.Withhold(f.link, f.linkOf(owner), len(s.Batch.Spec), home.OrderBytes, tasks)
 }
 
 // withhold keeps the specification of a job until the function is called.
@@ -168,7 +166,7 @@
 	}
 
 	r.Start.Spec = spec
-	queued := f.link.Send(startBytes+len(spec), time.Now())
+	queued := f.link.Send(home.OrderBytes+len(spec), time.Now())
 	reply, err := endpoint.Start(r.Start, max(r.Timeout, queued))
 	if err != nil {
 		var told interface{ Sent() bool }
--- a/fleet/successor.go
+++ b/fleet/successor.go
@@ -44,7 +44,7 @@
 			-compareBool(a.peer.DataCentre == dataCentre, b.peer.DataCentre == dataCentre),
 			-cmp.Compare(a.peer.Processor, b.peer.Processor),
 			cmp.Compare(a.homes, b.homes),
-			beat.Heirs(a.peer, b.peer),
+			beat.CompareSuccessors(a.peer, b.peer),
 		)
 	})
 	return best.peer.Instance
--- a/home/hold.go
+++ b/home/hold.go
@@ -65,7 +65,7 @@
 
 // probePause is the time between two questions to a silent worker. The lock is held.
 func (h *Home) probePause(usual time.Duration) time.Duration {
-	return max(usual, h.options.Link.Spread(len(h.units), orderBytes))
+	return max(usual, h.options.Link.Spread(len(h.units), OrderBytes))
 }
 
 // sleep waits for the time, or 0 without limit, unless the unit is woken by the
@@ -91,7 +91,7 @@
 	h := u.home
 	sentAt := time.Now()
 	request := u.nextHold(wait, sentAt)
-	h.options.Link.Send(orderBytes, sentAt)
+	h.options.Link.Send(OrderBytes, sentAt)
 	timeout, _ := u.timeout(orderTimeout, h.options.Link)
 	report, err := u.endpoint.Hold(request, timeout+time.Duration(request.WaitMillis)*time.Millisecond)
 
--- a/home/relay.go
+++ b/home/relay.go
@@ -39,7 +39,8 @@
 	relayBytes = 350
 
 	// maxOriginMisses is the number of starts without an answer of the origin after
-	// which its job is given up. Three time-outs are the silence of its heartbeats.
+	// which its job is given up. Each takes 180 ms or more, so that a job is given up
+	// within the second after which a silent origin counts as dead.
 	maxOriginMisses = 3
 )
 
@@ -52,11 +53,11 @@
 // noteSent notes the bytes of a start on the links that it takes.
 func (h *Home) noteSent(s lease.Start, via sending, now time.Time) {
 	if via.relay == nil {
-		h.options.Link.Send(orderBytes+len(s.Spec), now)
+		h.options.Link.Send(OrderBytes+len(s.Spec), now)
 		return
 	}
 	h.options.Link.Send(relayBytes, now)
-	via.relay.Link.Send(orderBytes+via.withheld, now)
+	via.relay.Link.Send(OrderBytes+via.withheld, now)
 }
 
 // sendStart sends a start once, and notes the time of its answer.
--- a/home/settle.go
+++ b/home/settle.go
@@ -19,7 +19,7 @@
 
 func (u *unit) sendStop(task string, run int64) bool {
 	h := u.home
-	h.options.Link.Send(orderBytes, time.Now())
+	h.options.Link.Send(OrderBytes, time.Now())
 	timeout, _ := u.timeout(orderTimeout, h.options.Link)
 	reply, err := u.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, timeout)
 
--- a/home/unit.go
+++ b/home/unit.go
@@ -93,9 +93,9 @@
 	return u.listed && !u.gone && u.worker.State == model.Live
 }
 
-// orderBytes is what an order takes on the wire beside the specification of its task:
+// OrderBytes is what an order takes on the wire beside the specification of its task:
 // headers, names and what the network adds.
-const orderBytes = 420
+const OrderBytes = 420
 
 // timeout is how long an order that is sent now waits for its answer, and how much of it
 // is the wait for the links that it takes. Usual is the time without any. What was noted
