proof: give no address to two instances of the soak

Addresses were drawn at random and given back at once, and an instance holds none while it is being restarted, so that two instances could have the same one; with a smaller range the settings' check said so at once ("is the address of callers.addr too"). A fault of the soak, not of the program.

Change: addresses come one after the other from a block of ports that the process guards, so that two runs at the same time do not meet either.

Ruled out: a process that had not ended (its end is awaited); an outgoing connection (the range lies below the kernel's).

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -47,6 +47,7 @@
 	14, // as 11
 	300,
 	400, // thin links
+	418, // two instances had the same port: a fault of the soak
 }
 
 // Seeds below laterSeeds draw from the first earlierFaults kinds of faults, so that
@@ -256,18 +257,72 @@
 // Ports of instances, which keep theirs over restarts, come from below the range
 // that the kernel gives to outgoing connections: such a connection took the port
 // of an instance between its end and its start.
+// A process takes a block of them by listening on its first port, so that two runs of the
+// tests at the same time never give an instance that is being restarted the port of another.
 const (
-	minPort = 20_000
-	maxPort = 32_000
+	minPort   = 20_000
+	maxPort   = 32_000
+	portBlock = 600
 )
 
 var portDraw = rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano())))
 
-// reserve returns an address that is free over TCP and UDP.
+// ownPorts is the first port of the block of this process, which the listener guards.
+var ownPorts = sync.OnceValues(func() (int, net.Listener) { return takePorts() })
+
+func takePorts() (first int, guard net.Listener) {
+	for range maxPort - minPort {
+		first := minPort + portBlock*portDraw.IntN((maxPort-minPort)/portBlock)
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			return first, l
+		}
+	}
+	return 0, nil
+}
+
+func TestTwoRunsTakeDifferentPorts(t *testing.T) {
+	taken := map[int]bool{}
+	for range 5 {
+		first, guard := takePorts()
+		if guard == nil {
+			t.Fatal("no free block")
+		}
+		defer guard.Close()
+		if taken[first] {
+			t.Errorf("block %d was taken twice", first)
+		}
+		taken[first] = true
+	}
+}
+
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	given := map[string]bool{}
+	for range 60 {
+		addr := reserve(t)
+		if given[addr] {
+			t.Errorf("%s was given twice", addr)
+		}
+		given[addr] = true
+	}
+}
+
+// nextPort is the number of ports of the block that were given.
+var nextPort atomic.Int32
+
+// reserve returns an address that is free over TCP and UDP. None is given twice, since an
+// instance does not listen on its ports while it is being restarted.
 func reserve(t *testing.T) string {
 	t.Helper()
-	for range 100 {
-		addr := fmt.Sprintf("127.0.0.1:%d", minPort+portDraw.IntN(maxPort-minPort))
+	first, guard := ownPorts()
+	if guard == nil {
+		t.Fatal("no free block of ports")
+	}
+	for {
+		n := int(nextPort.Add(1))
+		if n >= portBlock {
+			t.Fatal("no port is left")
+		}
+		addr := fmt.Sprintf("127.0.0.1:%d", first+n)
 		tcp, err := net.Listen("tcp", addr)
 		if err != nil {
 			continue
@@ -280,8 +335,6 @@
 		_ = udp.Close()
 		return addr
 	}
-	t.Fatal("no free port")
-	return ""
 }
 
 func (s *soak) addInstance(name, dc, store string) {
