fleet, platform, beat: put the options of an endpoint where they are used

Read again: EndpointOptions stood in home, which does not use them; they belong to the adapter in fleet, and platform no longer imports home for them. Assertions and behaviour are as before.

Ruled out: resolving the labels of bytes_total once for each direction, which would add a series at 0 to the metrics for 0.1 microseconds a read.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -74,6 +74,11 @@
 
 // peer starts an instance as the store lists it.
 func (w *wire) peer(t *testing.T, p beat.Peer, homes map[string]model.Room) *beat.Group {
+	return w.listener(t, p, homes, func(beat.Beat) {})
+}
+
+// listener starts an instance that passes on the heartbeats that are news.
+func (w *wire) listener(t *testing.T, p beat.Peer, homes map[string]model.Room, onBeat func(beat.Beat)) *beat.Group {
 	c := &packetConn{wire: w, addr: p.Addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
 	w.mu.Lock()
 	w.ends[p.Addr] = c
@@ -83,7 +88,7 @@
 		Self:   p,
 		Conn:   c,
 		Own:    func() beat.Beat { return beat.Beat{Instance: p.Instance, Incarnation: p.Incarnation, Homes: homes} },
-		OnBeat: func(beat.Beat) {},
+		OnBeat: onBeat,
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
 	go g.Run(ctx)
@@ -236,17 +241,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWire()
 		var news atomic.Int32
-		c := &packetConn{wire: w, addr: "10.0.0.1:7", queue: make(chan packet, 1000), closed: make(chan struct{})}
-		w.ends[c.addr] = c
-		ctx, cancel := context.WithCancel(context.Background())
-		a := beat.New(beat.Options{
-			Self: beat.Peer{Instance: "a", DataCentre: "kochi"}, Conn: c,
-			Own:    func() beat.Beat { return beat.Beat{Instance: "a"} },
-			OnBeat: func(beat.Beat) { news.Add(1) },
-			Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		})
-		go a.Run(ctx)
-		defer func() { cancel(); <-a.Done() }()
+		w.listener(t, beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"}, nil, func(beat.Beat) { news.Add(1) })
 		b := w.member(t, "b", "tvm", "10.0.0.2:7", nil)
 		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
 		for i := range 100 {
@@ -262,19 +257,9 @@
 func TestPanicOverOneHeartbeatCostsNoOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWire()
-		c := &packetConn{wire: w, addr: "10.0.0.1:7", queue: make(chan packet, 1000), closed: make(chan struct{})}
-		w.ends[c.addr] = c
-		ctx, cancel := context.WithCancel(context.Background())
-		a := beat.New(beat.Options{
-			Self: beat.Peer{Instance: "a", DataCentre: "kochi"}, Conn: c,
-			Own:    func() beat.Beat { return beat.Beat{Instance: "a"} },
-			OnBeat: func(b beat.Beat) { panic("unexpected " + b.Instance) },
-			Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
-		})
-		go a.Run(ctx)
-		defer func() { cancel(); <-a.Done() }()
-		c.queue <- packet{body: []byte(`{"instance":"b","incarnation":"1"}`)}
-		c.queue <- packet{body: []byte(`{"instance":"c","incarnation":"1"}`)}
+		a := w.listener(t, beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"}, nil, func(b beat.Beat) { panic("unexpected " + b.Instance) })
+		w.ends["10.0.0.1:7"].queue <- packet{body: []byte(`{"instance":"b","incarnation":"1"}`)}
+		w.ends["10.0.0.1:7"].queue <- packet{body: []byte(`{"instance":"c","incarnation":"1"}`)}
 		time.Sleep(time.Millisecond)
 		if !a.Alive("b") || !a.Alive("c") {
 			t.Error("an instance was not heard")
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -25,10 +25,17 @@
 	Config   string // key of the configuration's row
 }
 
+// EndpointOptions are what an endpoint tells: the time of an answer that comes after the
+// time-out of its order, and the bytes that it carries.
+type EndpointOptions struct {
+	Late    func(took time.Duration)
+	OnBytes func(direction string, n int)
+}
+
 // Adapter speaks one users' platform.
 type Adapter interface {
 	NewStore(addr string, timeout time.Duration, onBytes func(direction string, n int)) Store
-	NewEndpoint(w model.Worker, o home.EndpointOptions) home.Endpoint
+	NewEndpoint(w model.Worker, o EndpointOptions) home.Endpoint
 	Names() Names
 	DecodeWorker(row table.Row) (model.Worker, error)
 	DecodeRouting(row table.Row) (model.Routing, error)
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -195,7 +195,7 @@
 	if late == nil {
 		late = func(time.Duration) {}
 	}
-	return f.adapter.NewEndpoint(w, home.EndpointOptions{Late: late, OnBytes: f.meter.Bytes(meter.ToWorker)})
+	return f.adapter.NewEndpoint(w, EndpointOptions{Late: late, OnBytes: f.meter.Bytes(meter.ToWorker)})
 }
 
 // giveUp closes a home that the store gives to another instance.
--- a/fleet/relay_test.go
+++ b/fleet/relay_test.go
@@ -40,7 +40,7 @@
 }
 
 // NewEndpoint returns the recorder.
-func (a oneWorker) NewEndpoint(model.Worker, home.EndpointOptions) home.Endpoint { return a.worker }
+func (a oneWorker) NewEndpoint(model.Worker, EndpointOptions) home.Endpoint { return a.worker }
 
 const laterToken = 20
 
--- a/home/home.go
+++ b/home/home.go
@@ -30,13 +30,6 @@
 	Close()
 }
 
-// EndpointOptions are what an endpoint tells: the time of an answer that comes after the
-// time-out of its order, and the bytes that it carries.
-type EndpointOptions struct {
-	Late    func(took time.Duration)
-	OnBytes func(direction string, n int)
-}
-
 // Observer counts what a home does.
 type Observer interface {
 	TaskStarted()
