fakes, proof: let a crashed worker forget the requests it has not executed

The stand-in now drops what a crashed process had received, ends its waiting renewals, and the soak closes the connections of the crashed process. No check is eased: the tracker's guards against late starts in a next incarnation stay, with their tests.

Ruled out: a wrong expiry in the home (lease 106973, expired at 107046 on the worker's clock and later on the home's), a request that the client wrote after its timeout, a request held by the proxy (the hold of responses began after the starts had arrived).

Found on the way, in the product: a tracker that learned of a new incarnation took the latest lease as 0, so a run that this incarnation had confirmed before its first report counted as expired until the next renewal (TestRunConfirmedBeforeTheFirstReportOfAnIncarnationIsKept failed).

TestBatchFromBeforeAFreezeIsNotStarted sent SIGSTOP and did not wait: pause() now waits until the kernel reports the process as stopped, here and in the other tests that freeze a process.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -171,7 +171,8 @@
 	return w.renewals
 }
 
-// Crash ends all runs and restarts the worker at once, as a new incarnation.
+// Crash ends all runs and restarts the worker at once, as a new incarnation. Requests that the
+// old one has received and not executed yet are lost with its memory.
 func (w *LeasedWorker) Crash() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -183,6 +184,7 @@
 	w.token, w.leaseUntil, w.lastSequence = 0, 0, 0
 	w.incarnation++
 	w.startedAt = time.Now()
+	w.notifyRunEnded()
 }
 
 // clock returns the worker's clock in milliseconds.
@@ -195,19 +197,35 @@
 // draws a share LateShare of the requests, for which it calls execute later.
 func (w *LeasedWorker) receive(timeout time.Duration, execute func()) (LeasedWorkerFaults, bool) {
 	w.mu.Lock()
-	f := w.faults
+	f, incarnation := w.faults, w.incarnation
 	late := f.LateShare > 0 && w.random.Float64() < f.LateShare
 	delay := minLateDelay + time.Duration(w.random.Float64()*float64(maxLateDelay-minLateDelay))
 	w.mu.Unlock()
 	if late {
-		time.AfterFunc(delay, execute)
+		w.executeAfter(delay, execute)
 	}
 	if f.Unresponsive || late {
 		time.Sleep(timeout)
 		return f, false
 	}
 	time.Sleep(leasedResponseTime)
-	return f, true
+	return f, w.currentIncarnation() == incarnation
+}
+
+// executeAfter executes a request after a delay, unless the worker has crashed by then.
+func (w *LeasedWorker) executeAfter(delay time.Duration, execute func()) {
+	incarnation := w.currentIncarnation()
+	time.AfterFunc(delay, func() {
+		if w.currentIncarnation() == incarnation {
+			execute()
+		}
+	})
+}
+
+func (w *LeasedWorker) currentIncarnation() int64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.incarnation
 }
 
 // waitIfResponseLost waits for the timeout and returns ErrNoResponse if responses are to be
@@ -228,7 +246,7 @@
 		return lease.Reply{}, ErrNoResponse
 	}
 	if f.StartDelay > 0 {
-		time.AfterFunc(f.StartDelay, func() { w.applyStart(s) })
+		w.executeAfter(f.StartDelay, func() { w.applyStart(s) })
 		time.Sleep(timeout)
 		return lease.Reply{}, ErrNoResponse
 	}
@@ -326,6 +344,11 @@
 	w.lastRun[task] = max(w.lastRun[task], r.number)
 	w.lastSequence++
 	w.endedRuns = append(w.endedRuns, lease.EndedRun{Sequence: w.lastSequence, Task: task, Run: r.number, Reason: reason})
+	w.notifyRunEnded()
+}
+
+// notifyRunEnded wakes up the waiting renewals.
+func (w *LeasedWorker) notifyRunEnded() {
 	close(w.runEnded)
 	w.runEnded = make(chan struct{})
 }
@@ -367,6 +390,7 @@
 	if !ok {
 		return lease.Report{}, ErrNoResponse
 	}
+	incarnation := w.currentIncarnation()
 	runEnded, accepted := w.applyRenewal(h)
 	if !accepted {
 		w.mu.Lock()
@@ -380,6 +404,9 @@
 		case <-time.After(time.Duration(h.WaitMillis) * time.Millisecond):
 		}
 	}
+	if w.currentIncarnation() != incarnation {
+		return lease.Report{}, ErrNoResponse // the connections of the crashed process are closed
+	}
 	return w.report(), w.waitIfResponseLost(f, timeout)
 }
 
--- a/lease/late.go
+++ b/lease/late.go
@@ -35,7 +35,9 @@
 // the old one, so each of these runs becomes unconfirmed again until the new incarnation has
 // confirmed its stop.
 func (t *Tracker) resetForRestart(clock int64, now time.Time) {
-	t.lastEndSeen, t.lastEndAcked, t.lastLeaseEnd, t.lastReportClock = 0, 0, 0, 0
+	t.lastEndSeen, t.lastEndAcked, t.lastReportClock = 0, 0, 0
+	// Requests that the new incarnation has carried out already granted at most this lease.
+	t.lastLeaseEnd = clock + t.maxLease.Milliseconds()
 	t.pruneLateStarts(now)
 	for task, l := range t.lateStarts {
 		if t.runs[task] == nil {
--- a/lease/tracker_test.go
+++ b/lease/tracker_test.go
@@ -209,6 +209,26 @@
 	}
 }
 
+// Guards against a second run of a task: a start that the next incarnation of a worker confirmed
+// before its first report is under a lease of that incarnation.
+func TestRunConfirmedBeforeTheFirstReportOfAnIncarnationIsKept(t *testing.T) {
+	tr := newTracker()
+	tr.ApplyReport(lease.Renewal{}, report(5001, nil), at(0), at(1))
+	recordStart(tr, "a", 1, at(2))
+	tr.RecordResponse(10, at(5))
+	tr.ConfirmStart("a", 1, at(5))
+	r := report(12, []lease.Active{{Task: "a", Run: 1}})
+	r.Incarnation = 2
+	tr.ApplyReport(lease.Renewal{}, r, at(6), at(7))
+	if diff := cmp.Diff([]lease.EndedRun(nil), tr.ExpireRuns(at(900))); diff != "" {
+		t.Errorf("ended within the lease (-want +got):\n%s", diff)
+	}
+	want := []lease.EndedRun{{Task: "a", Run: 1, Reason: lease.Lost}}
+	if diff := cmp.Diff(want, tr.ExpireRuns(at(1200))); diff != "" {
+		t.Errorf("ended after the lease (-want +got):\n%s", diff)
+	}
+}
+
 // A start that was sent twice may be carried out late by the next incarnation of the worker,
 // which does not remember that the run was already there.
 func TestLateStartsAreStoppedAfterARestart(t *testing.T) {
--- a/proof/cut_test.go
+++ b/proof/cut_test.go
@@ -39,7 +39,7 @@
 	t.Helper()
 
 	for _, p := range c.entries {
-		p.send(syscall.SIGSTOP)
+		p.pause()
 	}
 }
 
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -79,6 +79,7 @@
 	store         *stand.Store
 	ledger        *fakes.Ledger
 	workers       []*fakes.LeasedWorker
+	workerServers []*httptest.Server
 	workerProxies []*faultProxy
 	rows          []workerRow // the workers' rows in the store
 	instances     []*soakInstance
@@ -257,7 +258,7 @@
 	})
 
 	c := startFaultProxy(s.t, server.Listener.Addr().String())
-	s.workers, s.workerProxies = append(s.workers, w), append(s.workerProxies, c)
+	s.workers, s.workerServers, s.workerProxies = append(s.workers, w), append(s.workerServers, server), append(s.workerProxies, c)
 	key, value := stand.WorkerRow(id, c.listener.Addr().String(), dc, 64_000)
 	s.rows = append(s.rows, workerRow{key, value})
 	s.store.Put(key, value)
@@ -441,6 +442,7 @@
 		until(func() { worker.SetFaults(fakes.LeasedWorkerFaults{}) })
 	case 6:
 		worker.Crash()
+		s.workerServers[w].CloseClientConnections() // those of a process end with it
 	case 7:
 		proxy.holdAll.Store(true)
 		until(func() { proxy.holdAll.Store(false) })
--- a/proof/history_chaos_test.go
+++ b/proof/history_chaos_test.go
@@ -231,7 +231,7 @@
 		return
 	}
 	fi.paused[i] = true
-	fi.centre.entries[i].send(syscall.SIGSTOP)
+	fi.centre.entries[i].pause()
 	fi.endAfter(chaosPause, func() {
 		fi.centre.entries[i].send(syscall.SIGCONT)
 		delete(fi.paused, i)
--- a/proof/history_issuer_test.go
+++ b/proof/history_issuer_test.go
@@ -96,7 +96,7 @@
 	job.Ticket = c.ticket(t, c.addrs[0])
 	job.DeadlineMillis = 500
 
-	c.entries[0].send(syscall.SIGSTOP)
+	c.entries[0].pause()
 	first := submitTo(t, c.addrs[1], job)
 	if first.Result != model.Failed || first.Ran != model.RanMaybe {
 		t.Errorf("answer while the issuer is paused: %+v", first)
--- a/proof/member_lost_test.go
+++ b/proof/member_lost_test.go
@@ -241,7 +241,7 @@
 
 	faultAt := time.Now()
 	c.entries[1].kill()
-	c.entries[2].send(syscall.SIGSTOP)
+	c.entries[2].pause()
 	waitFor(t, "the instance is paused for a while", func() bool { return time.Since(faultAt) > 8*time.Second })
 	s.waitComplete(t, 200)
 
@@ -287,7 +287,7 @@
 		t.Fatal(err)
 	}
 
-	frozen.send(syscall.SIGSTOP)
+	frozen.pause()
 	frozenAt := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // waitLimit bounds each wait for a condition; a test that reaches it fails.
@@ -137,6 +139,19 @@
 	}
 }
 
+// pause sends SIGSTOP to the process and waits until it has stopped: its threads run on for a
+// moment after the signal was sent.
+func (p *process) pause() {
+	p.t.Helper()
+
+	p.send(syscall.SIGSTOP)
+	waitFor(p.t, p.name+" stops", func() bool {
+		var info unix.Siginfo
+		err := unix.Waitid(unix.P_PID, p.cmd.Process.Pid, &info, unix.WSTOPPED|unix.WNOHANG, nil)
+		return err == nil && info.Signo != 0
+	})
+}
+
 // kill sends SIGKILL to the process and waits until it has exited.
 func (p *process) kill() {
 	p.t.Helper()
