home: admit and review jobs as soon as the capacity in reach is known

Cause: admission and review waited until the runs of all workers were known, which after a restart of all instances is the longest lease and 0.25 s (the list of workers counts as incomplete for 15 s), or until the last worker had reported. Change: both begin when each worker has reported or has left a request without a response; one that does not respond has no usable capacity. What an earlier home may have begun is held back as before, and no job is refused as unfit before all workers are known.

Ruled out: to begin with the first worker that has reported. Eleven others report 5 ms later, and the first would refuse what they can run.

TestNewHomeRefusesBacklogWhileAWorkerIsSilent failed before (refused after 425 ms).

--- a/home/backlog.go
+++ b/home/backlog.go
@@ -9,7 +9,7 @@
 // reviewWaitingJobs refuses waiting jobs that can no longer end in time with the present
 // backlog: capacity that was expected at their arrival, such as a worker, may be missing now.
 func (h *Home) reviewWaitingJobs(now time.Time) {
-	if len(h.waiting) == 0 || !h.allRunsKnown(now) {
+	if len(h.waiting) == 0 || !h.capacityKnown(now) {
 		return
 	}
 	ahead := 0
@@ -35,6 +35,19 @@
 	}
 }
 
+// capacityKnown reports whether each worker has reported its runs or has left a request without
+// a response. Workers that don't respond have no usable capacity: a home that waited for them
+// would accept more jobs than the others can run. Used for the first second of a home, when
+// callers return together after a loss of all instances.
+func (h *Home) capacityKnown(now time.Time) bool {
+	for _, w := range h.workers {
+		if !w.reported && !w.removed && !w.health.IsUnresponsive(now) {
+			return false
+		}
+	}
+	return len(h.workers) > 0 || h.allRunsKnown(now)
+}
+
 // backlog describes the capacity and the load that a new job finds.
 func (h *Home) backlog(j *job, now time.Time) plan.Backlog {
 	b := h.usableCapacity(j, now)
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -26,6 +26,9 @@
 	runTime    = 60 * time.Millisecond
 )
 
+// objective is that of a job of quotes whose tasks take runTime.
+const objective = 156 * time.Millisecond
+
 var quotes = model.Route{Name: "quotes", Service: "desk", Attempts: 2, Stretch: 1.6, Allowance: 60 * time.Millisecond}
 
 // noopObserver is an observer without effect.
@@ -683,7 +686,6 @@
 				results <- timedResult{v, time.Since(began)}
 			}()
 		}
-		objective := 156 * time.Millisecond
 		refused := 0
 		for range 30 {
 			a := <-results
@@ -700,3 +702,45 @@
 		}
 	})
 }
+
+// The callers of all instances return together while a new home still waits for a worker that
+// does not respond, and its list of workers may lack others: the jobs that the responsive
+// workers can't run in time are refused at once.
+func TestNewHomeRefusesBacklogWhileAWorkerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 4)
+		dc.workers["w3"].SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+		h := dc.newHome(1)
+		h.SetWorkers(dc.listed, false)
+		defer dc.close(h)
+		const jobs = 60
+		type timedResult struct {
+			result home.Result
+			took   time.Duration
+		}
+		results := make(chan timedResult, jobs)
+		for i := range jobs {
+			time.Sleep(5 * time.Millisecond)
+			go func() {
+				began := time.Now()
+				v := resultOf(submit(h, submission(fmt.Sprintf("j%d", i), 2)))
+				results <- timedResult{v, time.Since(began)}
+			}()
+		}
+		refused := 0
+		for range jobs {
+			r := <-results
+			if r.result == home.Succeeded {
+				continue
+			}
+			refused++
+			if r.took > objective {
+				t.Errorf("job answered %s after %v, the objective is %v", r.result, r.took, objective)
+			}
+		}
+		if refused < jobs/4 {
+			t.Errorf("%d of %d jobs refused, the load is not above the capacity", refused, jobs)
+		}
+		dc.checkLedger()
+	})
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -152,10 +152,10 @@
 
 // admit decides whether a new job is accepted, and returns the outcome of a job that is not.
 func (h *Home) admit(j *job, s Submission, now time.Time) (Outcome, bool) {
-	if !h.allRunsKnown(now) {
-		return Outcome{}, true // the free capacity is not known yet
+	if !h.capacityKnown(now) {
+		return Outcome{}, true
 	}
-	if reason := h.neverFits(j); reason != "" {
+	if reason := h.neverFits(j); reason != "" && h.allRunsKnown(now) {
 		return h.newRefusal(reason, 0), false
 	}
 
