home, learn, plan: put jobs that callers submit again behind new ones

Cause: when power returns after a loss of all instances, callers send again what was cut, 1.3 s after it was, among those with new jobs; nobody remembers the first submissions. A trial with logged headers shows that a caller sends what is left of its time: place-check 1.7 to 2.2 s at first, 0.3 to 0.9 s when it submits again, place-hold 1.75 to 4 s and 0.5 to 2.7 s. Change: a home learns the usual timeout of each queue (third quartile of the last 32), and takes a caller with less than half of it for one that has waited for the rest already. Such a job is ordered, admitted and reviewed by that age: it takes capacity that new jobs leave.

Ruled out: the last to come first, since jobs that are submitted again also come last; the least timeout as the mark of a first submission, since after a loss of all both kinds are seen at once. No figure of a deployment is in it: where timeouts vary less than by half nothing changes.

--- a/home/home.go
+++ b/home/home.go
@@ -110,6 +110,7 @@
 	typicalMilliCores int                // mean need of CPU of a task, in thousandths of a core
 	runRatios         learn.Estimator    // run time over the declared one, by queue
 	meanRuns          learn.Estimator    // run time, by queue
+	callerTimeouts    learn.Timeouts     // by queue
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
 }
--- a/home/job.go
+++ b/home/job.go
@@ -14,8 +14,9 @@
 	batch        model.Batch
 	route        model.Route
 	origin       string
-	arrivedAt    time.Time // at its origin
-	enteredAt    time.Time // here, when it was last submitted
+	arrivedAt    time.Time     // at its origin
+	waitedBefore time.Duration // estimated wait of its caller before that, in earlier submissions
+	enteredAt    time.Time     // here, when it was last submitted
 	deadline     time.Time
 	objective    time.Duration
 	resumed      bool
@@ -79,6 +80,11 @@
 		}
 	}
 	j.objective = plan.Objective(s.Route, plan.CriticalPath(s.Batch.Steps, j.estimates))
+	timeout := s.Age + s.TimeLeft
+	h.callerTimeouts.Observe(s.Route.Name, timeout)
+	if usual, ok := h.callerTimeouts.Usual(s.Route.Name); ok {
+		j.waitedBefore = plan.WaitedBefore(timeout, usual)
+	}
 	return j
 }
 
@@ -129,7 +135,7 @@
 // asWaiting describes the job for the ordering of waiting jobs.
 func (j *job) asWaiting() plan.WaitingJob {
 	return plan.WaitingJob{
-		Arrived:   j.arrivedAt,
+		Arrived:   j.arrivedAt.Add(-j.waitedBefore),
 		Objective: j.objective,
 		Remaining: j.remainingPath(),
 		Priority:  j.route.Priority,
@@ -142,8 +148,8 @@
 	return plan.JobTiming{
 		CriticalPath:  plan.CriticalPath(j.batch.Steps, j.estimates),
 		Objective:     j.objective,
-		CallerTimeout: j.deadline.Sub(j.arrivedAt),
-		Age:           now.Sub(j.arrivedAt),
+		CallerTimeout: j.deadline.Sub(j.arrivedAt) + j.waitedBefore,
+		Age:           now.Sub(j.arrivedAt) + j.waitedBefore,
 	}
 }
 
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -216,6 +216,23 @@
 	return t.endsWithin(wait, keepFactor)
 }
 
+// retriedShare is the share of the usual timeout of a queue's callers below which a caller has
+// probably submitted its job before.
+const retriedShare = 0.5
+
+// WaitedBefore estimates how long a caller has waited before it submitted a job, from the time
+// that it still waits and from the time that callers of the queue usually wait. Used for the
+// seconds after a loss of all instances: callers whose connections broke submit their jobs again
+// among those with new jobs, with what is left of their timeouts, and no instance remembers
+// them. Without the estimate the jobs that are late already would take the capacity from those
+// that can be in time.
+func WaitedBefore(left, usual time.Duration) time.Duration {
+	if float64(left) >= retriedShare*float64(usual) {
+		return 0
+	}
+	return usual - left
+}
+
 // minRunShare is the least share of its estimate that a task runs; estimates are off by half
 // either way.
 const minRunShare = 0.5
