fleet: let the home of a data centre return to it

Cause: "a home returns to no machine by itself". After a loss of all one instance became the home of two data centres for good, since the other was up 80 ms later. Change: an instance that has been up for 1.5 s takes the home of its data centre back from an owner elsewhere, as from one that leaves: it reads the workers' table before, the owner ends its jobs as moved, and their origins submit them again with what runs. Not within 3.2 s of a change of the row, so that two instances do not take turns.

The cases of TestNeedsSuccessor for an owner elsewhere and TestHomeReturnsToAnInstanceThatIsUp failed before (no such rule).

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -24,9 +24,12 @@
 		return false
 	}
 	alive := in.heartbeats.AlivePeers()
-	status, ownerAlive := alive[owner.Instance]
-	weaker := in.self.Cores < in.heartbeats.Peer(owner.Instance).Cores
-	if !needsSuccessor(owner, status, ownerAlive, weaker, in.sinceClaim(dataCentre)) {
+	o := ownership{owner: owner, sinceChange: in.sinceClaim(dataCentre)}
+	o.status, o.alive = alive[owner.Instance]
+	ownerPeer := in.heartbeats.Peer(owner.Instance)
+	o.weaker = in.self.Cores < ownerPeer.Cores
+	o.canReturn = canReturn(in.self, ownerPeer, dataCentre, time.Since(in.startedAt)) && in.workerTable.Staleness() < maxTableAge
+	if !o.needsSuccessor() {
 		return false
 	}
 	if in.successor(dataCentre, alive) != in.self.Instance {
--- a/fleet/polling.go
+++ b/fleet/polling.go
@@ -91,7 +91,8 @@
 		_, alive := in.aliveHome(dc)
 		status := in.heartbeats.Status(owner.Instance)
 		successor := func() string { return in.successor(dc, in.heartbeats.AlivePeers()) }
-		if needsTableFor(in.self.Instance, owner, alive && !status.Leaving && !status.Slow, listened, successor) {
+		atHome := in.heartbeats.Peer(owner.Instance).DataCentre == dc
+		if needsTableFor(in.self.Instance, owner, alive && atHome && !status.Leaving && !status.Slow, listened, successor) {
 			return true
 		}
 	}
@@ -124,7 +125,8 @@
 }
 
 // needsTableFor reports whether an instance needs the workers' table for a data centre:
-// the store records it as the home, or it is the successor of a home that is not healthy.
+// the store records it as the home, or it is the successor of a home that is not healthy or is in
+// another data centre.
 // Before it has listened for heartbeats, every home would look dead and the instance
 // itself would look like the successor.
 func needsTableFor(self string, owner homeRow, healthy, listened bool, successor func() string) bool {
--- a/fleet/successor_test.go
+++ b/fleet/successor_test.go
@@ -37,28 +37,46 @@
 	slow := status("2", false)
 	slow.Slow = true
 	cases := []struct {
-		name       string
-		owner      homeRow
-		status     beat.Status
-		alive      bool
-		weaker     bool
-		sinceClaim time.Duration
-		want       bool
+		name  string
+		known ownership
+		want  bool
 	}{
-		{"no owner", homeRow{}, beat.Status{}, false, false, time.Hour, true},
-		{"alive", owner, status("2", false), true, false, time.Hour, false},
-		{"leaving", owner, status("2", true), true, false, 0, true},
-		{"slow for a long time", owner, slow, true, false, time.Hour, true},
-		{"slow, and this instance is weaker", owner, slow, true, true, time.Hour, false},
-		{"slow, but just became the home", owner, slow, true, false, 3 * time.Second, false},
-		{"no heartbeats", owner, beat.Status{}, false, false, time.Hour, true},
-		{"restarted since", owner, status("3", false), true, false, time.Hour, true},
-		{"just claimed, heartbeats of its old incarnation", owner, status("1", false), true, false, 20 * time.Millisecond, false},
-		{"just claimed, no heartbeats yet", owner, beat.Status{}, false, false, 20 * time.Millisecond, false},
+		{"no owner", ownership{sinceChange: time.Hour}, true},
+		{"alive", ownership{owner: owner, status: status("2", false), alive: true, sinceChange: time.Hour}, false},
+		{"leaving", ownership{owner: owner, status: status("2", true), alive: true}, true},
+		{"slow for a long time", ownership{owner: owner, status: slow, alive: true, sinceChange: time.Hour}, true},
+		{"slow, and this instance is weaker", ownership{owner: owner, status: slow, alive: true, weaker: true, sinceChange: time.Hour}, false},
+		{"slow, but just became the home", ownership{owner: owner, status: slow, alive: true, sinceChange: 3 * time.Second}, false},
+		{"no heartbeats", ownership{owner: owner, sinceChange: time.Hour}, true},
+		{"restarted since", ownership{owner: owner, status: status("3", false), alive: true, sinceChange: time.Hour}, true},
+		{"just claimed, heartbeats of its old incarnation", ownership{owner: owner, status: status("1", false), alive: true, sinceChange: 20 * time.Millisecond}, false},
+		{"just claimed, no heartbeats yet", ownership{owner: owner, sinceChange: 20 * time.Millisecond}, false},
+		{"in another data centre", ownership{owner: owner, status: status("2", false), alive: true, canReturn: true, sinceChange: time.Hour}, true},
+		{"in another data centre, even if this instance is weaker", ownership{owner: owner, status: status("2", false), alive: true, canReturn: true, weaker: true, sinceChange: time.Hour}, true},
+		{"in another data centre, but just became the home", ownership{owner: owner, status: status("2", false), alive: true, canReturn: true, sinceChange: 3 * time.Second}, false},
 	}
 	for _, c := range cases {
-		if got := needsSuccessor(c.owner, c.status, c.alive, c.weaker, c.sinceClaim); got != c.want {
+		if got := c.known.needsSuccessor(); got != c.want {
 			t.Errorf("%s: needs a successor: %v", c.name, got)
 		}
 	}
 }
+
+func TestHomeReturnsToAnInstanceThatIsUp(t *testing.T) {
+	near, far := beat.Peer{Instance: "near", DataCentre: "kochi"}, beat.Peer{Instance: "far", DataCentre: "tvm"}
+	for name, c := range map[string]struct {
+		self, owner beat.Peer
+		up          time.Duration
+		want        bool
+	}{
+		"owner elsewhere":                {near, far, time.Minute, true},
+		"just started":                   {near, far, time.Second, false},
+		"owner in the data centre":       {near, beat.Peer{Instance: "other", DataCentre: "kochi"}, time.Minute, false},
+		"this instance is elsewhere too": {far, beat.Peer{Instance: "other", DataCentre: "tvm"}, time.Minute, false},
+		"owner that is not in the table": {near, beat.Peer{}, time.Minute, false},
+	} {
+		if got := canReturn(c.self, c.owner, "kochi", c.up); got != c.want {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+}
