fleet, home: divide wide jobs by what can start in time, as the homes say now

Change: the instance that holds the caller asks the other homes (home.startable, all at once, 20 ms at most, else the heartbeat counts) how many of the job's tasks could start early enough for it to end in time: on free capacity, or on what running tasks release within its slack, behind more urgent jobs. A part of a job is accepted if it ends in time, not only if it starts at once.

Ruled out: more frequent heartbeats, 3 KB/s a node are the bound; the question costs three small messages for each job that its own data centre can't run, and nothing for the others.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -192,6 +192,7 @@
 		Log:        l,
 	})
 	in.peers.Handle(methodRun, in.serveRun)
+	in.peers.Handle(methodStartable, in.serveStartable)
 	in.peers.Handle(methodCancel, in.serveCancel)
 	in.peers.Handle(methodStart, in.serveStart)
 	in.peers.Handle(methodPending, in.servePending)
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -36,8 +36,11 @@
 		return outcome
 	}
 
-	parts := splitTasks(s.Batch.Steps[0], in.capacities(outcome.StartableTasks))
+	capacities := in.capacities(ctx, s, time.Since(began), outcome.StartableTasks)
+	parts := splitTasks(s.Batch.Steps[0], capacities)
 	if parts == nil {
+		in.log.Info().Str("job", s.Batch.ID).Int("tasks", s.Batch.Steps[0].Replicas).Int("startableHere", outcome.StartableTasks).
+			Int("startable", totalTasks(capacities)).Msg("job not divided, the data centres have too little capacity in time")
 		outcome.Result = home.Refused
 		return outcome
 	}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -13,11 +13,12 @@
 
 // Methods that instances call on each other.
 const (
-	methodRun     = "home.run"
-	methodCancel  = "home.cancel"
-	methodStart   = "task.start"
-	methodPending = "home.pending"
-	methodRouting = "routing.get"
+	methodRun       = "home.run"
+	methodCancel    = "home.cancel"
+	methodStart     = "task.start"
+	methodStartable = "home.startable"
+	methodPending   = "home.pending"
+	methodRouting   = "routing.get"
 )
 
 // runRequest hands a job to the home of a data centre.
@@ -49,6 +50,19 @@
 	return h.Submit(ctx, r.Job), nil
 }
 
+// serveStartable returns how many tasks of a job could start in time at a home of this instance.
+func (in *Instance) serveStartable(_ context.Context, params json.RawMessage) (any, error) {
+	var r runRequest
+	if err := json.Unmarshal(params, &r); err != nil {
+		return nil, eris.Wrap(err, "decode job")
+	}
+	h := in.localHome(r.DataCentre)
+	if h == nil {
+		return nil, errNotHome
+	}
+	return h.StartableTasks(r.Job), nil
+}
+
 func (in *Instance) serveCancel(_ context.Context, params json.RawMessage) (any, error) {
 	var r cancelRequest
 	if err := json.Unmarshal(params, &r); err != nil {
--- a/fleet/split.go
+++ b/fleet/split.go
@@ -12,26 +12,16 @@
 	"foxtailmux/model"
 )
 
-// centreCapacity is the free capacity of a data centre: as the exact number of tasks that
-// its home returned, for the data centre of this instance, and in thousandths of a core, as
-// returned by Instance.freeCapacity, for the others.
+// centreCapacity is the number of tasks that could start in a data centre in time.
 type centreCapacity struct {
 	dataCentre string
 	tasks      int
-	milliCores int
 }
 
 // splitTasks divides the tasks of a step over data centres, those with the most free
 // capacity first. Used for wide jobs at high load, when no single data centre has enough
 // free capacity but several together do. It returns nil if all together have too little.
 func splitTasks(step model.Step, capacities []centreCapacity) []centrePart {
-	perTask := step.Needs.TotalMilliCores()
-	if perTask <= 0 {
-		return nil
-	}
-	for i := range capacities {
-		capacities[i].tasks = max(capacities[i].tasks, capacities[i].milliCores/perTask)
-	}
 	slices.SortStableFunc(capacities, func(a, b centreCapacity) int { return cmp.Compare(b.tasks, a.tasks) })
 
 	var parts []centrePart
@@ -56,18 +46,50 @@
 	part       home.Part
 }
 
-// capacities returns the free capacity of this instance's data centre, into which ownTasks
-// tasks fit, and of all others with a live home.
-func (in *Instance) capacities(ownTasks int) []centreCapacity {
-	list := []centreCapacity{{dataCentre: in.self.DataCentre, tasks: ownTasks}}
+// capacityTimeout bounds the requests for the capacities of the other data centres, which are
+// made together; the shortest objectives leave about 90 ms.
+const capacityTimeout = 20 * time.Millisecond
+
+// totalTasks returns the number of tasks that could start in all data centres together.
+func totalTasks(capacities []centreCapacity) int {
+	total := 0
+	for _, c := range capacities {
+		total += c.tasks
+	}
+	return total
+}
+
+// capacities returns how many tasks of a job of the given age could start in time in this
+// instance's data centre, where it is ownTasks, and in all others with a live home. The others
+// are asked, since heartbeats are older than most tasks last.
+func (in *Instance) capacities(ctx context.Context, s home.Submission, age time.Duration, ownTasks int) []centreCapacity {
+	ctx, cancel := context.WithTimeout(ctx, capacityTimeout)
+	defer cancel()
+	s.Batch.Spec, s.Age, s.TimeLeft = "", age, s.TimeLeft-age
+	p := pool.NewWithResults[centreCapacity]()
 	for _, dc := range in.otherCentres(in.self.DataCentre) {
-		if _, ok := in.aliveHome(dc); !ok {
-			continue
+		if _, ok := in.aliveHome(dc); ok {
+			p.Go(func() centreCapacity { return centreCapacity{dc, in.startableTasks(ctx, dc, s)} })
 		}
-		capacity := in.freeCapacity(dc)
-		list = append(list, centreCapacity{dataCentre: dc, milliCores: max(capacity.Free-capacity.Waiting, 0)})
 	}
-	return list
+	return append(p.Wait(), centreCapacity{in.self.DataCentre, ownTasks})
+}
+
+// startableTasks returns how many tasks of a job could start in time in a data centre. If its
+// home does not respond, it goes by the free capacity of the latest heartbeat.
+func (in *Instance) startableTasks(ctx context.Context, dataCentre string, s home.Submission) int {
+	if h := in.localHome(dataCentre); h != nil {
+		return h.StartableTasks(s)
+	}
+	owner, _ := in.homeOf(dataCentre)
+	var n int
+	err := in.peers.Call(ctx, owner.Instance, methodStartable, runRequest{DataCentre: dataCentre, Job: s}, &n)
+	if err == nil {
+		return n
+	}
+	in.log.Info().Err(err).Str("job", s.Batch.ID).Str("home", dataCentre).Msg("capacity not queried")
+	capacity := in.freeCapacity(dataCentre)
+	return max(capacity.Free-capacity.Waiting, 0) / max(s.Batch.Steps[0].Needs.TotalMilliCores(), 1)
 }
 
 // runParts runs the parts of a job in parallel. The first part that does not succeed
--- a/fleet/split_test.go
+++ b/fleet/split_test.go
@@ -17,13 +17,13 @@
 		capacities []centreCapacity
 		want       []centrePart
 	}{
-		{"most free capacity first", []centreCapacity{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}, {"thrissur", 0, 9*27_000 + 26_000}}, []centrePart{
+		{"most capacity first", []centreCapacity{{"kochi", 4}, {"tvm", 12}, {"thrissur", 9}}, []centrePart{
 			{"tvm", home.Part{First: 0, Count: 12}}, {"thrissur", home.Part{First: 12, Count: 8}},
 		}},
-		{"all data centres", []centreCapacity{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}, {"thrissur", 0, 4 * 27_000}}, []centrePart{
+		{"all data centres", []centreCapacity{{"kochi", 4}, {"tvm", 12}, {"thrissur", 4}}, []centrePart{
 			{"tvm", home.Part{First: 0, Count: 12}}, {"kochi", home.Part{First: 12, Count: 4}}, {"thrissur", home.Part{First: 16, Count: 4}},
 		}},
-		{"too little free capacity", []centreCapacity{{"kochi", 4, 0}, {"tvm", 0, 12 * 27_000}}, nil},
+		{"too little capacity", []centreCapacity{{"kochi", 4}, {"tvm", 12}}, nil},
 	}
 	for _, c := range cases {
 		if diff := cmp.Diff(c.want, splitTasks(step, c.capacities), cmp.AllowUnexported(centrePart{})); diff != "" {
--- a/home/backlog.go
+++ b/home/backlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"foxtailmux/model"
 	"foxtailmux/plan"
 )
 
@@ -51,13 +52,20 @@
 // backlog describes the capacity and the load that a new job finds.
 func (h *Home) backlog(j *job, now time.Time) plan.Backlog {
 	b := h.usableCapacity(j, now)
-	mine := j.asWaiting()
+	b.Ahead = h.aheadOf(j, now)
+	return b
+}
+
+// aheadOf returns the CPU, in thousandths of a core, that the waiting tasks of more urgent jobs
+// need.
+func (h *Home) aheadOf(j *job, now time.Time) int {
+	mine, total := j.asWaiting(), 0
 	for other := range h.waiting {
 		if plan.Compare(other.asWaiting(), mine, now) <= 0 {
-			b.Ahead += other.waitingMilliCores()
+			total += other.waitingMilliCores()
 		}
 	}
-	return b
+	return total
 }
 
 // usableCapacity describes to a job the capacity of the usable workers and the running tasks on
@@ -88,15 +96,58 @@
 	return b
 }
 
-// startableTasks returns the number of tasks of a job's first step that could start now, behind
-// the tasks that already wait.
+// StartableTasks returns how many tasks of a job's first step could start here early enough for
+// the job to end in time.
+func (h *Home) StartableTasks(s Submission) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	return h.startableTasks(h.newJob(s, now), now)
+}
+
+// startableTasks returns how many tasks of a job's first step could start early enough for the
+// job to end in time, behind the tasks that already wait. Used for wide jobs at high load: no
+// data centre has free capacity for all of their tasks at once, but short tasks end all the time.
 func (h *Home) startableTasks(j *job, now time.Time) int {
-	needs := j.batch.Steps[0].Needs.TotalMilliCores()
-	if needs <= 0 {
+	needs := j.batch.Steps[0].Needs
+	if needs.TotalMilliCores() <= 0 {
 		return 0
 	}
-	b := h.backlog(j, now)
-	return max(b.Free-b.Ahead, 0) / needs
+	slack := plan.Slack(j.timing(now))
+	n := 0
+	for _, w := range h.workers {
+		if w.isUsable() && w.health.State(now) != plan.Ejected && w.canServe(j.route, j.batch.Steps[0]) {
+			n += wholeFits(needs, w.freeWithin(slack, now), len(j.tasks))
+		}
+	}
+	ahead := h.aheadOf(j, now)
+	return max(n-(ahead+needs.TotalMilliCores()-1)/needs.TotalMilliCores(), 0)
+}
+
+// freeWithin returns the resources of the worker that are free, or expected to be released by
+// running tasks within a time.
+func (w *worker) freeWithin(d time.Duration, now time.Time) model.Resources {
+	if len(w.tracker.Inherited()) > 0 {
+		return model.Resources{} // their needs are unknown
+	}
+	free := w.tracker.Free()
+	for _, p := range w.tracker.Progress() {
+		a, ok := w.assignments[p.Task]
+		if ok && !p.Stopping && a.job.estimates[a.task.step]-now.Sub(p.StartedAt) <= d {
+			free = free.Plus(p.Needs)
+		}
+	}
+	return free
+}
+
+// wholeFits returns how many times needs fit into free resources, at most limit.
+func wholeFits(needs, free model.Resources, limit int) int {
+	n := 0
+	for n < limit && needs.Within(free) {
+		free = free.Minus(needs)
+		n++
+	}
+	return n
 }
 
 // usableFreeMilliCores returns the free CPU of a worker, in thousandths of a core, that whole
@@ -110,12 +161,7 @@
 	if !w.canServe(j.route, j.batch.Steps[0]) || needs.TotalMilliCores() <= 0 {
 		return 0
 	}
-	free, n := w.tracker.Free(), 0
-	for needs.Within(free) && n < len(j.tasks) {
-		free = free.Minus(needs)
-		n++
-	}
-	return n * needs.TotalMilliCores()
+	return wholeFits(needs, w.tracker.Free(), len(j.tasks)) * needs.TotalMilliCores()
 }
 
 // waitingMilliCores returns the CPU, in thousandths of a core, that the waiting tasks need.
--- a/home/job.go
+++ b/home/job.go
@@ -80,10 +80,8 @@
 		}
 	}
 	j.objective = plan.Objective(s.Route, plan.CriticalPath(s.Batch.Steps, j.estimates))
-	timeout := s.Age + s.TimeLeft
-	h.callerTimeouts.Observe(s.Route.Name, timeout)
 	if usual, ok := h.callerTimeouts.Usual(s.Route.Name); ok {
-		j.waitedBefore = plan.WaitedBefore(timeout, usual)
+		j.waitedBefore = plan.WaitedBefore(s.Age+s.TimeLeft, usual)
 	}
 	return j
 }
--- a/home/submit.go
+++ b/home/submit.go
@@ -37,7 +37,7 @@
 	Result         Result        `json:"verdict"`
 	Reason         string        `json:"reason,omitempty"`
 	RetryAfter     time.Duration `json:"retryAfter,omitempty"` // with Refused and NoCapacity
-	StartableTasks int           `json:"room,omitempty"`       // tasks that could start here, with NoCapacity
+	StartableTasks int           `json:"room,omitempty"`       // tasks that could start here in time, with NoCapacity
 	DataCentre     string        `json:"dataCentre,omitempty"` // with Redirected
 	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved
 	MaybeRunning   []string      `json:"begun,omitempty"`      // tasks that may still run, with Moved
@@ -55,7 +55,7 @@
 
 	// Resumed reports that an earlier home may have started tasks of the job.
 	Resumed bool `json:"resumed,omitempty"`
-	// Immediate requests a start at once, or the result Busy.
+	// Immediate requests a start at once, for a part of a job an end in time, or the result Busy.
 	Immediate bool `json:"spill,omitempty"`
 	// NoRedirect rules out the result Redirected.
 	NoRedirect bool `json:"settled,omitempty"`
@@ -131,6 +131,7 @@
 	if h.behind && !s.Resumed {
 		return nil, h.newRefusal("the home has no processor time left", time.Second)
 	}
+	h.callerTimeouts.Observe(s.Route.Name, s.Age+s.TimeLeft)
 	j := h.newJob(s, now)
 	h.updateTypicalTask(j)
 	j.restoreTaskStates(s)
@@ -165,6 +166,9 @@
 	if wait == 0 {
 		return Outcome{}, true
 	}
+	if s.Immediate && s.Part != nil && plan.InTime(wait, times) {
+		return Outcome{}, true // the home has said so when it was asked
+	}
 	if s.Immediate {
 		return Outcome{Result: Busy}, false
 	}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -187,6 +187,14 @@
 	return t.Age+wait+t.CriticalPath <= limit
 }
 
+// InTime reports whether a job that waits for that time still meets its objective.
+func InTime(wait time.Duration, t JobTiming) bool { return t.endsWithin(wait, 1) }
+
+// Slack returns how long a job can wait for its start and still meet its objective.
+func Slack(t JobTiming) time.Duration {
+	return max(min(t.Objective, t.CallerTimeout)-t.Age-t.CriticalPath, 0)
+}
+
 // Admit reports whether a job that waits for that time still ends early enough to be admitted.
 // Used for load above the capacity: a job that would end far too late only delays those behind
 // it, and its caller does better to retry later.
