--- a/home/finish.go
+++ b/home/finish.go
@@ -59,7 +59,19 @@
 	h.options.Log.Info().
 		Str("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Result)).Str("reason", o.Reason).
 		Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
-		Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
+		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
+}
+
+// lastStart returns the time from the arrival of a job to the latest start of a task of its first
+// step, 0 if there was none.
+func (j *job) lastStart() time.Duration {
+	last := j.arrivedAt
+	for i := range j.tasks {
+		if t := &j.tasks[i]; t.step == 0 && t.startedAt.After(last) {
+			last = t.startedAt
+		}
+	}
+	return last.Sub(j.arrivedAt)
 }
 
 // complete reports whether all tasks of a job are done.
