home, fleet: divide a job that its data centre could only run late

Cause: a job was divided only if its data centre refused it, which is at one and a half objectives; one that was expected to end between one and one and a half was accepted there and answered late (worth a fifth) although several data centres together could run it in time. Change: the home answers such a job with what could start in time and that it would accept it whole; the origin divides it if all data centres together have the capacity in time, and submits it again as a whole otherwise.

Ruled out: a lower bound of admission, which refuses what is still of some use.

The replay in home submits late jobs again as a whole, as an origin does without others.

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -37,14 +37,18 @@
 	}
 
 	capacities := in.capacities(ctx, s, time.Since(began), outcome.StartableTasks)
-	parts := splitTasks(s.Batch.Steps[0], capacities)
-	if parts == nil {
-		in.log.Info().Str("job", s.Batch.ID).Int("tasks", s.Batch.Steps[0].Replicas).Int("startableHere", outcome.StartableTasks).
-			Int("startable", totalTasks(capacities)).Msg("job not divided, the data centres have too little capacity in time")
+	if parts := splitTasks(s.Batch.Steps[0], capacities); parts != nil {
+		return in.runParts(ctx, s, parts, began)
+	}
+	in.log.Info().Str("job", s.Batch.ID).Int("tasks", s.Batch.Steps[0].Replicas).Int("startableHere", outcome.StartableTasks).
+		Int("startable", totalTasks(capacities)).Msg("job not divided, the data centres have too little capacity in time")
+	if !outcome.AcceptedWhole {
 		outcome.Result = home.Refused
 		return outcome
 	}
-	return in.runParts(ctx, s, parts, began)
+	j := newForwarding(in.self.DataCentre)
+	j.noRedirect, s.Whole = true, true
+	return in.forward(ctx, s, j, began)
 }
 
 // forward hands a job, or a part of one, to one home after the other until it has a final
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -149,7 +149,7 @@
 		}
 		callers.Go(func() {
 			sent := time.Now()
-			o := submit(h, s)
+			o := submitLikeOrigin(h, s)
 			if fails {
 				return // counts for nothing
 			}
@@ -161,6 +161,17 @@
 	return r
 }
 
+// submitLikeOrigin submits a job as an origin does that finds no other data centre: a job that the
+// home can only run late is submitted again as a whole.
+func submitLikeOrigin(h *home.Home, s home.Submission) home.Outcome {
+	o := submit(h, s)
+	if o.Result == home.NoCapacity && o.AcceptedWhole {
+		s.Whole = true
+		o = submit(h, s)
+	}
+	return o
+}
+
 // allStarted reports whether every task of a job was started.
 func (dc *testCentre) allStarted(b model.Batch) bool {
 	for k := range b.Steps[0].Replicas {
--- a/home/submit.go
+++ b/home/submit.go
@@ -17,7 +17,7 @@
 // task of the job ran or will run. Moved: this instance is no longer the home, and some tasks
 // may have run. Redirected: no task ran, and another data centre has free capacity. Busy: the
 // job was to start at once or not at all, and can't start at once. NoCapacity: the job would be
-// refused, but several data centres together may have enough free capacity. Cancelled: the
+// refused or late, but several data centres together may run it in time. Cancelled: the
 // caller disconnected, or the time of the job is over. Lost: some tasks may have run, and the
 // home is unreachable or the job can't end in time.
 const (
@@ -38,6 +38,7 @@
 	Reason         string        `json:"reason,omitempty"`
 	RetryAfter     time.Duration `json:"retryAfter,omitempty"` // with Refused and NoCapacity
 	StartableTasks int           `json:"room,omitempty"`       // tasks that could start here in time, with NoCapacity
+	AcceptedWhole  bool          `json:"whole,omitempty"`      // the home accepts the job as a whole, but late, with NoCapacity
 	DataCentre     string        `json:"dataCentre,omitempty"` // with Redirected
 	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved
 	MaybeRunning   []string      `json:"begun,omitempty"`      // tasks that may still run, with Moved
@@ -57,8 +58,9 @@
 	Resumed bool `json:"resumed,omitempty"`
 	// Immediate requests a start at once, for a part of a job an end in time, or the result Busy.
 	Immediate bool `json:"spill,omitempty"`
-	// NoRedirect rules out the result Redirected.
+	// NoRedirect rules out the result Redirected, and Whole the result NoCapacity.
 	NoRedirect bool `json:"settled,omitempty"`
+	Whole      bool `json:"whole,omitempty"`
 	// Part is the share of the tasks that is run, nil for all.
 	Part *Part `json:"part,omitempty"`
 	// Done lists the tasks that finished at an earlier home, and MaybeRunning those that it may
@@ -177,16 +179,17 @@
 			return Outcome{Result: Redirected, DataCentre: dc}, false
 		}
 	}
-	if !plan.Admit(wait, times) {
+	divisible := len(j.batch.Steps) == 1 && s.Part == nil && !s.Whole
+	if divisible && !plan.InTime(wait, times) || !plan.Admit(wait, times) {
 		h.options.Log.Info().Str("job", j.key).Int("claim", j.initialMilliCores()).Int("free", backlog.Free).Int("ahead", backlog.Ahead).
 			Int("capacity", backlog.Capacity).Int64("waitMillis", wait.Milliseconds()).Int64("ageMillis", times.Age.Milliseconds()).
 			Int64("chainMillis", times.CriticalPath.Milliseconds()).Int64("objectiveMillis", times.Objective.Milliseconds()).
 			Msg("job not admitted")
 		reason := fmt.Sprintf("the backlog takes %d ms, the job has %d ms", wait.Milliseconds(), (j.objective - times.CriticalPath).Milliseconds())
 		o := h.newRefusal(reason, wait)
-		if len(j.batch.Steps) == 1 && s.Part == nil {
+		if divisible {
 			o.Result = NoCapacity
-			o.StartableTasks = h.startableTasks(j, now)
+			o.StartableTasks, o.AcceptedWhole = h.startableTasks(j, now), plan.Admit(wait, times)
 		}
 		return o, false
 	}
