fleet: don't wait for a home that has been missing longer than a takeover takes

Each job waited up to 1.5 s for a home, also long after the first ones had waited in vain. Change: a job that no home has begun waits for the rest of a takeover's time since a home was last alive; then jobs are refused at once until one is alive again.

Ruled out: to keep the home of a leaving instance that is the last of its data centre: a stop must end within its grace period, and its successor has no runs to adopt then.

TestJobsDoNotWaitForAHomeThatHasBeenMissingForLong failed before (no such rule). Besides a seeded test of hand-overs in series with crashes and silent workers, 40 seeds, which found nothing.

--- a/fleet/await.go
+++ b/fleet/await.go
@@ -92,6 +92,27 @@
 	return token, in.heartbeats.IsAlive(owner.Instance) && in.heartbeats.Status(owner.Instance).Incarnation == owner.Incarnation
 }
 
+// recordHome records whether any home is alive.
+func (in *Instance) recordHome() {
+	if !in.anyHome() {
+		return
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.homeSeenAt = time.Now()
+}
+
+// homeMissingFor returns for how long no home has been alive, at most since the start of this
+// instance.
+func (in *Instance) homeMissingFor() time.Duration {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.homeSeenAt.IsZero() {
+		return time.Since(in.startedAt)
+	}
+	return time.Since(in.homeSeenAt)
+}
+
 // awaitLaterHome waits until a data centre has a live home with a later token. It returns
 // false if there is none within homeTimeout or the context ends.
 func (in *Instance) awaitLaterHome(ctx context.Context, dataCentre string, token int64) bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -72,6 +72,7 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
+	homeSeenAt        time.Time                // when a home was last alive
 	homeChangedAt     map[string]time.Time     // when the home row changed last, by data centre
 	staleSince        map[string]time.Time     // since when a new home waits for a fresh workers' table, by data centre
 	pollsWorkersOften bool                     // polls the workers' table at the short interval
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -56,7 +56,7 @@
 func (in *Instance) forward(ctx context.Context, s home.Submission, j *forwarding, began time.Time) home.Outcome {
 	deadline := began.Add(s.TimeLeft)
 	for range maxForwards {
-		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed, time.Since(began)))
+		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed, time.Since(began), in.homeMissingFor()))
 		if !ok {
 			break
 		}
@@ -85,10 +85,12 @@
 	return j.failure()
 }
 
-// homeWaitLimit returns how long a job of the given age waits for a home: as long as it
-// can still meet its objective, but at most homeTimeout. A job that a home may have begun
-// can't be refused and waits for homeTimeout, within which a takeover ends.
-func homeWaitLimit(s home.Submission, resumed bool, age time.Duration) time.Duration {
+// homeWaitLimit returns how long a job of the given age waits for a home, when no home has been
+// alive for the time missing: as long as it can still meet its objective and a takeover may be
+// under way, which takes homeTimeout at most. Used in data centres that are cut off without their
+// home, where waiting only delays the refusal. A job that a home may have begun can't be refused
+// and waits for homeTimeout.
+func homeWaitLimit(s home.Submission, resumed bool, age, missing time.Duration) time.Duration {
 	if resumed {
 		return homeTimeout
 	}
@@ -97,7 +99,7 @@
 		estimates[i] = step.Estimate
 	}
 	chain := plan.CriticalPath(s.Batch.Steps, estimates)
-	return min(plan.MaxStartDelay(plan.Objective(s.Route, chain), chain)-age, homeTimeout)
+	return min(plan.MaxStartDelay(plan.Objective(s.Route, chain), chain)-age, homeTimeout-missing)
 }
 
 // submit sends a job to the home of a data centre and waits for the outcome.
--- a/fleet/forward_test.go
+++ b/fleet/forward_test.go
@@ -21,13 +21,32 @@
 		}
 	}
 	got := []time.Duration{
-		homeWaitLimit(job(60*ms), false, 0), // the objective is 156 ms
-		homeWaitLimit(job(60*ms), false, 100*ms),
-		homeWaitLimit(job(60*ms), true, 0),
-		homeWaitLimit(job(900*ms), false, 0),
+		homeWaitLimit(job(60*ms), false, 0, 0), // the objective is 156 ms
+		homeWaitLimit(job(60*ms), false, 100*ms, 0),
+		homeWaitLimit(job(60*ms), true, 0, 0),
+		homeWaitLimit(job(900*ms), false, 0, 0),
 	}
 	want := []time.Duration{408 * ms, 308 * ms, homeTimeout, homeTimeout}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
 }
+
+// A data centre that is cut off without its home: once a takeover would have ended, its jobs are
+// refused at once. A job that a home may have begun still waits.
+func TestJobsDoNotWaitForAHomeThatHasBeenMissingForLong(t *testing.T) {
+	s := home.Submission{
+		Route: model.Route{Stretch: 1.6, Allowance: 60 * time.Millisecond},
+		Batch: model.Batch{Steps: []model.Step{{Replicas: 8, Estimate: 900 * time.Millisecond}}},
+	}
+	got := []time.Duration{
+		homeWaitLimit(s, false, 0, time.Second),
+		max(homeWaitLimit(s, false, 0, homeTimeout), 0),
+		max(homeWaitLimit(s, false, 0, time.Hour), 0),
+		homeWaitLimit(s, true, 0, time.Hour),
+	}
+	want := []time.Duration{homeTimeout - time.Second, 0, 0, homeTimeout}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -65,6 +65,7 @@
 	in.updateWorkerPolling()
 	in.closeIdleClients()
 	in.reviewHomes()
+	in.recordHome()
 }
 
 // recordLag records how late the timer of a review fired.
--- /dev/null
+++ b/home/handover_test.go
@@ -0,0 +1,125 @@
+package home_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailmux/fakes"
+	"foxtailmux/home"
+)
+
+// relay is a series of homes of one data centre, of which the last one is in force. Its earlier
+// homes are closed when they leave, or run on for a while as after a partition.
+type relay struct {
+	dc    *testCentre
+	mu    sync.Mutex
+	homes []*home.Home
+	next  chan struct{} // closed when there is a later home
+}
+
+func newRelay(dc *testCentre) *relay {
+	return &relay{dc: dc, homes: []*home.Home{dc.newHome(1)}, next: make(chan struct{})}
+}
+
+// latest returns the home in force, and a channel that is closed when there is a later one.
+func (r *relay) latest() (*home.Home, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.homes[len(r.homes)-1], r.next
+}
+
+// handOver puts a new home in force and closes the earlier one after a delay.
+func (r *relay) handOver(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.homes[len(r.homes)-1]
+	r.homes = append(r.homes, r.dc.newHome(int64(len(r.homes))+1))
+	close(r.next)
+	r.next = make(chan struct{})
+	time.AfterFunc(delay, old.Close)
+}
+
+// submit submits a job to one home after the other, as its origin does, until it has an outcome.
+func (r *relay) submit(s home.Submission) home.Outcome {
+	began := time.Now()
+	for {
+		h, next := r.latest()
+		s.Age = time.Since(began)
+		o := submit(h, s)
+		if o.Result != home.Moved {
+			return o
+		}
+		s.Resumed, s.TasksReported = true, true
+		s.Done, s.MaybeRunning = append(s.Done, o.Done...), o.MaybeRunning
+		if latest, _ := r.latest(); latest == h {
+			<-next
+		}
+	}
+}
+
+func (r *relay) close() {
+	for _, h := range r.homes {
+		r.dc.close(h)
+	}
+}
+
+// A home that returns to its data centre is handed over while all is well, and may be handed over
+// again soon after by a cut or a restart: no task runs twice at a time, and every job has an
+// outcome. Seeds draw the times of the hand-overs, how long the earlier home goes on, and faults
+// of a worker meanwhile.
+func TestHandOversInSeriesRunNoTaskTwiceAtATime(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) { playHandOvers(t, seed) })
+	}
+}
+
+func playHandOvers(t *testing.T, seed uint64) {
+	dc := newTestCentre(t, 6)
+	draw := rand.New(rand.NewPCG(seed, 0))
+	r := newRelay(dc)
+	defer r.close()
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[home.Result]int{}
+	const jobs = 150
+	callers.Go(func() {
+		load := rand.New(rand.NewPCG(seed, 1))
+		for n := range jobs {
+			time.Sleep(time.Duration(load.ExpFloat64() * float64(25*time.Millisecond)))
+			s := submission(fmt.Sprintf("j%d", n), 1+load.IntN(4))
+			callers.Go(func() {
+				o := r.submit(s)
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[o.Result]++
+			})
+		}
+	})
+	for range 6 {
+		time.Sleep(time.Duration(draw.IntN(900)) * time.Millisecond)
+		w := dc.workers[fmt.Sprintf("w%d", draw.IntN(6))]
+		switch draw.IntN(4) {
+		case 0:
+			w.SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+		case 1:
+			w.SetFaults(fakes.LeasedWorkerFaults{LoseResponses: true})
+		case 2:
+			w.Crash()
+		}
+		r.handOver(time.Duration(draw.IntN(3)*draw.IntN(200)) * time.Millisecond)
+		time.AfterFunc(400*time.Millisecond, func() { w.SetFaults(fakes.LeasedWorkerFaults{}) })
+	}
+	callers.Wait()
+	dc.checkLedger()
+	total := 0
+	for _, n := range outcomes {
+		total += n
+	}
+	if total != jobs || outcomes[home.Succeeded] < jobs/2 {
+		t.Errorf("seed %d: outcomes %v of %d jobs", seed, outcomes, jobs)
+	}
+}
