--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -33,15 +33,25 @@
 	Job        string `json:"job"`
 }
 
-// serveRun runs a job that another instance forwarded.
-func (in *Instance) serveRun(ctx context.Context, params json.RawMessage) (any, error) {
+// decodeRun decodes a request that hands a job, or a question about one, to a home of this
+// instance, and returns that home.
+func (in *Instance) decodeRun(params json.RawMessage) (runRequest, *home.Home, error) {
 	var r runRequest
 	if err := json.Unmarshal(params, &r); err != nil {
-		return nil, eris.Wrap(err, "decode job")
+		return r, nil, eris.Wrap(err, "decode job")
 	}
 	h := in.localHome(r.DataCentre)
 	if h == nil {
-		return nil, errNotHome
+		return r, nil, errNotHome
+	}
+	return r, h, nil
+}
+
+// serveRun runs a job that another instance forwarded.
+func (in *Instance) serveRun(ctx context.Context, params json.RawMessage) (any, error) {
+	r, h, err := in.decodeRun(params)
+	if err != nil {
+		return nil, err
 	}
 	in.heartbeats.RecordForward(r.Job.Origin)
 	if r.Job.SpecBytes > 0 {
@@ -52,13 +62,9 @@
 
 // serveStartable returns how many tasks of a job could start in time at a home of this instance.
 func (in *Instance) serveStartable(_ context.Context, params json.RawMessage) (any, error) {
-	var r runRequest
-	if err := json.Unmarshal(params, &r); err != nil {
-		return nil, eris.Wrap(err, "decode job")
-	}
-	h := in.localHome(r.DataCentre)
-	if h == nil {
-		return nil, errNotHome
+	r, h, err := in.decodeRun(params)
+	if err != nil {
+		return nil, err
 	}
 	return h.StartableTasks(r.Job), nil
 }
--- a/home/handover_test.go
+++ b/home/handover_test.go
@@ -12,42 +12,42 @@
 	"foxtailmux/home"
 )
 
-// relay is a series of homes of one data centre, of which the last one is in force. Its earlier
-// homes are closed when they leave, or run on for a while as after a partition.
-type relay struct {
+// homeSeries is a series of homes of one data centre, of which the last one is in force. Its
+// earlier homes are closed when they leave, or run on for a while as after a partition.
+type homeSeries struct {
 	dc    *testCentre
 	mu    sync.Mutex
 	homes []*home.Home
 	next  chan struct{} // closed when there is a later home
 }
 
-func newRelay(dc *testCentre) *relay {
-	return &relay{dc: dc, homes: []*home.Home{dc.newHome(1)}, next: make(chan struct{})}
+func newHomeSeries(dc *testCentre) *homeSeries {
+	return &homeSeries{dc: dc, homes: []*home.Home{dc.newHome(1)}, next: make(chan struct{})}
 }
 
 // latest returns the home in force, and a channel that is closed when there is a later one.
-func (r *relay) latest() (*home.Home, <-chan struct{}) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.homes[len(r.homes)-1], r.next
+func (hs *homeSeries) latest() (*home.Home, <-chan struct{}) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	return hs.homes[len(hs.homes)-1], hs.next
 }
 
 // handOver puts a new home in force and closes the earlier one after a delay.
-func (r *relay) handOver(delay time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	old := r.homes[len(r.homes)-1]
-	r.homes = append(r.homes, r.dc.newHome(int64(len(r.homes))+1))
-	close(r.next)
-	r.next = make(chan struct{})
+func (hs *homeSeries) handOver(delay time.Duration) {
+	hs.mu.Lock()
+	defer hs.mu.Unlock()
+	old := hs.homes[len(hs.homes)-1]
+	hs.homes = append(hs.homes, hs.dc.newHome(int64(len(hs.homes))+1))
+	close(hs.next)
+	hs.next = make(chan struct{})
 	time.AfterFunc(delay, old.Close)
 }
 
 // submit submits a job to one home after the other, as its origin does, until it has an outcome.
-func (r *relay) submit(s home.Submission) home.Outcome {
+func (hs *homeSeries) submit(s home.Submission) home.Outcome {
 	began := time.Now()
 	for {
-		h, next := r.latest()
+		h, next := hs.latest()
 		s.Age = time.Since(began)
 		o := submit(h, s)
 		if o.Result != home.Moved {
@@ -55,15 +55,15 @@
 		}
 		s.Resumed, s.TasksReported = true, true
 		s.Done, s.MaybeRunning = append(s.Done, o.Done...), o.MaybeRunning
-		if latest, _ := r.latest(); latest == h {
+		if latest, _ := hs.latest(); latest == h {
 			<-next
 		}
 	}
 }
 
-func (r *relay) close() {
-	for _, h := range r.homes {
-		r.dc.close(h)
+func (hs *homeSeries) close() {
+	for _, h := range hs.homes {
+		hs.dc.close(h)
 	}
 }
 
@@ -80,8 +80,8 @@
 func playHandOvers(t *testing.T, seed uint64) {
 	dc := newTestCentre(t, 6)
 	draw := rand.New(rand.NewPCG(seed, 0))
-	r := newRelay(dc)
-	defer r.close()
+	series := newHomeSeries(dc)
+	defer series.close()
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	outcomes := map[home.Result]int{}
@@ -92,7 +92,7 @@
 			time.Sleep(time.Duration(load.ExpFloat64() * float64(25*time.Millisecond)))
 			s := submission(fmt.Sprintf("j%d", n), 1+load.IntN(4))
 			callers.Go(func() {
-				o := r.submit(s)
+				o := series.submit(s)
 				mu.Lock()
 				defer mu.Unlock()
 				outcomes[o.Result]++
@@ -110,7 +110,7 @@
 		case 2:
 			w.Crash()
 		}
-		r.handOver(time.Duration(draw.IntN(3)*draw.IntN(200)) * time.Millisecond)
+		series.handOver(time.Duration(draw.IntN(3)*draw.IntN(200)) * time.Millisecond)
 		time.AfterFunc(400*time.Millisecond, func() { w.SetFaults(fakes.LeasedWorkerFaults{}) })
 	}
 	callers.Wait()
