fleet: don't ask homes for capacity over a busy link

Cause: found by reading. The bytes were not recorded for the link either. Change: a question that would queue for longer than its timeout is not sent, the heartbeat's free capacity counts; questions are recorded as sent. Ruled out: an effect on links of 1000 Mbit/s, where a question takes 6 us.

--- a/fleet/split.go
+++ b/fleet/split.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/conc/pool"
 
 	"foxtailmux/home"
@@ -79,15 +80,16 @@
 	return list
 }
 
+// errLinkBusy is the reason why a home is not asked: the request would queue for too long.
+var errLinkBusy = eris.New("the link is busy")
+
 // startableTasks returns how many tasks of a job could start in time in a data centre. If its
-// home does not respond, it goes by the free capacity of the latest heartbeat.
+// home can't be asked in time, it goes by the free capacity of the latest heartbeat.
 func (in *Instance) startableTasks(ctx context.Context, dataCentre string, s home.Submission) int {
 	if h := in.localHome(dataCentre); h != nil {
 		return h.StartableTasks(s)
 	}
-	owner, _ := in.homeOf(dataCentre)
-	var n int
-	err := in.peers.Call(ctx, owner.Instance, methodStartable, runRequest{DataCentre: dataCentre, Job: s}, &n)
+	n, err := in.askStartable(ctx, dataCentre, s)
 	if err == nil {
 		return n
 	}
@@ -96,6 +98,20 @@
 	return max(capacity.Free-capacity.Waiting, 0) / max(s.Batch.Steps[0].Needs.TotalMilliCores(), 1)
 }
 
+// askStartable asks the home of another data centre, unless the link is so busy that the response
+// would come too late and the starts of other jobs would wait behind the request.
+func (in *Instance) askStartable(ctx context.Context, dataCentre string, s home.Submission) (int, error) {
+	now := time.Now()
+	if in.link.Delay(jobOverheadBytes, now) > capacityTimeout {
+		return 0, errLinkBusy
+	}
+	in.link.RecordSend(jobOverheadBytes, now)
+	owner, _ := in.homeOf(dataCentre)
+	var n int
+	err := in.peers.Call(ctx, owner.Instance, methodStartable, runRequest{DataCentre: dataCentre, Job: s}, &n)
+	return n, err
+}
+
 // runParts runs the parts of a job in parallel. The first part that does not succeed
 // cancels the others.
 func (in *Instance) runParts(ctx context.Context, s home.Submission, parts []centrePart, began time.Time) home.Outcome {
