plan, fleet: don't ask homes for capacity while it is known to be missing

Change: after an answer that was too little homes are not asked for 20 ms, doubled with each further one up to 320 ms, and jobs of that time are submitted whole, which takes one request and no count of startable tasks; after the pause one job asks at a time until an answer is enough.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,7 @@
 	knownWorkers      map[string]model.Worker  // by worker id
 	workerCounts      map[string]int           // number of known workers by data centre
 	missingSince      map[string]time.Time     // when a worker left the workers' table, by worker id
+	askPause          plan.AskPause            // between questions for capacity to other homes
 	reservations      map[string]reservation   // of free capacity, by data centre
 	reachability      map[string]*reachability // by data centre
 	workerLeftAt      map[string]time.Time     // when a worker last left the workers' table, by data centre
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -30,18 +30,15 @@
 // connection of its caller.
 func (in *Instance) Run(ctx context.Context, s home.Submission) home.Outcome {
 	began := time.Now()
-	s.Origin = in.self.Instance
+	s.Origin, s.Whole = in.self.Instance, in.askingPaused()
 	outcome := in.forward(ctx, s, newForwarding(in.self.DataCentre), began)
 	if outcome.Result != home.NoCapacity {
 		return outcome
 	}
 
-	capacities := in.capacities(ctx, s, time.Since(began), outcome.StartableTasks)
-	if parts := splitTasks(s.Batch.Steps[0], capacities); parts != nil {
+	if parts := in.findParts(ctx, s, time.Since(began), outcome.StartableTasks); parts != nil {
 		return in.runParts(ctx, s, parts, began)
 	}
-	in.log.Info().Str("job", s.Batch.ID).Int("tasks", s.Batch.Steps[0].Replicas).Int("startableHere", outcome.StartableTasks).
-		Int("startable", totalTasks(capacities)).Msg("job not divided, the data centres have too little capacity in time")
 	if !outcome.AcceptedWhole {
 		outcome.Result = home.Refused
 		return outcome
--- a/fleet/split.go
+++ b/fleet/split.go
@@ -51,6 +51,45 @@
 // made together; the shortest objectives leave about 90 ms.
 const capacityTimeout = 20 * time.Millisecond
 
+// findParts divides a job of the given age over data centres, of which this instance's own could
+// start ownTasks of its tasks in time. It returns nil if all together have too little capacity.
+// While homes are not asked, their latest heartbeats count.
+func (in *Instance) findParts(ctx context.Context, s home.Submission, age time.Duration, ownTasks int) []centrePart {
+	ask := in.mayAsk()
+	capacities := in.capacities(ctx, s, age, ownTasks, ask)
+	parts := splitTasks(s.Batch.Steps[0], capacities)
+	if ask {
+		in.recordAnswer(parts != nil)
+	}
+	if parts == nil {
+		in.log.Info().Str("job", s.Batch.ID).Int("tasks", s.Batch.Steps[0].Replicas).Int("startableHere", ownTasks).
+			Int("startable", totalTasks(capacities)).Bool("asked", ask).
+			Msg("job not divided, the data centres have too little capacity in time")
+	}
+	return parts
+}
+
+// askingPaused reports whether homes are not to be asked for capacity at present.
+func (in *Instance) askingPaused() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.askPause.Paused(time.Now())
+}
+
+// mayAsk reports whether homes may be asked for capacity for a job now.
+func (in *Instance) mayAsk() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.askPause.Take(time.Now())
+}
+
+// recordAnswer records whether the homes that were asked had enough capacity for a job.
+func (in *Instance) recordAnswer(found bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.askPause.Record(found, time.Now())
+}
+
 // totalTasks returns the number of tasks that could start in all data centres together.
 func totalTasks(capacities []centreCapacity) int {
 	total := 0
@@ -62,15 +101,15 @@
 
 // capacities returns how many tasks of a job of the given age could start in time in this
 // instance's data centre, where it is ownTasks, and in all others with a live home. The others
-// are asked, since heartbeats are older than most tasks last.
-func (in *Instance) capacities(ctx context.Context, s home.Submission, age time.Duration, ownTasks int) []centreCapacity {
+// are asked if ask is set, since heartbeats are older than most tasks last.
+func (in *Instance) capacities(ctx context.Context, s home.Submission, age time.Duration, ownTasks int, ask bool) []centreCapacity {
 	ctx, cancel := context.WithTimeout(ctx, capacityTimeout)
 	defer cancel()
 	s.Batch.Spec, s.Age, s.TimeLeft = "", age, s.TimeLeft-age
 	p := pool.NewWithResults[centreCapacity]()
 	for _, dc := range in.otherCentres(in.self.DataCentre) {
 		if _, ok := in.aliveHome(dc); ok {
-			p.Go(func() centreCapacity { return centreCapacity{dc, in.startableTasks(ctx, dc, s)} })
+			p.Go(func() centreCapacity { return centreCapacity{dc, in.startableTasks(ctx, dc, s, ask)} })
 		}
 	}
 	list := p.Wait()
@@ -84,16 +123,19 @@
 var errLinkBusy = eris.New("the link is busy")
 
 // startableTasks returns how many tasks of a job could start in time in a data centre. If its
-// home can't be asked in time, it goes by the free capacity of the latest heartbeat.
-func (in *Instance) startableTasks(ctx context.Context, dataCentre string, s home.Submission) int {
+// home is not to be asked, or can't be in time, it goes by the free capacity of the latest
+// heartbeat.
+func (in *Instance) startableTasks(ctx context.Context, dataCentre string, s home.Submission, ask bool) int {
 	if h := in.localHome(dataCentre); h != nil {
 		return h.StartableTasks(s)
 	}
-	n, err := in.askStartable(ctx, dataCentre, s)
-	if err == nil {
-		return n
+	if ask {
+		n, err := in.askStartable(ctx, dataCentre, s)
+		if err == nil {
+			return n
+		}
+		in.log.Info().Err(err).Str("job", s.Batch.ID).Str("home", dataCentre).Msg("capacity not queried")
 	}
-	in.log.Info().Err(err).Str("job", s.Batch.ID).Str("home", dataCentre).Msg("capacity not queried")
 	capacity := in.freeCapacity(dataCentre)
 	return max(capacity.Free-capacity.Waiting, 0) / max(s.Batch.Steps[0].Needs.TotalMilliCores(), 1)
 }
