--- a/home/backlog.go
+++ b/home/backlog.go
@@ -104,6 +104,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.activity.questions++
 	now := time.Now()
 	return h.startableTasks(h.newJob(s, now), now)
 }
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -162,6 +162,7 @@
 func (h *Home) startTask(j *job, t *task, w *worker, now time.Time) {
 	t.state, t.worker, t.run, t.startedAt = taskRunning, w, h.nextRunNumber(), now
 	j.started = true
+	h.activity.starts++
 	step := j.batch.Steps[t.step]
 	until := w.tracker.GrantLease(now)
 	w.tracker.RecordStart(lease.Run{Task: t.name, Number: t.run, Needs: step.Needs}, until, now)
--- a/home/home.go
+++ b/home/home.go
@@ -113,6 +113,7 @@
 	callerTimeouts    learn.Timeouts     // by queue
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
+	activity          activity
 }
 
 // finishedJob is the kept outcome of a job.
@@ -137,6 +138,7 @@
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
+		activity:      activity{reportedAt: time.Now(), processorTime: processorTime()},
 	}
 	h.spawn(h.tickLoop)
 	return h
@@ -241,6 +243,7 @@
 	}
 	now := time.Now()
 	h.recordLag(now.Sub(due))
+	h.reportActivity(now)
 
 	for id, w := range h.workers {
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
@@ -276,6 +279,7 @@
 
 func (h *Home) recordLag(lag time.Duration) {
 	h.lag = plan.UpdateLag(h.lag, lag)
+	h.activity.maxLag = max(h.activity.maxLag, lag)
 	if behind := lag > maxLag; behind != h.behind {
 		h.behind = behind
 		h.options.Log.Warn().Bool("behind", behind).Int64("lagMillis", lag.Milliseconds()).Int("jobs", len(h.jobs)).
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -47,6 +47,7 @@
 	freeDataCentre func(int) (string, bool)
 	fenced         atomic.Int32
 	link           *plan.Link
+	logWriter      io.Writer
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
 }
 
@@ -54,6 +55,7 @@
 	dc := &testCentre{t: t, ledger: fakes.NewLedger(), workers: map[string]*fakes.LeasedWorker{}, listed: map[string]model.Worker{}}
 	dc.freeDataCentre = func(int) (string, bool) { return "", false }
 	dc.link = plan.NewLink(0)
+	dc.logWriter = io.Discard
 	dc.connect = func(w model.Worker, _ func(took time.Duration)) home.Endpoint { return dc.workers[w.ID] }
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
@@ -77,7 +79,7 @@
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
 		OnFenced:       func() { dc.fenced.Add(1) },
 		Observer:       noopObserver{},
-		Log:            &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Log:            &log.Logger{Writer: log.IOWriter{Writer: dc.logWriter}},
 	})
 	h.SetWorkers(dc.listed, true)
 	return h
--- a/home/renew.go
+++ b/home/renew.go
@@ -112,6 +112,7 @@
 func (w *worker) nextRenewal(wait bool, now time.Time) lease.Renewal {
 	w.home.mu.Lock()
 	defer w.home.mu.Unlock()
+	w.home.activity.renewals++
 	request := lease.Renewal{Token: w.home.options.Token, LastEndSeen: w.tracker.LastEndSeen()}
 	// The lease of an unresponsive worker is not extended: the request might be carried out and
 	// delay the expiry of its runs.
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -27,6 +27,7 @@
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.activity.stops++
 	if w.ctx.Err() != nil {
 		return false
 	}
--- a/home/start.go
+++ b/home/start.go
@@ -11,6 +11,7 @@
 
 // recordNoResponse records a request that got no response. The lock is held.
 func (w *worker) recordNoResponse(op string, err error, now time.Time) {
+	w.home.activity.unanswered++
 	if w.health.State(now) != plan.Ejected {
 		w.home.options.Log.Warn().Err(err).Str("worker", w.info.ID).Str("order", op).
 			Int64("heardMillisAgo", now.Sub(w.tracker.LastResponse()).Milliseconds()).Msg("order not answered")
@@ -88,6 +89,7 @@
 	if !ok {
 		return false
 	}
+	h.activity.resends++
 	w.recordNoResponse("start", err, now)
 	s.Until = until
 	h.recordSend(*s, path, now)
--- a/home/submit.go
+++ b/home/submit.go
@@ -117,6 +117,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 
+	h.activity.submissions++
 	if h.closed || h.fenced {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
@@ -198,6 +199,7 @@
 
 // newRefusal returns the outcome of a refused job that would have to wait for that time.
 func (h *Home) newRefusal(reason string, wait time.Duration) Outcome {
+	h.activity.refusals++
 	return Outcome{Result: Refused, Reason: reason, RetryAfter: plan.RetryAfter(wait, randomFloat())}
 }
 
