home: look at a full worker once a pass, not for each waiting task

What callers saw: on the large site (183 workers a data centre) too little of price-check was served in bursts (SHORT).

Cause: each event of a home (a job, a report, an end) passes over the waiting jobs, and for each waiting task the pass asked every worker whether it may have another run of it, before it found that no worker has free capacity. So one event cost workers times waiting tasks. As soon as jobs waited the home had no processor time for their ends, so more jobs waited: the load fed itself and outlasted the burst.

A pass now leaves out full workers by the least need of a waiting task, looks for other runs only where a worker has any, drops workers as they fill up and ends when none is left. The workers are kept in the order of their ids instead of sorted in each pass. A job leaves the waiting ones with its last start instead of one pass later.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -1,6 +1,8 @@
 package home
 
 import (
+	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -28,22 +30,75 @@
 	}
 	h.dispatchedAt = now
 
-	var available []*worker
-	largestFree := 0 // free capacity of one worker, in thousandths of a core
-	for _, w := range h.workers {
-		if free := w.tracker.Free().TotalMilliCores(); free > 0 && w.isUsable() && w.health.State(now) != plan.Ejected {
-			available = append(available, w)
-			largestFree = max(largestFree, free)
+	p := h.newPass(now)
+	if len(p.available) == 0 {
+		return
+	}
+	for _, j := range h.jobsByUrgency(now) {
+		if len(p.available) == 0 {
+			return
+		}
+		h.startWaitingTasks(j, p, now)
+	}
+}
+
+// pass is one pass over the waiting jobs. Used for bursts on data centres with many workers, where
+// each event leads to a pass: a full worker is looked at once, and not for each waiting task.
+type pass struct {
+	least      int       // least need of CPU of a waiting job's tasks, in thousandths of a core
+	available  []*worker // with at least that much free CPU, by id
+	otherRuns  []*worker // that may have runs that are assigned to no job
+	candidates []plan.Candidate
+}
+
+// newPass looks at all workers.
+func (h *Home) newPass(now time.Time) *pass {
+	p := &pass{least: h.leastWaitingMilliCores()}
+	for _, w := range h.workersByID() {
+		if w.tracker.Len() > len(w.assignments) {
+			p.otherRuns = append(p.otherRuns, w)
+		}
+		if w.tracker.Free().TotalMilliCores() >= p.least && w.isUsable() && w.health.State(now) != plan.Ejected {
+			p.available = append(p.available, w)
 		}
 	}
-	if len(available) == 0 {
+	return p
+}
+
+// leastWaitingMilliCores returns the least need of CPU of the tasks of the waiting jobs, in
+// thousandths of a core, and at least 1.
+func (h *Home) leastWaitingMilliCores() int {
+	least := math.MaxInt
+	for j := range h.waiting {
+		for _, s := range j.batch.Steps {
+			least = min(least, s.Needs.TotalMilliCores())
+		}
+	}
+	return max(least, 1)
+}
+
+// recordStart removes a worker on which a task was started if it is full now.
+func (p *pass) recordStart(w *worker) {
+	if w.tracker.Free().TotalMilliCores() >= p.least {
 		return
 	}
-	slices.SortFunc(available, func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+	if i := slices.Index(p.available, w); i >= 0 {
+		p.available = slices.Delete(p.available, i, i+1)
+	}
+}
 
-	for _, j := range h.jobsByUrgency(now) {
-		h.startWaitingTasks(j, available, largestFree, now)
+// hasOtherRun reports whether a worker may still have a run of a task that is assigned to no
+// job here, such as one of an earlier home that is being stopped.
+func (p *pass) hasOtherRun(task string) bool {
+	return slices.ContainsFunc(p.otherRuns, func(w *worker) bool { return w.tracker.Has(task) })
+}
+
+// workersByID returns the workers in the order of their ids.
+func (h *Home) workersByID() []*worker {
+	if h.sortedWorkers == nil {
+		h.sortedWorkers = slices.SortedFunc(maps.Values(h.workers), func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
 	}
+	return h.sortedWorkers
 }
 
 // jobsByUrgency returns the waiting jobs, the most urgent first.
@@ -69,51 +124,42 @@
 	return jobs
 }
 
-// startWaitingTasks starts the waiting tasks of a job that fit on the available workers. No
-// worker has more free CPU than largestFree, in thousandths of a core. A task that may still run
-// on a worker is held back until that run is known and has ended.
-func (h *Home) startWaitingTasks(j *job, available []*worker, largestFree int, now time.Time) {
-	hasWaiting := false
+// isHeldBack reports whether a task may still run on a worker, so that it has to wait until that
+// run is known and has ended. The end of the run triggers the next pass.
+func (h *Home) isHeldBack(t *task, p *pass, now time.Time) bool {
+	if t.maybeRunning && !h.allRunsKnown(now) || p.hasOtherRun(t.name) {
+		return true
+	}
+	t.maybeRunning = false
+	return false
+}
+
+// startWaitingTasks starts the waiting tasks of a job that fit on the available workers.
+func (h *Home) startWaitingTasks(j *job, p *pass, now time.Time) {
+	stillWaiting := false
 	fullStep := -1 // step that fits on no worker
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskWaiting {
 			continue
 		}
-		hasWaiting = true
-		if t.maybeRunning && !h.allRunsKnown(now) {
+		if t.step == fullStep || !j.isReady(t.step) || h.isHeldBack(t, p, now) {
+			stillWaiting = true
 			continue
 		}
-		if h.hasOtherRun(t.name) {
-			continue // the end of that run triggers the next pass
-		}
-		t.maybeRunning = false
-		if t.step == fullStep || j.batch.Steps[t.step].Needs.TotalMilliCores() > largestFree || !j.isReady(t.step) {
-			continue
-		}
-		w := h.place(j, t, available, now)
+		w := h.place(j, t, p, now)
 		if w == nil {
-			fullStep = t.step
+			fullStep, stillWaiting = t.step, true
 			continue
 		}
 		h.startTask(j, t, w, now)
+		p.recordStart(w)
 	}
-	if !hasWaiting {
+	if !stillWaiting {
 		delete(h.waiting, j)
 	}
 }
 
-// hasOtherRun reports whether a worker may still have a run of a task that is assigned to no
-// job here, such as one of an earlier home that is being stopped.
-func (h *Home) hasOtherRun(task string) bool {
-	for _, w := range h.workers {
-		if w.tracker.Len() > len(w.assignments) && w.tracker.Has(task) {
-			return true
-		}
-	}
-	return false
-}
-
 // isReady reports whether the steps that a step depends on are done.
 func (j *job) isReady(step int) bool {
 	for _, earlier := range j.batch.Steps[step].After {
@@ -124,11 +170,11 @@
 	return true
 }
 
-// place returns the best worker for a task, nil if it fits on none.
-func (h *Home) place(j *job, t *task, available []*worker, now time.Time) *worker {
+// place returns the best available worker for a task, nil if it fits on none.
+func (h *Home) place(j *job, t *task, p *pass, now time.Time) *worker {
 	step := j.batch.Steps[t.step]
-	candidates := make([]plan.Candidate, len(available))
-	for i, w := range available {
+	p.candidates = p.candidates[:0]
+	for _, w := range p.available {
 		c := plan.Candidate{Free: w.tracker.Free(), Health: w.health.State(now), NearData: step.Rack != "" && step.Rack == w.info.Rack}
 		switch {
 		case !w.canServe(j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
@@ -136,10 +182,10 @@
 		case t.triedOn[w.info.ID]:
 			c.Health = max(c.Health, plan.Suspect) // still better than not at all
 		}
-		candidates[i] = c
+		p.candidates = append(p.candidates, c)
 	}
-	if best := plan.Place(step.Needs, candidates); best >= 0 {
-		return available[best]
+	if best := plan.Place(step.Needs, p.candidates); best >= 0 {
+		return p.available[best]
 	}
 	return nil
 }
--- /dev/null
+++ b/home/dispatch_test.go
@@ -0,0 +1,73 @@
+package home_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"foxtailmux/home"
+)
+
+// fullHome returns a home whose workers run two tasks each that do not end, and a context for
+// further jobs.
+func fullHome(t testing.TB, workers int) (*testCentre, *home.Home, context.Context) {
+	dc := newTestCentre(t, workers)
+	for _, w := range dc.workers {
+		w.RunTime = func(string) time.Duration { return time.Hour }
+	}
+	h := dc.readyHome(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() {
+		cancel()
+		dc.close(h)
+	})
+	submitWaiting(ctx, h, "full", 1, 2*workers)
+	time.Sleep(300 * time.Millisecond)
+	return dc, h, ctx
+}
+
+// submitWaiting submits jobs that wait for free capacity: a job that an earlier home may have
+// begun is never refused.
+func submitWaiting(ctx context.Context, h *home.Home, name string, jobs, tasks int) {
+	for i := range jobs {
+		s := submission(fmt.Sprintf("%s%d", name, i), tasks)
+		s.Resumed, s.TasksReported, s.TimeLeft = true, true, time.Hour
+		s.Batch.Steps[0].Estimate = time.Hour
+		go h.Submit(ctx, s)
+	}
+}
+
+// updateCost returns the least time that one update of the workers' list takes, which ends with a
+// pass over the waiting jobs.
+func updateCost(dc *testCentre, h *home.Home) time.Duration {
+	const repeats = 50
+	least := time.Hour
+	for range repeats {
+		began := time.Now()
+		h.SetWorkers(dc.listed, true)
+		least = min(least, time.Since(began))
+	}
+	return least
+}
+
+// Callers of a data centre of 183 workers lost price-check requests in a burst: once jobs waited,
+// each event took the processor time of looking at every worker for every waiting task.
+func TestWaitingTasksCostLittleWhileAllWorkersAreFull(t *testing.T) {
+	const (
+		workers     = 183
+		jobs, tasks = 30, 32
+		mostGrowth  = 4.0
+	)
+	dc, h, ctx := fullHome(t, workers)
+	before := updateCost(dc, h)
+	submitWaiting(ctx, h, "waiting", jobs, tasks)
+	time.Sleep(300 * time.Millisecond)
+	after := updateCost(dc, h)
+
+	growth := float64(after) / float64(before)
+	t.Logf("%v without waiting tasks, %v with %d, %.1f times as much", before, after, jobs*tasks, growth)
+	if growth > mostGrowth {
+		t.Errorf("an event takes %.1f times as long while %d tasks wait, want at most %.1f", growth, jobs*tasks, mostGrowth)
+	}
+}
--- a/home/home.go
+++ b/home/home.go
@@ -97,6 +97,7 @@
 	fenced            bool
 	incompleteList    bool // a list lacked workers that may have runs of an earlier home
 	workers           map[string]*worker
+	sortedWorkers     []*worker                 // by id, nil after a change of workers
 	jobs              map[string]*job           // by key
 	waiting           map[*job]struct{}         // jobs with tasks to start
 	finished          map[string]finishedJob    // by key
@@ -217,7 +218,7 @@
 		old.cancel()
 	}
 	w := newWorker(h, info)
-	h.workers[id] = w
+	h.workers[id], h.sortedWorkers = w, nil
 	h.spawn(w.renewLoop)
 }
 
@@ -251,6 +252,7 @@
 		if w.removed && w.tracker.Len() == 0 {
 			w.cancel()
 			delete(h.workers, id)
+			h.sortedWorkers = nil
 		}
 	}
 	for _, j := range h.jobs {
