home: adopt only the runs on the worker that has just reported

What callers saw: after a loss of a home or of all instances on the large site, jobs that came first were late or got no answer.

Cause: with the first report of each worker the new home looked for every task of every waiting job on every worker. With 183 workers, each with two runs of an earlier home, and 200 waiting jobs of eight tasks that is 54 million lookups, under the lock of the home.

Only the reports of this worker can have brought new runs: those of the others were looked through at their reports, and for jobs that came later on arrival.

--- a/home/adopt.go
+++ b/home/adopt.go
@@ -27,15 +27,20 @@
 	return len(h.workers) > 0
 }
 
-// adoptRuns continues the runs of a job that an earlier home started, and counts those that
-// have succeeded.
-func (h *Home) adoptRuns(j *job, now time.Time) {
-	var inherited []*worker
+// inheritingWorkers returns the workers with runs of an earlier home that are not adopted yet.
+func (h *Home) inheritingWorkers() []*worker {
+	var list []*worker
 	for _, w := range h.workers {
 		if w.tracker.HasInherited() {
-			inherited = append(inherited, w)
+			list = append(list, w)
 		}
 	}
+	return list
+}
+
+// adoptRuns continues the runs of a job that an earlier home started on some workers, and counts
+// those that have succeeded on any.
+func (h *Home) adoptRuns(j *job, workers []*worker, now time.Time) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		if t.state != taskWaiting {
@@ -46,7 +51,7 @@
 			j.started = true
 			continue
 		}
-		for _, w := range inherited {
+		for _, w := range workers {
 			run, ok := w.tracker.Adopt(t.name, j.batch.Steps[t.step].Needs, now)
 			if !ok {
 				continue
@@ -62,10 +67,10 @@
 	}
 }
 
-// adoptWaitingJobs adopts runs for the waiting jobs after the first report of a worker.
-func (h *Home) adoptWaitingJobs(now time.Time) {
+// adoptWaitingJobs adopts the runs on a worker for the waiting jobs, after its first report.
+func (h *Home) adoptWaitingJobs(w *worker, now time.Time) {
 	for j := range h.waiting {
-		h.adoptRuns(j, now)
+		h.adoptRuns(j, []*worker{w}, now)
 		if h.complete(j) {
 			h.finish(j, Outcome{Result: Succeeded})
 		}
--- a/home/dispatch_test.go
+++ b/home/dispatch_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"foxtailmux/fakes"
 	"foxtailmux/home"
 )
 
@@ -71,3 +72,48 @@
 		t.Errorf("an event takes %.1f times as long while %d tasks wait, want at most %.1f", growth, jobs*tasks, mostGrowth)
 	}
 }
+
+// takeoverTime returns how long a new home takes until it has adopted the runs of an earlier one on
+// all workers, while jobs wait that have no run there.
+func takeoverTime(t *testing.T, workers, jobs, tasks int) time.Duration {
+	dc, earlier, _ := fullHome(t, workers)
+	dc.close(earlier)
+	for _, w := range dc.workers {
+		w.SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h := dc.newHome(2)
+	defer dc.close(h)
+	submitWaiting(ctx, h, "waiting", jobs, tasks)
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	for _, w := range dc.workers {
+		w.SetFaults(fakes.LeasedWorkerFaults{})
+	}
+	for h.FreeCapacity().Capacity < workers*workerSize {
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(began)
+}
+
+// A new home of 183 workers with runs of an earlier one adopted nothing for a second, since each
+// report of a worker made it look for every waiting task on every worker.
+func TestTakeoverIsNotDelayedByWaitingJobs(t *testing.T) {
+	const (
+		workers     = 183
+		jobs, tasks = 200, 8
+		mostGrowth  = 20.0
+		repeats     = 3
+	)
+	without, with := time.Hour, time.Hour
+	for range repeats {
+		without = min(without, takeoverTime(t, workers, 0, tasks))
+		with = min(with, takeoverTime(t, workers, jobs, tasks))
+	}
+	growth := float64(with) / float64(without)
+	t.Logf("%v without waiting jobs, %v with %d, %.1f times as much", without, with, jobs, growth)
+	if growth > mostGrowth {
+		t.Errorf("a takeover takes %.1f times as long while %d jobs wait, want at most %.0f", growth, jobs, mostGrowth)
+	}
+}
--- a/home/renew.go
+++ b/home/renew.go
@@ -166,7 +166,7 @@
 	if !w.reported {
 		w.reported, w.reportedAt = true, now
 		w.home.keepUnclaimedEnds(r.Ended)
-		w.home.adoptWaitingJobs(now)
+		w.home.adoptWaitingJobs(w, now)
 	}
 	w.home.handleEnds(w, ended, now)
 	if w.tracker.HasUnconfirmed() {
--- a/home/submit.go
+++ b/home/submit.go
@@ -138,7 +138,7 @@
 	j := h.newJob(s, now)
 	h.updateTypicalTask(j)
 	j.restoreTaskStates(s)
-	h.adoptRuns(j, now)
+	h.adoptRuns(j, h.inheritingWorkers(), now)
 	if !j.started && !j.resumed {
 		if refusal, ok := h.admit(j, s, now); !ok {
 			return nil, refusal
