--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -42,16 +42,16 @@
 	}
 }
 
-// pass is one pass over the waiting jobs. Used for bursts on data centres with many workers, where
-// each event leads to a pass: a full worker is looked at once, and not for each waiting task.
+// pass is one pass over the waiting jobs. Used for bursts on data centres with many workers: each
+// event leads to a pass, so it checks a full worker once and not for each waiting task.
 type pass struct {
-	least      int       // least need of CPU of a waiting job's tasks, in thousandths of a core
-	available  []*worker // with at least that much free CPU, by id
-	otherRuns  []*worker // that may have runs that are assigned to no job
-	candidates []plan.Candidate
+	least      int              // least need of CPU of a waiting job's tasks, in thousandths of a core
+	available  []*worker        // usable workers with at least that much free CPU, by id
+	otherRuns  []*worker        // workers with runs that are assigned to no job
+	candidates []plan.Candidate // of the latest placement, kept to reuse the memory
 }
 
-// newPass looks at all workers.
+// newPass returns a pass over the present waiting jobs and workers.
 func (h *Home) newPass(now time.Time) *pass {
 	p := &pass{least: h.leastWaitingMilliCores()}
 	for _, w := range h.workersByID() {
@@ -77,7 +77,7 @@
 	return max(least, 1)
 }
 
-// recordStart removes a worker on which a task was started if it is full now.
+// recordStart removes a worker on which a task was started from the available ones if it is full.
 func (p *pass) recordStart(w *worker) {
 	if w.tracker.Free().TotalMilliCores() >= p.least {
 		return
--- a/home/dispatch_test.go
+++ b/home/dispatch_test.go
@@ -52,8 +52,8 @@
 	return least
 }
 
-// Callers of a data centre of 183 workers lost price-check requests in a burst: once jobs waited,
-// each event took the processor time of looking at every worker for every waiting task.
+// A burst on a data centre of 183 workers was not served: once jobs waited, each event made the home
+// check every worker for every waiting task.
 func TestWaitingTasksCostLittleWhileAllWorkersAreFull(t *testing.T) {
 	const (
 		workers     = 183
@@ -97,8 +97,8 @@
 	return time.Since(began)
 }
 
-// A new home of 183 workers with runs of an earlier one adopted nothing for a second, since each
-// report of a worker made it look for every waiting task on every worker.
+// A new home of 183 workers needed a second to adopt the runs of an earlier one, since each report of
+// a worker made it search every worker for every waiting task.
 func TestTakeoverIsNotDelayedByWaitingJobs(t *testing.T) {
 	const (
 		workers     = 183
