home: don't start the tasks of a running part for the whole job

A caller that loses its connection submits its job again, with the same id, at any instance. If the first instance had divided the job, and its parts were still running at the home that got the whole job, the tasks of the part ran on two workers at the same time.

Cause: the check for other runs of a waiting task left out the runs that are assigned to a job, since a task has at most one; but a part and the whole job have different keys and share task names.

A task is now held back while any run of its name is assigned at this home, which one lookup tells.

Remains: parts at two homes are guarded by times only (origins are given up after 1.05 s, callers submit again after 1.3 s), as for jobs that are not divided.

--- a/home/adopt.go
+++ b/home/adopt.go
@@ -57,7 +57,7 @@
 				continue
 			}
 			t.state, t.worker, t.run, t.startedAt, t.maybeRunning = taskRunning, w, run, now, false
-			w.assignments[t.name] = assignment{job: j, task: t}
+			w.assign(j, t)
 			j.started = true
 			w.signal()
 			h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Str("worker", w.info.ID).
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -87,9 +87,13 @@
 	}
 }
 
-// hasOtherRun reports whether a worker may still have a run of a task that is assigned to no
-// job here, such as one of an earlier home that is being stopped.
-func (p *pass) hasOtherRun(task string) bool {
+// hasOtherRun reports whether a worker may still have a run of a waiting task: one that is assigned
+// to another job, such as a part of the same one, or to no job here, such as one of an earlier
+// home that is being stopped.
+func (h *Home) hasOtherRun(task string, p *pass) bool {
+	if _, ok := h.assigned[task]; ok {
+		return true
+	}
 	return slices.ContainsFunc(p.otherRuns, func(w *worker) bool { return w.tracker.Has(task) })
 }
 
@@ -127,7 +131,7 @@
 // isHeldBack reports whether a task may still run on a worker, so that it has to wait until that
 // run is known and has ended. The end of the run triggers the next pass.
 func (h *Home) isHeldBack(t *task, p *pass, now time.Time) bool {
-	if t.maybeRunning && !h.allRunsKnown(now) || p.hasOtherRun(t.name) {
+	if t.maybeRunning && !h.allRunsKnown(now) || h.hasOtherRun(t.name, p) {
 		return true
 	}
 	t.maybeRunning = false
@@ -213,7 +217,7 @@
 	until := w.tracker.GrantLease(now)
 	w.tracker.RecordStart(lease.Run{Task: t.name, Number: t.run, Needs: step.Needs}, until, now)
 	w.health.RecordStart()
-	w.assignments[t.name] = assignment{job: j, task: t}
+	w.assign(j, t)
 	h.options.Observer.TaskStarted()
 	h.options.Observer.QueueWait(now.Sub(t.readyAt))
 
--- a/home/ends.go
+++ b/home/ends.go
@@ -15,7 +15,7 @@
 		if !ok || a.task.run != e.Run || a.task.state != taskRunning {
 			continue
 		}
-		delete(w.assignments, e.Task)
+		w.unassign(e.Task)
 		h.handleEnd(w, a, e, now)
 	}
 	if len(ends) > 0 {
--- a/home/home.go
+++ b/home/home.go
@@ -98,6 +98,7 @@
 	incompleteList    bool // a list lacked workers that may have runs of an earlier home
 	workers           map[string]*worker
 	sortedWorkers     []*worker                 // by id, nil after a change of workers
+	assigned          map[string]struct{}       // tasks that have a run, by name
 	jobs              map[string]*job           // by key
 	waiting           map[*job]struct{}         // jobs with tasks to start
 	finished          map[string]finishedJob    // by key
@@ -133,6 +134,7 @@
 		done:          make(chan struct{}),
 		startedAt:     time.Now(),
 		workers:       map[string]*worker{},
+		assigned:      map[string]struct{}{},
 		jobs:          map[string]*job{},
 		waiting:       map[*job]struct{}{},
 		finished:      map[string]finishedJob{},
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -65,3 +65,22 @@
 		dc.checkLedger()
 	})
 }
+
+// A caller that lost its connection submits its job again at another instance, while the parts that the
+// first instance divided it into still run: their tasks were started a second time.
+func TestTasksOfARunningPartAreNotStartedForTheWholeJob(t *testing.T) {
+	withHome(t, 4, func(t *testing.T, dc *testCentre, h *home.Home) {
+		part := submission("a", 4)
+		part.Part, part.NoRedirect = &home.Part{First: 0, Count: 2}, true
+		results := make(chan home.Result, 2)
+		go func() { results <- resultOf(submit(h, part)) }()
+		time.Sleep(5 * time.Millisecond) // until the starts are confirmed
+		go func() { results <- resultOf(submit(h, submission("a", 4))) }()
+		for range 2 {
+			if got := <-results; got != home.Succeeded {
+				t.Errorf("result %q", got)
+			}
+		}
+		dc.checkLedger()
+	})
+}
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -8,7 +8,7 @@
 
 // stop gives a run up and sends its stop in a goroutine. The lock is held.
 func (w *worker) stop(task string, run int64) {
-	delete(w.assignments, task)
+	w.unassign(task)
 	if !w.tracker.Has(task) {
 		return
 	}
--- a/home/start.go
+++ b/home/start.go
@@ -172,7 +172,7 @@
 	if !ok || a.task.run != s.Run {
 		return
 	}
-	delete(w.assignments, s.Task)
+	w.unassign(s.Task)
 	h.options.Observer.Retried(reason)
 	h.options.Log.Info().Str("job", a.job.batch.ID).Str("task", s.Task).Int64("run", s.Run).
 		Str("worker", w.info.ID).Str("reason", reason).Msg("task not started")
--- a/home/worker.go
+++ b/home/worker.go
@@ -87,6 +87,21 @@
 	return w
 }
 
+// assign assigns the run of a task on the worker to the task's job.
+func (w *worker) assign(j *job, t *task) {
+	w.assignments[t.name] = assignment{job: j, task: t}
+	w.home.assigned[t.name] = struct{}{}
+}
+
+// unassign removes the assignment of a run that has ended or is given up.
+func (w *worker) unassign(task string) {
+	if _, ok := w.assignments[task]; !ok {
+		return
+	}
+	delete(w.assignments, task)
+	delete(w.home.assigned, task)
+}
+
 // isUsable reports whether new tasks may start on the worker.
 func (w *worker) isUsable() bool {
 	return w.reported && !w.removed && w.info.State == model.Live
