home: look for a worker once a pass for tasks that fit on none

Free capacity only decreases during a pass, so a kind of task (service, label, needs) that fits on no worker is not tried again; steps with a limit of tasks on a worker are left out. Whether all runs of an earlier home are known is found out once a pass as well.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -43,17 +43,32 @@
 }
 
 // pass is one pass over the waiting jobs. Used for bursts on data centres with many workers: each
-// event leads to a pass, so it checks a full worker once and not for each waiting task.
+// event leads to a pass, so it checks a full worker once and not for each waiting task, and looks
+// for a worker once for all tasks of a kind that fits on none.
 type pass struct {
-	least      int              // least need of CPU of a waiting job's tasks, in thousandths of a core
-	available  []*worker        // usable workers with at least that much free CPU, by id
-	otherRuns  []*worker        // workers with runs that are assigned to no job
-	candidates []plan.Candidate // of the latest placement, kept to reuse the memory
+	least      int                   // least need of CPU of a waiting job's tasks, in thousandths of a core
+	available  []*worker             // usable workers with at least that much free CPU, by id
+	otherRuns  []*worker             // workers with runs that are assigned to no job
+	runsKnown  bool                  // no worker can have an unreported run of an earlier home
+	unplaced   map[taskKind]struct{} // kinds of tasks that fit on no worker
+	candidates []plan.Candidate      // of the latest placement, kept to reuse the memory
+}
+
+// taskKind is what a worker must have for a task. Tasks of a kind fit on the same workers unless
+// their step limits the tasks on a worker.
+type taskKind struct {
+	service, label string
+	needs          model.Resources
+}
+
+func (j *job) taskKind(step int) taskKind {
+	s := j.batch.Steps[step]
+	return taskKind{j.route.Service, s.Label, s.Needs}
 }
 
 // newPass returns a pass over the present waiting jobs and workers.
 func (h *Home) newPass(now time.Time) *pass {
-	p := &pass{least: h.leastWaitingMilliCores()}
+	p := &pass{least: h.leastWaitingMilliCores(), runsKnown: h.allRunsKnown(now), unplaced: map[taskKind]struct{}{}}
 	for _, w := range h.workersByID() {
 		if w.tracker.Len() > len(w.assignments) {
 			p.otherRuns = append(p.otherRuns, w)
@@ -87,6 +102,20 @@
 	}
 }
 
+// recordUnplaced records that a task of a step fits on no worker. Free capacity only decreases
+// during a pass.
+func (p *pass) recordUnplaced(j *job, step int) {
+	if j.batch.Steps[step].MaxPerWorker <= 0 {
+		p.unplaced[j.taskKind(step)] = struct{}{}
+	}
+}
+
+// isUnplaced reports whether the tasks of a step are known to fit on no worker.
+func (p *pass) isUnplaced(j *job, step int) bool {
+	_, ok := p.unplaced[j.taskKind(step)]
+	return ok
+}
+
 // hasOtherRun reports whether a worker may still have a run of a waiting task: one that is assigned
 // to another job, such as a part of the same one, or to no job here, such as one of an earlier
 // home that is being stopped.
@@ -130,8 +159,8 @@
 
 // isHeldBack reports whether a task may still run on a worker, so that it has to wait until that
 // run is known and has ended. The end of the run triggers the next pass.
-func (h *Home) isHeldBack(t *task, p *pass, now time.Time) bool {
-	if t.maybeRunning && !h.allRunsKnown(now) || h.hasOtherRun(t.name, p) {
+func (h *Home) isHeldBack(t *task, p *pass) bool {
+	if t.maybeRunning && !p.runsKnown || h.hasOtherRun(t.name, p) {
 		return true
 	}
 	t.maybeRunning = false
@@ -147,12 +176,16 @@
 		if t.state != taskWaiting {
 			continue
 		}
-		if t.step == fullStep || !j.isReady(t.step) || h.isHeldBack(t, p, now) {
+		if t.step != fullStep && p.isUnplaced(j, t.step) {
+			fullStep = t.step
+		}
+		if t.step == fullStep || !j.isReady(t.step) || h.isHeldBack(t, p) {
 			stillWaiting = true
 			continue
 		}
 		w := h.place(j, t, p, now)
 		if w == nil {
+			p.recordUnplaced(j, t.step)
 			fullStep, stillWaiting = t.step, true
 			continue
 		}
--- a/home/dispatch_test.go
+++ b/home/dispatch_test.go
@@ -11,12 +11,17 @@
 )
 
 // fullHome returns a home whose workers run two tasks each that do not end, and a context for
-// further jobs.
-func fullHome(t testing.TB, workers int) (*testCentre, *home.Home, context.Context) {
-	dc := newTestCentre(t, workers)
+// further jobs. The home has idle workers of another pool besides.
+func fullHome(t testing.TB, workers, idle int) (*testCentre, *home.Home, context.Context) {
+	dc := newTestCentre(t, workers+idle)
 	for _, w := range dc.workers {
 		w.RunTime = func(string) time.Duration { return time.Hour }
 	}
+	for i := range idle {
+		w := dc.listed[fmt.Sprintf("w%d", i)]
+		w.Pool = "idle"
+		dc.listed[w.ID] = w
+	}
 	h := dc.readyHome(1)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() {
@@ -60,23 +65,27 @@
 		jobs, tasks = 30, 32
 		mostGrowth  = 4.0
 	)
-	dc, h, ctx := fullHome(t, workers)
-	before := updateCost(dc, h)
-	submitWaiting(ctx, h, "waiting", jobs, tasks)
-	time.Sleep(300 * time.Millisecond)
-	after := updateCost(dc, h)
+	for name, idle := range map[string]int{"alone": 0, "beside idle workers of another pool": workers} {
+		t.Run(name, func(t *testing.T) {
+			dc, h, ctx := fullHome(t, workers, idle)
+			before := updateCost(dc, h)
+			submitWaiting(ctx, h, "waiting", jobs, tasks)
+			time.Sleep(300 * time.Millisecond)
+			after := updateCost(dc, h)
 
-	growth := float64(after) / float64(before)
-	t.Logf("%v without waiting tasks, %v with %d, %.1f times as much", before, after, jobs*tasks, growth)
-	if growth > mostGrowth {
-		t.Errorf("an event takes %.1f times as long while %d tasks wait, want at most %.1f", growth, jobs*tasks, mostGrowth)
+			growth := float64(after) / float64(before)
+			t.Logf("%v without waiting tasks, %v with %d, %.1f times as much", before, after, jobs*tasks, growth)
+			if growth > mostGrowth {
+				t.Errorf("an event takes %.1f times as long while %d tasks wait, want at most %.1f", growth, jobs*tasks, mostGrowth)
+			}
+		})
 	}
 }
 
 // takeoverTime returns how long a new home takes until it has adopted the runs of an earlier one on
 // all workers, while jobs wait that have no run there.
 func takeoverTime(t *testing.T, workers, jobs, tasks int) time.Duration {
-	dc, earlier, _ := fullHome(t, workers)
+	dc, earlier, _ := fullHome(t, workers, 0)
 	dc.close(earlier)
 	for _, w := range dc.workers {
 		w.SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
