home, lease: keep the expected ends of runs in order

Cause: to admit such a job the home described all running tasks (about 370), sorted them by their ends, and went through all of them again to say how many tasks could start in time.

The ends are now kept in order as runs are assigned and end, so that a job looks at those it has to wait for. Decisions are the same but for runs of an earlier home, whose time counts from their adoption and no longer from their first report, up to 0.3 s earlier.

--- a/home/backlog.go
+++ b/home/backlog.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"math"
 	"time"
 
 	"foxtailmux/model"
@@ -24,7 +25,7 @@
 		b, ok := backlogs[j.route.Service]
 		if !ok {
 			b = h.usableCapacity(j, now)
-			h.addExpectedReleases(&b, now)
+			h.addExpectedReleases(&b, math.MaxInt, now)
 			backlogs[j.route.Service] = b
 		}
 		b.Ahead = ahead
@@ -50,14 +51,12 @@
 	return len(h.workers) > 0 || h.allRunsKnown(now)
 }
 
-// backlog describes the capacity and the load that a new job finds. The running tasks are only
-// described if the job can't start at once.
+// backlog describes the capacity and the load that a new job finds. Of the running tasks it
+// describes those that the job has to wait for.
 func (h *Home) backlog(j *job, now time.Time) plan.Backlog {
 	b := h.usableCapacity(j, now)
 	b.Ahead = h.aheadOf(j, now)
-	if b.Missing(j.initialMilliCores()) > 0 {
-		h.addExpectedReleases(&b, now)
-	}
+	h.addExpectedReleases(&b, b.Missing(j.initialMilliCores()), now)
 	return b
 }
 
@@ -90,28 +89,6 @@
 	return b
 }
 
-// addExpectedReleases describes the running tasks on the usable workers.
-func (h *Home) addExpectedReleases(b *plan.Backlog, now time.Time) {
-	var runs time.Duration
-	for _, w := range h.workers {
-		if !w.canStart(now) {
-			continue
-		}
-		for p := range w.tracker.Progress() {
-			a, ok := w.assignments[p.Task]
-			if !ok {
-				continue
-			}
-			estimate := a.job.estimates[a.task.step]
-			b.ExpectedReleases = append(b.ExpectedReleases, plan.ExpectedRelease{MilliCores: p.Needs.TotalMilliCores(), In: max(estimate-now.Sub(p.StartedAt), 0)})
-			runs += estimate
-		}
-	}
-	if len(b.ExpectedReleases) > 0 {
-		b.MeanRun = runs / time.Duration(len(b.ExpectedReleases))
-	}
-}
-
 // StartableTasks returns how many tasks of a job's first step could start here early enough for
 // the job to end in time, 0 for a job without steps.
 func (h *Home) StartableTasks(s Submission) int {
@@ -122,44 +99,29 @@
 	defer h.mu.Unlock()
 	h.activity.questions++
 	now := time.Now()
-	return h.startableTasks(h.newJob(s, now), now)
+	j := h.newJob(s, now)
+	return h.startableTasks(j, h.aheadOf(j, now), now)
 }
 
 // startableTasks returns how many tasks of a job's first step could start early enough for the
-// job to end in time, behind the tasks that already wait. Used for wide jobs at high load: no
-// data centre has free capacity for all of their tasks at once, but short tasks end all the time.
-func (h *Home) startableTasks(j *job, now time.Time) int {
+// job to end in time, behind the tasks that already wait, which need ahead thousandths of a core.
+// Used for wide jobs at high load: no data centre has free capacity for all of their tasks at
+// once, but short tasks end all the time.
+func (h *Home) startableTasks(j *job, ahead int, now time.Time) int {
 	needs := j.batch.Steps[0].Needs
 	if needs.TotalMilliCores() <= 0 {
 		return 0
 	}
-	slack := plan.Slack(j.timing(now))
+	released := h.releasedBy(now.Add(plan.Slack(j.timing(now))))
 	n := 0
 	for _, w := range h.workers {
-		if w.canStart(now) && w.canServe(j.route, j.batch.Steps[0]) {
-			n += wholeFits(needs, w.freeWithin(slack, now), len(j.tasks))
+		if w.canStart(now) && w.canServe(j.route, j.batch.Steps[0]) && !w.tracker.HasInherited() {
+			n += wholeFits(needs, w.tracker.Free().Plus(released[w]), len(j.tasks))
 		}
 	}
-	ahead := h.aheadOf(j, now)
 	return max(n-(ahead+needs.TotalMilliCores()-1)/needs.TotalMilliCores(), 0)
 }
 
-// freeWithin returns the resources of the worker that are free, or expected to be released by
-// running tasks within a time.
-func (w *worker) freeWithin(d time.Duration, now time.Time) model.Resources {
-	if w.tracker.HasInherited() {
-		return model.Resources{} // their needs are unknown
-	}
-	free := w.tracker.Free()
-	for p := range w.tracker.Progress() {
-		a, ok := w.assignments[p.Task]
-		if ok && !p.Stopping && a.job.estimates[a.task.step]-now.Sub(p.StartedAt) <= d {
-			free = free.Plus(p.Needs)
-		}
-	}
-	return free
-}
-
 // wholeFits returns how many times needs fit into free resources, at most limit.
 func wholeFits(needs, free model.Resources, limit int) int {
 	n := 0
--- a/home/home.go
+++ b/home/home.go
@@ -99,6 +99,7 @@
 	workers           map[string]*worker
 	sortedWorkers     []*worker                 // by id, nil after a change of workers
 	assigned          map[string]struct{}       // tasks that have a run, by name
+	expectedEnds      []expectedEnd             // of the assigned runs, in their order
 	jobs              map[string]*job           // by key
 	waiting           map[*job]struct{}         // jobs with tasks to start
 	finished          map[string]finishedJob    // by key
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -1,6 +1,7 @@
 package home_test
 
 import (
+	"cmp"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -42,17 +43,20 @@
 // worth that must be earned. The platform demands 0.98 without faults below the capacity, and
 // 0.75 with faults.
 type loadPattern struct {
-	name    string
-	rate    float64 // jobs per second; 36 keep 0.75 of the workers busy
-	burst   float64 // factor on the rate from second 4 to 8
-	failing float64 // share of the jobs whose tasks fail
-	long    float64 // share of the jobs that take six times as long as declared
-	faults  func(dc *testCentre)
-	share   float64
+	name     string
+	workers  int           // replayWorkers if it is 0
+	duration time.Duration // replayDuration if it is 0
+	rate     float64       // jobs per second; 36 keep 0.75 of replayWorkers busy
+	burst    float64       // factor on the rate from second 4 to 8
+	failing  float64       // share of the jobs whose tasks fail
+	long     float64       // share of the jobs that take six times as long as declared
+	faults   func(dc *testCentre)
+	share    float64
 }
 
 const (
 	replayDuration = 16 * time.Second
+	replayWorkers  = 12
 	replaySlots    = 4*3 + 8*2 // tasks that run at once
 	reviewDelay    = 80 * time.Millisecond
 )
@@ -92,7 +96,7 @@
 
 // playPattern runs a pattern and returns the outcomes of its jobs.
 func playPattern(t *testing.T, pt loadPattern, seed uint64) *tally {
-	dc := newTestCentre(t, 12)
+	dc := newTestCentre(t, cmp.Or(pt.workers, replayWorkers))
 	runs, failing := map[string]time.Duration{}, map[string]bool{}
 	var mu sync.Mutex
 	for i := range 4 {
@@ -125,7 +129,7 @@
 	r := &tally{}
 	var callers sync.WaitGroup
 	began := time.Now()
-	for n := 0; time.Since(began) < replayDuration; n++ {
+	for n := 0; time.Since(began) < cmp.Or(pt.duration, replayDuration); n++ {
 		rate := pt.rate
 		if now := time.Since(began); pt.burst > 0 && now > 4*time.Second && now < 8*time.Second {
 			rate *= pt.burst
--- a/home/submit.go
+++ b/home/submit.go
@@ -190,7 +190,7 @@
 		o := h.newRefusal(reason, wait)
 		if divisible {
 			o.Result = NoCapacity
-			o.StartableTasks, o.AcceptedWhole = h.startableTasks(j, now), plan.Admit(wait, times)
+			o.StartableTasks, o.AcceptedWhole = h.startableTasks(j, backlog.Ahead, now), plan.Admit(wait, times)
 		}
 		return o, false
 	}
--- a/home/worker.go
+++ b/home/worker.go
@@ -89,17 +89,21 @@
 
 // assign assigns the run of a task on the worker to the task's job.
 func (w *worker) assign(j *job, t *task) {
-	w.assignments[t.name] = assignment{job: j, task: t}
+	a := assignment{job: j, task: t}
+	w.assignments[t.name] = a
 	w.home.assigned[t.name] = struct{}{}
+	w.home.addExpectedEnd(newExpectedEnd(w, a))
 }
 
 // unassign removes the assignment of a run that has ended or is given up.
 func (w *worker) unassign(task string) {
-	if _, ok := w.assignments[task]; !ok {
+	a, ok := w.assignments[task]
+	if !ok {
 		return
 	}
 	delete(w.assignments, task)
 	delete(w.home.assigned, task)
+	w.home.removeExpectedEnd(newExpectedEnd(w, a))
 }
 
 // isUsable reports whether new tasks may start on the worker.
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -97,6 +97,12 @@
 // Has reports whether a run of the task may be on the worker.
 func (t *Tracker) Has(task string) bool { return t.runs[task] != nil }
 
+// IsRunning reports whether a run of the task is confirmed and not being stopped.
+func (t *Tracker) IsRunning(task string) bool {
+	e := t.runs[task]
+	return e != nil && e.state == running
+}
+
 // RecordStart tracks the run of a start request that is about to be sent.
 func (t *Tracker) RecordStart(r Run, leaseEnd int64, now time.Time) {
 	t.runs[r.Task] = &trackedRun{Run: r, state: startSent, leaseEnd: leaseEnd, startedAt: now, percentAt: now}
