--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -63,7 +63,7 @@
 
 func (j *job) taskKind(step int) taskKind {
 	s := j.batch.Steps[step]
-	return taskKind{j.route.Service, s.Label, s.Needs}
+	return taskKind{service: j.route.Service, label: s.Label, needs: s.Needs}
 }
 
 // newPass returns a pass over the present waiting jobs and workers.
--- a/home/release.go
+++ b/home/release.go
@@ -11,10 +11,12 @@
 
 // expectedEnd is the end that is expected of a run which is assigned to a job.
 type expectedEnd struct {
-	at     time.Time
-	run    int64
-	worker *worker
-	assignment
+	at       time.Time
+	run      int64
+	task     string
+	worker   *worker
+	needs    model.Resources
+	estimate time.Duration // run time
 }
 
 func compareEnds(a, b expectedEnd) int {
@@ -23,7 +25,15 @@
 
 // newExpectedEnd returns the expected end of the present run of a task.
 func newExpectedEnd(w *worker, a assignment) expectedEnd {
-	return expectedEnd{a.task.startedAt.Add(a.job.estimates[a.task.step]), a.task.run, w, a}
+	estimate := a.job.estimates[a.task.step]
+	return expectedEnd{
+		at:       a.task.startedAt.Add(estimate),
+		run:      a.task.run,
+		task:     a.task.name,
+		worker:   w,
+		needs:    a.job.batch.Steps[a.task.step].Needs,
+		estimate: estimate,
+	}
 }
 
 // addExpectedEnd inserts the expected end of a run that was assigned. The ends are kept in order,
@@ -42,7 +52,11 @@
 // addExpectedReleases describes the running tasks on the usable workers that end first and together
 // release an amount of CPU, in thousandths of a core.
 func (h *Home) addExpectedReleases(b *plan.Backlog, milliCores int, now time.Time) {
+	if milliCores <= 0 {
+		return
+	}
 	var runs time.Duration
+	b.ExpectedReleases = make([]plan.ExpectedRelease, 0, len(h.expectedEnds))
 	for _, e := range h.expectedEnds {
 		if milliCores <= 0 {
 			break
@@ -50,9 +64,9 @@
 		if !e.worker.canStart(now) {
 			continue
 		}
-		released := e.job.batch.Steps[e.task.step].Needs.TotalMilliCores()
+		released := e.needs.TotalMilliCores()
 		b.ExpectedReleases = append(b.ExpectedReleases, plan.ExpectedRelease{MilliCores: released, In: max(e.at.Sub(now), 0)})
-		runs += e.job.estimates[e.task.step]
+		runs += e.estimate
 		milliCores -= released
 	}
 	if len(b.ExpectedReleases) > 0 {
@@ -68,8 +82,8 @@
 		if e.at.After(until) {
 			break
 		}
-		if e.worker.tracker.IsRunning(e.task.name) {
-			released[e.worker] = released[e.worker].Plus(e.job.batch.Steps[e.task.step].Needs)
+		if e.worker.tracker.IsRunning(e.task) {
+			released[e.worker] = released[e.worker].Plus(e.needs)
 		}
 	}
 	return released
