--- a/review/_stand/env.go
+++ b/review/_stand/env.go
@@ -75,7 +75,7 @@
 
 // fail ends a case that could not run.
 func (e *env) fail(format string, args ...any) {
-	e.finish(unable, "could not run: "+fmt.Sprintf(format, args...))
+	e.finish(unable, "%s", "could not run: "+fmt.Sprintf(format, args...))
 }
 
 // finish ends all processes and the case.
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -8,7 +8,11 @@
 )
 
 var cases = map[string]func(e *env){
-	"parts": parts,
+	"parts":     parts,
+	"reborn":    reborn,
+	"silent":    silent,
+	"perserver": perServer,
+	"cancel":    cancelled,
 }
 
 func main() {
--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -128,10 +128,10 @@
 	w.running, w.closed, w.changed = map[string]*taskRun{}, map[string]int64{}, make(chan struct{})
 	w.stop = make(chan struct{})
 	w.listener, w.server = l, &http.Server{Handler: w.handler(w.boot)}
-	stop := w.stop
-	go func() { _ = w.server.Serve(l) }()
+	stop, server := w.stop, w.server
 	w.mu.Unlock()
-	w.report()
+	w.report() // before it takes the first order
+	go func() { _ = server.Serve(l) }()
 	go w.tick(stop)
 }
 
