--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -13,6 +13,7 @@
 	"silent":    silent,
 	"perserver": perServer,
 	"cancel":    cancelled,
+	"frozen":    frozen,
 }
 
 func main() {
