--- a/review/_stand/worker.go
+++ b/review/_stand/worker.go
@@ -50,6 +50,7 @@
 	kind     kind
 	state    string
 	boot     int
+	down     bool // it has crashed and not started again
 	born     time.Time
 	began    time.Time
 	fence    int64
@@ -123,6 +124,7 @@
 func (w *worker) start(l net.Listener) {
 	w.mu.Lock()
 	w.boot++
+	w.down = false
 	w.state, w.born, w.began = "ready", time.Now(), time.Now()
 	w.fence, w.due, w.lastEnd, w.ended, w.seq = 0, 0, 0, nil, 0
 	w.running, w.closed, w.changed = map[string]*taskRun{}, map[string]int64{}, make(chan struct{})
@@ -141,6 +143,7 @@
 	close(w.stop)
 	server := w.server
 	now := time.Now()
+	w.down = true
 	for _, r := range w.running {
 		r.ended, r.endedAt = "crash", now
 	}
@@ -282,8 +285,8 @@
 		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		if w.boot != boot {
-			return
+		if w.boot != boot || w.down {
+			panic(http.ErrAbortHandler) // a worker that crashes sends nothing
 		}
 		if o.Token < w.fence {
 			w.answer(rw, http.StatusConflict, map[string]any{"reason": "fence"})
@@ -304,8 +307,8 @@
 			w.extend(o.Due)
 			w.forget(o.Seen)
 			w.await(time.Duration(min(o.Wait, 2000))*time.Millisecond, boot)
-			if w.boot != boot {
-				return
+			if w.boot != boot || w.down {
+				panic(http.ErrAbortHandler) // a worker that crashes sends nothing
 			}
 			if listed.IsZero() {
 				listed = time.Now()
