--- a/review/_stand/env.go
+++ b/review/_stand/env.go
@@ -92,19 +92,25 @@
 	os.Exit(code)
 }
 
-func freePort(ip string) string {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return ""
+// freePorts returns n different free addresses.
+func freePorts(ip string, n int) []string {
+	var list []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return make([]string, n)
+		}
+		defer l.Close()
+		list = append(list, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return list
 }
 
 // addInstance starts an instance. ViaProxy puts a proxy between it and the store.
 func (e *env) addInstance(name, zone string, viaProxy bool) *instance {
 	in := &instance{env: e, name: name, zone: zone, ip: fmt.Sprintf("%s.%d", e.network, 10+len(e.instances))}
-	in.front, in.ready, in.control, in.peers = freePort(in.ip), freePort(in.ip), freePort(in.ip), freePort(in.ip)
+	ports := freePorts(in.ip, 4)
+	in.front, in.ready, in.control, in.peers = ports[0], ports[1], ports[2], ports[3]
 	storeAddr := e.store.addr
 	if viaProxy {
 		p, err := startProxy(e.store.addr)
