--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -14,6 +14,7 @@
 	"perserver": perServer,
 	"cancel":    cancelled,
 	"frozen":    frozen,
+	"drain":     draining,
 	"unused":    unused,
 }
 
