home: probe idle workers that do not respond

Cause: after one request without a response a worker is ejected until it responds, and a home sends requests of its own accord only to workers that have not reported, have runs, or have ends to acknowledge. An idle worker whose start was refused has none of these, so nothing was sent to it again.

Evidence: state dump of the home 22 s after the workers' restart: all six live, listed, not gone, ejected, without runs, last response before the crash. That rules out a worker that left the list, one never listed, and an ejection for failed runs, which ends after 8 s. The stand-ins saw no request to the second boot.

Only a response brings it back, no time.

--- a/home/home.go
+++ b/home/home.go
@@ -207,6 +207,7 @@
 		}
 		if w.info.State != info.State {
 			h.options.Log.Info().Str("worker", id).Str("state", string(info.State)).Msg("worker changed its state")
+			w.signal()
 		}
 		w.info, w.removed = info, false
 		w.tracker.SetCapacity(info.Capacity)
--- a/home/renew.go
+++ b/home/renew.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"foxtailmux/lease"
+	"foxtailmux/model"
 	"foxtailmux/plan"
 )
 
-// renewLoop renews the lease of the worker while there are runs on it, until the worker is given up.
+// renewLoop renews the lease of the worker while there are runs on it, and probes it while it does
+// not respond, until the worker is given up.
 func (w *worker) renewLoop() {
 	defer w.endpoint.Close()
 	retry := time.Duration(0)
@@ -35,7 +37,7 @@
 	switch {
 	case w.resolving && w.health.IsUnresponsive(time.Now()):
 		return w.home.probeInterval(maxRenewalRetry), false // resolveRuns sends the renewals
-	case !w.reported, w.tracker.Len() > 0:
+	case !w.reported, w.tracker.Len() > 0, w.needsProbe():
 		return 0, true
 	case w.tracker.HasUnackedEnds():
 		rest := ackDelay - time.Since(w.tracker.LastResponse())
@@ -44,6 +46,13 @@
 	return 0, false
 }
 
+// needsProbe reports whether the worker is wanted for new tasks, but can't get any since it left a
+// request without a response. Only a response brings it back into use, so an idle worker gets a
+// request for that purpose: no other one is sent to it.
+func (w *worker) needsProbe() bool {
+	return w.health.AwaitsResponse() && !w.removed && w.info.State == model.Live
+}
+
 // retryDelay returns the time until the next renewal after a failed one, given the delay before
 // that.
 func (w *worker) retryDelay(before time.Duration) time.Duration {
@@ -186,7 +195,10 @@
 
 // handleOtherWorker ends the runs of a worker whose address now belongs to another worker.
 func (w *worker) handleOtherWorker(now time.Time) {
-	w.home.options.Log.Warn().Str("worker", w.info.ID).Msg("another worker answers at the address")
+	if !w.health.AwaitsResponse() {
+		w.home.options.Log.Warn().Str("worker", w.info.ID).Msg("another worker answers at the address")
+	}
 	w.home.handleEnds(w, w.tracker.EndAll(), now)
 	w.health.RecordNoResponse()
+	w.signal()
 }
--- a/home/start.go
+++ b/home/start.go
@@ -17,6 +17,7 @@
 			Int64("heardMillisAgo", now.Sub(w.tracker.LastResponse()).Milliseconds()).Msg("order not answered")
 	}
 	w.health.RecordNoResponse()
+	w.signal()
 }
 
 // recordResponse records a response of the worker. The lock is held.
--- a/plan/health.go
+++ b/plan/health.go
@@ -142,6 +142,10 @@
 	return h.missedResponses >= lossyMissLimit || h.missedResponses > 0 && !h.IsLossy(now)
 }
 
+// AwaitsResponse reports whether the latest request to the worker got no response. Its state is
+// unknown until it responds to a further one.
+func (h *Health) AwaitsResponse() bool { return h.missedResponses > 0 }
+
 // RecordIgnoredRequest records that the worker responds, but did not carry out a start, or the
 // stop of a run that is being moved. A single request may have been lost on the network, as
 // happens with any worker; several in a row are attributed to this worker.
