home, plan: use a worker again after its run after an ejection was cancelled

Cause: a worker back from an ejection gets one run at a time, and is ejected while that run is in progress (Health.probing). Only a success, a failure, a stall or an ignored request ended that state. A run that was cancelled, stopped or lost ended it never.

The state now ends when no run of a job is left on the worker.

TestWorkerIsUsedAgainAfterItsRunAfterAnEjectionWasCancelled failed before: a job one minute after the cancelled one got no capacity.

--- a/home/probe_test.go
+++ b/home/probe_test.go
@@ -1,6 +1,7 @@
 package home_test
 
 import (
+	"context"
 	"errors"
 	"sync/atomic"
 	"testing"
@@ -136,3 +137,26 @@
 		})
 	}
 }
+
+// Guards against a worker that is never used again: after an ejection it gets one run, and that run
+// ends without a result, as its caller goes away.
+func TestWorkerIsUsedAgainAfterItsRunAfterAnEjectionWasCancelled(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{FailEverything: true})
+		submit(h, submission("a", 1))
+		submit(h, submission("b", 1))
+		dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{})
+		time.Sleep(5 * time.Second) // the ejection is over
+
+		ctx, cancel := context.WithTimeout(t.Context(), runTime/2)
+		defer cancel()
+		h.Submit(ctx, submission("cancelled", 1))
+		if diff := cmp.Diff(1, dc.ledger.Starts("cancelled.0.0.0")); diff != "" {
+			t.Fatalf("starts of the cancelled task (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Minute)
+		if diff := cmp.Diff(home.Succeeded, resultOf(submit(h, submission("after", 1)))); diff != "" {
+			t.Errorf("result after the cancelled run (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/worker.go
+++ b/home/worker.go
@@ -104,6 +104,9 @@
 	delete(w.assignments, task)
 	delete(w.home.assigned, task)
 	w.home.removeExpectedEnd(newExpectedEnd(w, a))
+	if len(w.assignments) == 0 {
+		w.health.RecordIdle()
+	}
 }
 
 // isUsable reports whether new tasks may start on the worker.
--- a/plan/health.go
+++ b/plan/health.go
@@ -172,6 +172,10 @@
 // at a time until one succeeds.
 func (h *Health) RecordStart() { h.probing = h.ejectionTime > 0 }
 
+// RecordIdle records that no run is left on the worker. The run that was to show whether the worker
+// is back may have ended without a result, such as by a cancellation.
+func (h *Health) RecordIdle() { h.probing = false }
+
 // State returns whether tasks may be placed on the worker now.
 func (h *Health) State(now time.Time) HealthState {
 	switch {
