pause: count the suspension of a machine as a pause

What callers could see: a job run twice after a machine was suspended. The connections between instances are closed after a pause, since what lies in them is outdated, but a suspension was not noticed: the detector compared times of the monotonic clock, which stands still meanwhile.

The detector adds the time that CLOCK_BOOTTIME counts and CLOCK_MONOTONIC does not. The copies of the boot clock in fleet and intake become one.

TestSuspensionIsAPause fails without the added time (the context stays open). A real suspension can't be played on this machine.

--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
-	"golang.org/x/sys/unix"
 
 	"foxtailmux/beat"
 	"foxtailmux/home"
 	"foxtailmux/meter"
 	"foxtailmux/model"
+	"foxtailmux/pause"
 )
 
 const (
@@ -35,10 +35,10 @@
 func (in *Instance) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintainInterval)
 	defer ticker.Stop()
-	last := bootClock()
+	last := pause.SinceBoot()
 	for {
 		next := in.changed.wait()
-		now := bootClock()
+		now := pause.SinceBoot()
 		if gap := now - last; gap > maxReviewGap {
 			in.log.Warn().Int64("gapMillis", gap.Milliseconds()).Msg("process was paused, closing its homes")
 			in.closeHomes()
@@ -88,18 +88,6 @@
 	return in.slowness.IsSlow()
 }
 
-// bootClock returns the time since boot, including the time in which the machine was
-// suspended.
-func bootClock() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return time.Since(processStart)
-	}
-	return time.Duration(ts.Nano())
-}
-
-var processStart = time.Now()
-
 // closeHomes closes all homes of this instance. Their tokens are not used again.
 func (in *Instance) closeHomes() {
 	for dc, h := range in.homesByCentre() {
--- a/intake/clock.go
+++ b/intake/clock.go
@@ -1,21 +1,6 @@
 package intake
 
-import (
-	"time"
-
-	"golang.org/x/sys/unix"
-)
-
-// sinceBoot returns the time since the machine booted. Unlike the monotonic
-// clock of the Go runtime, it also counts the time during which the machine was
-// suspended.
-func sinceBoot() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		return 0
-	}
-	return time.Duration(ts.Nano())
-}
+import "time"
 
 // deadline is a point in time on two clocks: the monotonic clock of the Go
 // runtime, and a clock that also counts the time of a suspension.
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -23,6 +23,7 @@
 
 	"foxtailmux/claim"
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/ticket"
 )
 
@@ -90,7 +91,7 @@
 		o.Retention = func() time.Duration { return 0 }
 	}
 	if o.Clock == nil {
-		o.Clock = sinceBoot
+		o.Clock = pause.SinceBoot
 	}
 	if o.MaxPartBytes == 0 {
 		o.MaxPartBytes = defaultPartBytes
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -502,9 +502,6 @@
 		wantAnswer(t, failed(model.RanNo, "", model.FailDeadline), nodes[0].intake.Submit(t.Context(), job(id, "")))
 		wantStarts(t, net, id, 0)
 	})
-	if a, b := sinceBoot(), sinceBoot(); a <= 0 || b < a {
-		t.Fatal(a, b)
-	}
 }
 
 func TestRefusedTicketOrKeyRunsOnItsNextSubmission(t *testing.T) {
--- a/pause/pause.go
+++ b/pause/pause.go
@@ -22,12 +22,22 @@
 // ErrPaused is the cause of a context that ended because of a pause.
 var ErrPaused = eris.New("the process was paused")
 
+// Pause is a time during which the process did not run. The zero value stands for none.
+type Pause struct {
+	Length    time.Duration
+	Suspended time.Duration // part of Length during which the machine was suspended
+	EndedAt   time.Time     // when the pause was detected, right after its end
+}
+
 // Detector checks the clock periodically and ends the contexts that it guards after a pause.
 type Detector struct {
-	mu        sync.Mutex
-	checkedAt time.Time
-	pausedAt  time.Time // when the last pause was detected
-	guards    map[*guard]struct{}
+	suspendedTime func() time.Duration // since the machine booted
+
+	mu          sync.Mutex
+	checkedAt   time.Time
+	suspendedAt time.Duration // value of suspendedTime at checkedAt
+	last        Pause
+	guards      map[*guard]struct{}
 }
 
 // guard is a context that ends after a pause.
@@ -36,8 +46,12 @@
 }
 
 // NewDetector returns a detector whose periodic checks start with Run.
-func NewDetector() *Detector {
-	return &Detector{checkedAt: time.Now(), guards: map[*guard]struct{}{}}
+func NewDetector() *Detector { return newDetector(suspendedTime) }
+
+func newDetector(suspendedTime func() time.Duration) *Detector {
+	return &Detector{
+		suspendedTime: suspendedTime, checkedAt: time.Now(), suspendedAt: suspendedTime(), guards: map[*guard]struct{}{},
+	}
 }
 
 // Run checks the clock periodically until the context ends.
@@ -83,25 +97,32 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	now := time.Now()
-	gap := now.Sub(d.checkedAt)
-	d.checkedAt = now
-	if gap < minPause {
+	now, suspended := time.Now(), d.suspendedTime()
+	p := Pause{Suspended: max(suspended-d.suspendedAt, 0), EndedAt: now}
+	p.Length = now.Sub(d.checkedAt) + p.Suspended
+	d.checkedAt, d.suspendedAt = now, suspended
+	if p.Length < minPause {
 		return
 	}
-	d.pausedAt = now
+	d.last = p
 	for gd := range d.guards {
-		gd.cancel(eris.Wrapf(ErrPaused, "for %v", gap.Round(time.Millisecond)))
+		gd.cancel(eris.Wrapf(ErrPaused, "for %v", p.Length.Round(time.Millisecond)))
 		delete(d.guards, gd)
 	}
 }
 
 // PausedWithin reports whether a pause was detected within the window before now.
 func (d *Detector) PausedWithin(window time.Duration) bool {
+	p := d.Last()
+	return p.Length > 0 && time.Since(p.EndedAt) < window
+}
+
+// Last returns the latest pause.
+func (d *Detector) Last() Pause {
 	d.checkClock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.pausedAt.IsZero() && time.Since(d.pausedAt) < window
+	return d.last
 }
 
 // Check returns why the context has ended, or nil. It checks the clock itself, since right
--- a/pause/pause_test.go
+++ b/pause/pause_test.go
@@ -76,3 +76,30 @@
 		t.Errorf("got %v, want context.DeadlineExceeded", err)
 	}
 }
+
+// Guards against work on outdated beliefs after a suspension of the machine, which the monotonic
+// clock does not count.
+func TestSuspensionIsAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended time.Duration
+		d := newDetector(func() time.Duration { return suspended })
+		guarded, cancel := d.Guard(t.Context())
+		defer cancel()
+
+		time.Sleep(100 * time.Millisecond)
+		suspended = 4 * time.Second
+		if err := Check(guarded); !errors.Is(err, context.Canceled) {
+			t.Errorf("got %v, want context.Canceled", err)
+		}
+		want := Pause{Length: 4100 * time.Millisecond, Suspended: 4 * time.Second, EndedAt: time.Now()}
+		if diff := cmp.Diff(want, d.Last()); diff != "" {
+			t.Errorf("last pause (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestTimeSinceBootRises(t *testing.T) {
+	if a, b := SinceBoot(), SinceBoot(); a <= 0 || b < a {
+		t.Fatal(a, b)
+	}
+}
