entry: count the time that a request waited in its socket

An instance stood still for 4 s; the caller left after its timeout and submitted the job again elsewhere; the resumed instance read the first request and ran it beside the second, for 270 ms.

Cause: the timeout of a request counted from the moment at which it was read, and its connection was checked for the first time 250 ms later.

Evidence: on the code before, the resumed instance answers the job with tookMillis 250 and "its caller went away", 3.9 s after the request was sent; its home begins the job 3 ms after the resumption. The request was sent after the process had stopped, and no home was paused, which rules out a start decided before the pause.

The age now counts from the arrival, which TCP_INFO tells. Kernels that leave that field empty get the length of the pause for 300 ms after it. A request older than its timeout, or of a caller that has disconnected, is refused unrun.

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -21,6 +21,9 @@
 // maxIDBytes bounds the job id in the path, behind the prefix of the queue.
 const maxIDBytes = 64
 
+// minLateRead is the time that a request waited in its socket from which on it is logged as late.
+const minLateRead = 250 * time.Millisecond
+
 // estimateSafetyFactor multiplies the estimated run time of a job, since actual run
 // times differ from the estimate by up to half of it in either direction.
 const estimateSafetyFactor = 2
@@ -58,7 +61,8 @@
 }
 
 // post runs the job that a request submits to a queue, and cancels it when the
-// caller's timeout ends or the caller disconnects.
+// caller's timeout ends or the caller disconnects. The timeout counts from the arrival of the
+// request: a job whose caller has left meanwhile is not run, since it may run elsewhere by now.
 func (s *QueueServer) post(c fiber.Ctx, route model.Route, id string) error {
 	began := time.Now()
 	if id == "" || len(id) > maxIDBytes || strings.ContainsAny(id, "/.") {
@@ -85,9 +89,23 @@
 		return s.refuse(c, http.StatusServiceUnavailable, "the instance is leaving", time.Second)
 	}
 
-	ctx, cancel := context.WithTimeout(c.Context(), timeout)
-	w := watchConn(c.RequestCtx().Conn(), cancel)
-	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, TimeLeft: timeout})
+	conn := rawConn(c.RequestCtx().Conn())
+	unread := unreadTime(conn, s.options.Pauses.Last())
+	if unread > minLateRead {
+		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", unread.Milliseconds()).
+			Int64("timeoutMillis", timeout.Milliseconds()).Msg("request read late")
+	}
+	switch {
+	case unread >= timeout:
+		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
+	case isClosed(conn):
+		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
+	}
+
+	left := timeout - unread
+	ctx, cancel := context.WithTimeout(c.Context(), left)
+	w := watchConn(conn, cancel)
+	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: unread, TimeLeft: left})
 	w.stop()
-	return s.answer(c, route, id, outcome, time.Since(began))
+	return s.answer(c, route, id, outcome, unread+time.Since(began))
 }
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -64,6 +64,7 @@
 	Limits           Limits
 	Protocol         Protocol
 	Dispatcher       Dispatcher
+	Pauses           PauseSource
 	Observer         Observer
 	Log              *log.Logger
 }
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -111,6 +111,12 @@
 // serveQueues returns a started server and the addresses for callers and for the load
 // balancer.
 func serveQueues(t *testing.T, d *dispatcher) (s *QueueServer, callers, balancer string) {
+	t.Helper()
+	return serveQueuesBehind(t, d, &fixedPause{}, func(l net.Listener) net.Listener { return l })
+}
+
+// serveQueuesBehind is serveQueues with a latest pause and a wrapper of the callers' listener.
+func serveQueuesBehind(t *testing.T, d Dispatcher, p PauseSource, wrap func(net.Listener) net.Listener) (s *QueueServer, callers, balancer string) {
 	t.Helper()
 	listeners := make([]net.Listener, 2)
 	for i := range listeners {
@@ -121,7 +127,7 @@
 		listeners[i] = l
 	}
 	s = NewQueueServer(QueueOptions{
-		CallerListener: listeners[0], BalancerListener: listeners[1], Protocol: plainProtocol{}, Dispatcher: d, Observer: ignoringObserver{},
+		CallerListener: wrap(listeners[0]), BalancerListener: listeners[1], Protocol: plainProtocol{}, Dispatcher: d, Pauses: p, Observer: ignoringObserver{},
 		Limits: Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096, MaxConnections: 100, ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second},
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
--- /dev/null
+++ b/entry/unread_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/home"
+	"foxtailmux/pause"
+)
+
+// gatedListener accepts no connection before the gate is open, as a process that stands still.
+type gatedListener struct {
+	net.Listener
+	gate  <-chan struct{}
+	plain bool // hide the sockets of the connections
+}
+
+// plainConn is a connection without a socket.
+type plainConn struct{ net.Conn }
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	c, err := l.Listener.Accept()
+	if l.plain && err == nil {
+		return plainConn{c}, nil
+	}
+	return c, err
+}
+
+// fixedPause is a PauseSource that always reports the same pause.
+type fixedPause pause.Pause
+
+// Last returns the pause.
+func (p *fixedPause) Last() pause.Pause { return pause.Pause(*p) }
+
+// submissionRecorder is a Dispatcher that records the submissions.
+type submissionRecorder struct {
+	dispatcher
+	submissions chan home.Submission
+}
+
+func (d *submissionRecorder) Run(_ context.Context, s home.Submission) home.Outcome {
+	d.submissions <- s
+	return home.Outcome{Result: home.Succeeded}
+}
+
+// Guards against a second run of a job: an instance that stood still reads a request whose caller has
+// left, or whose timeout is over, as if it had just arrived (review/1).
+func TestRequestThatWaitedUnread(t *testing.T) {
+	const waited = 400 * time.Millisecond
+	type result struct {
+		Ran    bool
+		Status string // first line of the response, empty if the caller has left
+	}
+	cases := map[string]struct {
+		timeout string
+		leaves  bool
+		plain   bool
+		pause   pause.Pause
+		want    result
+	}{
+		"caller left":               {timeout: "9s", leaves: true},
+		"timeout over":              {timeout: "300ms", want: result{false, "HTTP/1.1 503"}},
+		"time left":                 {timeout: "9s", want: result{true, "HTTP/1.1 200"}},
+		"after a suspension":        {timeout: "3s", pause: pause.Pause{Length: 4 * time.Second, Suspended: 4 * time.Second}, want: result{false, "HTTP/1.1 503"}},
+		"pause, unknown arrival":    {timeout: "3s", plain: true, pause: pause.Pause{Length: 4 * time.Second}, want: result{false, "HTTP/1.1 503"}},
+		"no pause, unknown arrival": {timeout: "3s", plain: true, want: result{true, "HTTP/1.1 200"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			gate := make(chan struct{})
+			d := &submissionRecorder{dispatcher{routing: testRouting}, make(chan home.Submission, 1)}
+			latest := fixedPause(c.pause)
+			_, addr, _ := serveQueuesBehind(t, d, &latest, func(l net.Listener) net.Listener { return gatedListener{l, gate, c.plain} })
+
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			request := "POST /q/1 HTTP/1.1\r\nHost: h.example\r\nPatience: " + c.timeout + "\r\nContent-Length: 1\r\n\r\nx"
+			if _, err := io.WriteString(conn, request); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(waited)
+			if c.leaves {
+				_ = conn.Close()
+			}
+			if latest.Length > 0 {
+				latest.EndedAt = time.Now()
+			}
+			close(gate)
+
+			var got result
+			if !c.leaves {
+				head := make([]byte, len("HTTP/1.1 200"))
+				if _, err := io.ReadFull(conn, head); err != nil {
+					t.Fatal(err)
+				}
+				got.Status = string(head)
+			}
+			select {
+			case s := <-d.submissions:
+				got.Ran = true
+				if s.Age+s.TimeLeft != 9*time.Second && !c.plain || !c.plain && s.Age < waited/2 {
+					t.Errorf("age %v and time left %v of a request that waited for %v", s.Age, s.TimeLeft, waited)
+				}
+			case <-time.After(300 * time.Millisecond):
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("result (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -22,20 +21,12 @@
 
 // watchConn calls onClosed when the caller has closed the connection. Since stop
 // calls it too, it may be called twice. A caller that closed only its sending side
-// counts as disconnected. A connection without a socket is not watched.
-func watchConn(conn net.Conn, onClosed func()) *connWatcher {
-	w := &connWatcher{onClosed: onClosed, stopped: make(chan struct{})}
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return w
+// counts as disconnected. A connection without a socket, nil, is not watched.
+func watchConn(conn syscall.RawConn, onClosed func()) *connWatcher {
+	w := &connWatcher{conn: conn, onClosed: onClosed, stopped: make(chan struct{})}
+	if conn != nil {
+		w.group.Go(w.run)
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return w
-	}
-
-	w.conn = raw
-	w.group.Go(w.run)
 	return w
 }
 
@@ -64,8 +55,11 @@
 }
 
 // isClosed reports whether the caller closed the connection or the connection failed.
-// It peeks at the socket, so that the bytes of a next request stay in it.
+// A connection without a socket counts as open. It peeks at the socket, so that the bytes of a next request stay in it.
 func isClosed(conn syscall.RawConn) bool {
+	if conn == nil {
+		return false
+	}
 	var n int
 	var err error
 	var peeked [1]byte
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -190,6 +190,7 @@
 		},
 		Protocol:   in.adapter.Callers(),
 		Dispatcher: in,
+		Pauses:     in.pauses,
 		Observer:   in.meter,
 		Log:        l,
 	})
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -29,7 +29,8 @@
 // or in parts at several homes. This instance is the origin of the job: it holds the
 // connection of its caller.
 func (in *Instance) Run(ctx context.Context, s home.Submission) home.Outcome {
-	began := time.Now()
+	began := time.Now().Add(-s.Age)
+	s.TimeLeft += s.Age
 	s.Origin, s.Whole = in.self.Instance, in.askingPaused()
 	outcome := in.forward(ctx, s, newForwarding(in.self.DataCentre), began)
 	if outcome.Result != home.NoCapacity {
--- a/home/submit.go
+++ b/home/submit.go
@@ -45,7 +45,7 @@
 }
 
 // Submission is a job that its origin, the instance that holds the caller's connection, submits
-// to a home. Age is the time since the origin received it, and TimeLeft how long its caller
+// to a home. Age is the time since its request arrived at the origin, and TimeLeft how long its caller
 // still waits.
 type Submission struct {
 	Batch    model.Batch   `json:"batch"`
--- /dev/null
+++ b/proof/unread_test.go
@@ -0,0 +1,63 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/platform/stand"
+)
+
+// Guards against a second run of a task: a paused instance, after it has resumed, reads the request
+// of a caller that has left and submitted its job again elsewhere (review/1).
+func TestRequestThatArrivedDuringAPauseIsNotRunBesideItsResubmission(t *testing.T) {
+	const (
+		callerTimeout = 800 * time.Millisecond
+		pauseTime     = 2500 * time.Millisecond
+		runTime       = 900 * time.Millisecond
+	)
+	s, store := newEmptySoak(t, 1)
+	for i, dc := range []string{"kochi", "kochi", "tvm", "tvm"} {
+		s.addWorker(i, dc)
+		s.workers[i].RunTime = func(string) time.Duration { return runTime }
+	}
+	for i, dc := range []string{"kochi", "kochi", "tvm"} {
+		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
+	}
+	s.waitRecovered()
+
+	submit := func(i *soakInstance, id string, timeout time.Duration) int {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		req, err := stand.NewJobRequest(i.callersAddr, id, 2, taskMilliCores, runTime, timeout, s.spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+		if err != nil {
+			return 0
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode
+	}
+	for n, i := range s.instances[:2] { // one of them is the home of its data centre
+		id := fmt.Sprintf("%016x", 1000+n)
+		i.process().pause()
+		time.AfterFunc(pauseTime, func() { _ = i.process().cmd.Process.Signal(syscall.SIGCONT) })
+		if diff := cmp.Diff(0, submit(i, id, callerTimeout)); diff != "" {
+			t.Errorf("status of the first submission (-want +got):\n%s", diff)
+		}
+		time.Sleep(resendDelay)
+		if diff := cmp.Diff(http.StatusOK, submit(s.instances[2], id, 3*time.Second)); diff != "" {
+			t.Errorf("status of the second submission (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Second) // until the work of the resumed instance shows
+		s.waitRecovered()
+	}
+	s.check()
+}
