home, fleet: key jobs and parts by all that their outcome depends on

Cause: a home knew a part of a job by the job's id and the part's first task. A job that was submitted again and divided 7 + 1 instead of 5 + 3 met the kept outcome of the part of 5 with its part of 7. Parts that still ran were joined in the same way. The queue and the content were left out too.

Evidence, code before: one "job ended" for ID#0, with 5 tasks, at the first submission; at the second none and no start for the part of 7, only for ID#7. That rules out an end that was lost or misread, and a worker that answered for the two tasks.

The key is a struct of id, queue, extent of the part and a digest of the content, also for cancels and for starts by the origin. Tasks of equal names still don't run at the same time.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,7 +85,7 @@
 	reachability      map[string]*reachability // by data centre
 	workerLeftAt      map[string]time.Time     // when a worker last left the workers' table, by data centre
 	links             map[linkKey]*plan.Link   // links of other instances
-	keptSpecs         map[string]*keptSpec     // specifications of jobs that other instances run, by job key
+	keptSpecs         map[home.Key]*keptSpec   // specifications of jobs that other instances run
 	workerClients     map[string]*workerClient // for starts of such jobs, by worker id and address
 }
 
@@ -135,7 +135,7 @@
 		reachability:  map[string]*reachability{},
 		workerLeftAt:  map[string]time.Time{},
 		links:         map[linkKey]*plan.Link{},
-		keptSpecs:     map[string]*keptSpec{},
+		keptSpecs:     map[home.Key]*keptSpec{},
 		workerClients: map[string]*workerClient{},
 	}
 	in.stopSettings.Store(&s.Stop)
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -31,7 +31,7 @@
 func (in *Instance) Run(ctx context.Context, s home.Submission) home.Outcome {
 	began := time.Now().Add(-s.Age)
 	s.TimeLeft += s.Age
-	s.Origin, s.Whole = in.self.Instance, in.askingPaused()
+	s.Origin, s.Whole, s.Content = in.self.Instance, in.askingPaused(), s.Batch.Digest()
 	outcome := in.forward(ctx, s, newForwarding(in.self.DataCentre), began)
 	if outcome.Result != home.NoCapacity {
 		return outcome
@@ -66,7 +66,7 @@
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
-			in.log.Warn().Err(err).Str("job", s.Key()).Str("home", dc).Int64("token", token).
+			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).
 				Bool("unsent", notAccepted(err)).Msg("home did not answer")
 		}
 		switch j.decide(dc, outcome, err) {
@@ -133,13 +133,13 @@
 }
 
 // cancelAt notifies a home that the caller of a job disconnected.
-func (in *Instance) cancelAt(instance, dataCentre, job string) {
+func (in *Instance) cancelAt(instance, dataCentre string, job home.Key) {
 	in.background.Go(func() {
 		ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
 		defer cancel()
 		err := in.peers.Call(ctx, instance, methodCancel, cancelRequest{DataCentre: dataCentre, Job: job}, nil)
 		if err != nil {
-			in.log.Info().Err(err).Str("job", job).Msg("cancel not delivered")
+			in.log.Info().Err(err).Stringer("job", job).Msg("cancel not delivered")
 		}
 	})
 }
--- a/fleet/originstart.go
+++ b/fleet/originstart.go
@@ -50,7 +50,7 @@
 // low-bandwidth links, so that the specification of a job does not cross the link of the
 // home once for each task.
 type startRequest struct {
-	Job        string        `json:"job"`
+	Job        home.Key      `json:"job"`
 	DataCentre string        `json:"dataCentre"`
 	Worker     string        `json:"worker"`
 	Addr       string        `json:"addr"`
--- a/fleet/originstart_test.go
+++ b/fleet/originstart_test.go
@@ -50,7 +50,7 @@
 	in := &Instance{
 		self: beat.Peer{Instance: "entry", DataCentre: "kochi"}, adapter: oneWorker{worker: w},
 		link: plan.NewLink(0), meter: meter.New("entry", "kochi"),
-		keptSpecs: map[string]*keptSpec{}, workerClients: map[string]*workerClient{},
+		keptSpecs: map[home.Key]*keptSpec{}, workerClients: map[string]*workerClient{},
 	}
 	in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 	in.homeTable.ApplyWrite(table.Row{Key: homeKey("kochi"), Value: []byte(`{"instance":"later"}`), Version: laterToken})
@@ -60,7 +60,7 @@
 func requestStart(t *testing.T, in *Instance, job string, token int64) startResponse {
 	t.Helper()
 	params, err := json.Marshal(startRequest{
-		Job: job, DataCentre: "kochi", Worker: "w", Addr: "a", Timeout: time.Second,
+		Job: home.Key{ID: job}, DataCentre: "kochi", Worker: "w", Addr: "a", Timeout: time.Second,
 		Start: lease.Start{Task: job + ".0.0.0", Run: 3, Until: 99, Token: token},
 	})
 	if err != nil {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -29,8 +29,8 @@
 
 // cancelRequest cancels a job at the home of a data centre.
 type cancelRequest struct {
-	DataCentre string `json:"dataCentre"`
-	Job        string `json:"job"`
+	DataCentre string   `json:"dataCentre"`
+	Job        home.Key `json:"job"`
 }
 
 // decodeRun decodes a request that hands a job, or a question about one, to a home of this
--- a/home/finish.go
+++ b/home/finish.go
@@ -7,10 +7,10 @@
 )
 
 // Cancel ends the job with a key, if it is unfinished, and stops its runs.
-func (h *Home) Cancel(id, reason string) {
+func (h *Home) Cancel(k Key, reason string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if j := h.jobs[id]; j != nil {
+	if j := h.jobs[k]; j != nil {
 		h.abort(j, Outcome{Result: Cancelled, Reason: reason})
 	}
 }
@@ -57,7 +57,7 @@
 	j.outcome = o
 	close(j.ended)
 	h.options.Log.Info().
-		Str("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Result)).Str("reason", o.Reason).
+		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Result)).Str("reason", o.Reason).
 		Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
 		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
 }
--- a/home/home.go
+++ b/home/home.go
@@ -97,12 +97,12 @@
 	fenced            bool
 	incompleteList    bool // a list lacked workers that may have runs of an earlier home
 	workers           map[string]*worker
-	sortedWorkers     []*worker                 // by id, nil after a change of workers
-	assigned          map[string]struct{}       // tasks that have a run, by name
-	expectedEnds      []expectedEnd             // of the assigned runs, in their order
-	jobs              map[string]*job           // by key
-	waiting           map[*job]struct{}         // jobs with tasks to start
-	finished          map[string]finishedJob    // by key
+	sortedWorkers     []*worker           // by id, nil after a change of workers
+	assigned          map[string]struct{} // tasks that have a run, by name
+	expectedEnds      []expectedEnd       // of the assigned runs, in their order
+	jobs              map[Key]*job
+	waiting           map[*job]struct{} // jobs with tasks to start
+	finished          map[Key]finishedJob
 	unclaimedEnds     map[string]lease.EndedRun // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
 	behind            bool // the last tick came too late
@@ -136,9 +136,9 @@
 		startedAt:     time.Now(),
 		workers:       map[string]*worker{},
 		assigned:      map[string]struct{}{},
-		jobs:          map[string]*job{},
+		jobs:          map[Key]*job{},
 		waiting:       map[*job]struct{}{},
-		finished:      map[string]finishedJob{},
+		finished:      map[Key]finishedJob{},
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
--- a/home/job.go
+++ b/home/job.go
@@ -10,7 +10,7 @@
 
 // job is an unfinished job. Its fields are guarded by the home's lock.
 type job struct {
-	key          string
+	key          Key
 	batch        model.Batch
 	route        model.Route
 	origin       string
--- /dev/null
+++ b/home/key.go
@@ -0,0 +1,30 @@
+package home
+
+import "fmt"
+
+// Key identifies a job, or a part of one, at a home: everything that the outcome depends on, since
+// submissions with the same key share one run and its outcome. The id alone does not tell jobs of
+// two queues apart, nor the parts of two divisions of a job, nor submissions of other content.
+type Key struct {
+	ID      string `json:"id"`
+	Queue   string `json:"queue"`
+	Part    Part   `json:"part"`    // Count is 0 for a whole job
+	Content uint64 `json:"content"` // model.Batch.Digest
+}
+
+// String returns the id, followed by the first task and the number of tasks of a part.
+func (k Key) String() string {
+	if k.Part.Count == 0 {
+		return k.ID
+	}
+	return fmt.Sprintf("%s#%d+%d", k.ID, k.Part.First, k.Part.Count)
+}
+
+// Key returns the key of the submitted job or part.
+func (s Submission) Key() Key {
+	k := Key{ID: s.Batch.ID, Queue: s.Batch.Queue, Content: s.Content}
+	if s.Part != nil {
+		k.Part = *s.Part
+	}
+	return k
+}
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/home"
 )
 
@@ -84,3 +86,89 @@
 		dc.checkLedger()
 	})
 }
+
+// Guards against a job that is answered as succeeded without all of its tasks being done: it meets
+// the outcome, or joins the run, of another job or part with the same id (review/2).
+func TestOutcomeOfOneJobIsNotThatOfAnother(t *testing.T) {
+	part := func(first, count int) home.Submission {
+		s := submission("a", 8)
+		s.Part, s.NoRedirect = &home.Part{First: first, Count: count}, true
+		return s
+	}
+	otherQueue, otherContent := submission("a", 4), submission("a", 4)
+	otherQueue.Batch.Queue = "books"
+	otherContent.Batch.Spec = "y"
+	otherContent.Content = otherContent.Batch.Digest()
+	cases := map[string]struct {
+		earlier, later home.Submission
+		both           []int // tasks of both, which the later job runs as well
+	}{
+		"longer part":      {part(0, 2), part(0, 4), []int{0, 1}},
+		"shorter part":     {part(0, 4), part(0, 2), []int{0, 1}},
+		"part and whole":   {part(0, 2), submission("a", 4), []int{0, 1}},
+		"whole and part":   {submission("a", 4), part(0, 2), []int{0, 1}},
+		"of another queue": {submission("a", 4), otherQueue, []int{0, 1, 2, 3}},
+		"other content":    {submission("a", 4), otherContent, []int{0, 1, 2, 3}},
+	}
+	for name, c := range cases {
+		for when, gap := range map[string]time.Duration{"while it runs": runTime / 2, "after its end": 2 * runTime} {
+			t.Run(name+" "+when, func(t *testing.T) {
+				withHome(t, 4, func(t *testing.T, dc *testCentre, h *home.Home) {
+					results := make(chan home.Result, 2)
+					go func() { results <- resultOf(submit(h, c.earlier)) }()
+					time.Sleep(gap)
+					go func() { results <- resultOf(submit(h, c.later)) }()
+					for range 2 {
+						if got := <-results; got != home.Succeeded {
+							t.Errorf("result %q", got)
+						}
+					}
+					for _, i := range c.both {
+						if diff := cmp.Diff(2, dc.ledger.Starts(fmt.Sprintf("a.0.0.%d", i))); diff != "" {
+							t.Errorf("starts of task %d (-want +got):\n%s", i, diff)
+						}
+					}
+					for i := range max(tasksOf(c.earlier), tasksOf(c.later)) {
+						if dc.ledger.Starts(fmt.Sprintf("a.0.0.%d", i)) == 0 {
+							t.Errorf("task %d did not run", i)
+						}
+					}
+					dc.checkLedger()
+				})
+			})
+		}
+	}
+}
+
+func tasksOf(s home.Submission) int {
+	if s.Part != nil {
+		return s.Part.Count
+	}
+	return s.Batch.Tasks()
+}
+
+// A repeated submission joins the run of the job, or gets its outcome: an origin that lost the
+// response submits the job again.
+func TestRepeatedSubmissionSharesTheRun(t *testing.T) {
+	for when, gap := range map[string]time.Duration{"while it runs": runTime / 2, "after its end": 2 * runTime} {
+		t.Run(when, func(t *testing.T) {
+			withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
+				s := submission("a", 2)
+				s.Content = s.Batch.Digest()
+				results := make(chan home.Result, 2)
+				for range 2 {
+					go func() { results <- resultOf(submit(h, s)) }()
+					time.Sleep(gap)
+				}
+				for range 2 {
+					if got := <-results; got != home.Succeeded {
+						t.Errorf("result %q", got)
+					}
+				}
+				if diff := cmp.Diff(1, dc.ledger.Starts("a.0.0.0")); diff != "" {
+					t.Errorf("starts (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"time"
 
 	"foxtailmux/model"
@@ -50,7 +49,8 @@
 type Submission struct {
 	Batch    model.Batch   `json:"batch"`
 	Route    model.Route   `json:"route"`
-	Origin   string        `json:"origin"` // id of the instance
+	Origin   string        `json:"origin"`            // id of the instance
+	Content  uint64        `json:"content,omitempty"` // digest of Batch, which may come without its specification
 	Age      time.Duration `json:"age"`
 	TimeLeft time.Duration `json:"left"`
 
@@ -86,14 +86,6 @@
 	Count int `json:"count"`
 }
 
-// Key identifies a job, or a part of one, at a home.
-func (s Submission) Key() string {
-	if s.Part == nil {
-		return s.Batch.ID
-	}
-	return s.Batch.ID + "#" + strconv.Itoa(s.Part.First)
-}
-
 // Submit runs a job and returns its outcome as soon as the job has ended. If ctx ends first, the
 // job is cancelled.
 func (h *Home) Submit(ctx context.Context, s Submission) Outcome {
@@ -182,7 +174,7 @@
 	}
 	divisible := len(j.batch.Steps) == 1 && s.Part == nil && !s.Whole
 	if divisible && !plan.InTime(wait, times) || !plan.Admit(wait, times) {
-		h.options.Log.Info().Str("job", j.key).Int("claim", j.initialMilliCores()).Int("free", backlog.Free).Int("ahead", backlog.Ahead).
+		h.options.Log.Info().Stringer("job", j.key).Int("claim", j.initialMilliCores()).Int("free", backlog.Free).Int("ahead", backlog.Ahead).
 			Int("capacity", backlog.Capacity).Int64("waitMillis", wait.Milliseconds()).Int64("ageMillis", times.Age.Milliseconds()).
 			Int64("chainMillis", times.CriticalPath.Milliseconds()).Int64("objectiveMillis", times.Objective.Milliseconds()).
 			Msg("job not admitted")
--- a/model/batch.go
+++ b/model/batch.go
@@ -1,8 +1,11 @@
 package model
 
 import (
+	"fmt"
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Batch is a job of a queue: steps that each run a number of equal tasks. Its caller waits
@@ -35,6 +38,17 @@
 	return n
 }
 
+// Digest returns a hash of the specification and the steps: what the tasks of the job do.
+func (b Batch) Digest() uint64 {
+	d := xxhash.New()
+	write := func(values ...any) { _, _ = fmt.Fprintln(d, values...) } // a digest accepts all bytes
+	write(len(b.Spec), b.Spec, len(b.Steps))
+	for _, s := range b.Steps {
+		write(s.Replicas, s.Needs, int64(s.Estimate), s.After, strconv.Quote(s.Label), strconv.Quote(s.Rack), s.MaxPerWorker)
+	}
+	return d.Sum64()
+}
+
 // TaskName returns the name of a task on workers, which is unique among all jobs.
 func (b Batch) TaskName(step, index int) string {
 	return b.ID + ".0." + strconv.Itoa(step) + "." + strconv.Itoa(index)
