home: count the tasks of all parts against the limit of a step

Cause: two parts of a divided job can run at the same home, and only the tasks of the part that starts a task were counted.

The worker's runs are counted by the names of the step's tasks, so that runs of an earlier home count too.

TestLimitOfAStepHoldsForAllParts failed before: both tasks on one worker.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -227,14 +227,16 @@
 	return nil
 }
 
-// atLimit reports whether a worker has as many tasks of a step as it may.
+// atLimit reports whether a worker has as many tasks of a step as it may, those of other parts of the
+// job included.
 func (h *Home) atLimit(j *job, step, limit int, w *worker) bool {
 	if limit <= 0 {
 		return false
 	}
-	n := 0
-	for i := range j.tasks {
-		if t := &j.tasks[i]; t.step == step && w.tracker.Has(t.name) {
+	n, prefix := 0, j.batch.TaskName(step, 0)
+	prefix = prefix[:len(prefix)-1]
+	for _, r := range w.tracker.Runs() {
+		if strings.HasPrefix(r.Task, prefix) {
 			n++
 		}
 	}
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -172,3 +172,29 @@
 		})
 	}
 }
+
+// Guards against more tasks of a step on a worker than its limit allows: two parts of a job run at
+// the same home, and only the tasks of one of them count (stand perserver of the review).
+func TestLimitOfAStepHoldsForAllParts(t *testing.T) {
+	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
+		results := make(chan home.Result, 2)
+		for first := range 2 {
+			s := submission("a", 2)
+			s.Batch.Steps[0].MaxPerWorker = 1
+			s.Part, s.NoRedirect = &home.Part{First: first, Count: 1}, true
+			go func() { results <- resultOf(submit(h, s)) }()
+		}
+		time.Sleep(runTime / 2)
+		if diff := cmp.Diff(2, dc.ledger.RunningTasks()); diff != "" {
+			t.Errorf("running tasks (-want +got):\n%s", diff)
+		}
+		if w := dc.ledger.WorkerOf("a.0.0.0"); w == dc.ledger.WorkerOf("a.0.0.1") {
+			t.Errorf("both tasks run on %s", w)
+		}
+		for range 2 {
+			if got := <-results; got != home.Succeeded {
+				t.Errorf("result %q", got)
+			}
+		}
+	})
+}
