home, fleet: cancel only the submission whose caller has left

What callers could see: 504 for a job that they had submitted again at another instance, when the first instance noticed late that they had left, such as after a pause.

Cause: a cancel named the job only, so it ended the run that the later submission had joined. The run also kept the deadline of the first one.

A cancel names its origin, and a job counts its submissions. A submission that joins a run prolongs its deadline.

TestCancelEndsOnlyTheSubmissionItIsFor failed before in both cases.

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -137,7 +137,7 @@
 	in.background.Go(func() {
 		ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
 		defer cancel()
-		err := in.peers.Call(ctx, instance, methodCancel, cancelRequest{DataCentre: dataCentre, Job: job}, nil)
+		err := in.peers.Call(ctx, instance, methodCancel, cancelRequest{DataCentre: dataCentre, Job: job, Origin: in.self.Instance}, nil)
 		if err != nil {
 			in.log.Info().Err(err).Stringer("job", job).Msg("cancel not delivered")
 		}
--- a/home/finish.go
+++ b/home/finish.go
@@ -6,12 +6,25 @@
 	"foxtailmux/plan"
 )
 
-// Cancel ends the job with a key, if it is unfinished, and stops its runs.
-func (h *Home) Cancel(k Key, reason string) {
+const callerLeft = "its caller went away"
+
+// Cancel ends the job with a key whose caller has left and stops its runs, if the job is unfinished
+// and origin is the instance that has submitted it last.
+func (h *Home) Cancel(k Key, origin string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if j := h.jobs[k]; j != nil && j.origin == origin {
+		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
+	}
+}
+
+// cancelSubmission ends a job whose caller has left, unless it has been submitted again since it had
+// been submitted that many times.
+func (h *Home) cancelSubmission(j *job, submissions int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if j := h.jobs[k]; j != nil {
-		h.abort(j, Outcome{Result: Cancelled, Reason: reason})
+	if h.jobs[j.key] == j && j.submissions == submissions {
+		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
 
--- a/home/job.go
+++ b/home/job.go
@@ -22,6 +22,7 @@
 	resumed      bool
 	startPath    startPath
 	originMisses int // starts that the origin failed to send
+	submissions  int
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -1,6 +1,7 @@
 package home_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -198,3 +199,39 @@
 		}
 	})
 }
+
+// Guards against a submission that is ended by the cancel of an earlier one: the caller has submitted
+// its job again at another instance, where it joined the run, before the first instance noticed that
+// the caller had left.
+func TestCancelEndsOnlyTheSubmissionItIsFor(t *testing.T) {
+	cases := map[string]func(h *home.Home, cancelFirst context.CancelFunc, s home.Submission){
+		"connection of the earlier origin closed": func(_ *home.Home, cancelFirst context.CancelFunc, _ home.Submission) { cancelFirst() },
+		"cancel of the earlier origin":            func(h *home.Home, _ context.CancelFunc, s home.Submission) { h.Cancel(s.Key(), "entry") },
+	}
+	for name, cancel := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
+				first := submission("a", 2)
+				first.TimeLeft = runTime * 3 / 4
+				ctx, cancelFirst := context.WithCancel(t.Context())
+				defer cancelFirst()
+				results := make(chan home.Result, 2)
+				go func() { results <- resultOf(h.Submit(ctx, first)) }()
+				time.Sleep(runTime / 3)
+				again := submission("a", 2)
+				again.Origin = "other"
+				go func() { results <- resultOf(submit(h, again)) }()
+				time.Sleep(runTime / 3)
+				cancel(h, cancelFirst, first)
+				for range 2 {
+					if got := <-results; got != home.Succeeded {
+						t.Errorf("result %q", got)
+					}
+				}
+				if diff := cmp.Diff(1, dc.ledger.Starts("a.0.0.0")); diff != "" {
+					t.Errorf("starts (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -87,9 +87,9 @@
 }
 
 // Submit runs a job and returns its outcome as soon as the job has ended. If ctx ends first, the
-// job is cancelled.
+// job is cancelled, unless it was submitted again since.
 func (h *Home) Submit(ctx context.Context, s Submission) Outcome {
-	j, outcome := h.accept(s)
+	j, submissions, outcome := h.accept(s)
 	if j == nil {
 		return outcome
 	}
@@ -97,24 +97,33 @@
 	select {
 	case <-j.ended:
 	case <-ctx.Done():
-		h.Cancel(s.Key(), "its caller went away")
+		h.cancelSubmission(j, submissions)
 		<-j.ended
 	}
 	return j.outcome
 }
 
-// accept takes in a new job, or joins the unfinished job with the same key. It returns no job
-// but an outcome if there is nothing to wait for.
-func (h *Home) accept(s Submission) (*job, Outcome) {
+// accept takes in a new job, or joins the unfinished job with the same key. It returns the job and
+// how many times it has been submitted, or no job but an outcome if there is nothing to wait for.
+func (h *Home) accept(s Submission) (j *job, submissions int, o Outcome) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if j, o = h.acceptLocked(s); j == nil {
+		return nil, 0, o
+	}
+	j.submissions++
+	return j, j.submissions, Outcome{}
+}
 
+// acceptLocked is accept for callers that hold the lock.
+func (h *Home) acceptLocked(s Submission) (*job, Outcome) {
 	h.activity.submissions++
 	if h.closed || h.fenced {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
 	if j := h.jobs[s.Key()]; j != nil {
 		j.origin, j.enteredAt = s.Origin, time.Now()
+		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
 		return j, Outcome{}
 	}
@@ -146,6 +155,13 @@
 	return j, Outcome{}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // admit decides whether a new job is accepted, and returns the outcome of a job that is not.
 func (h *Home) admit(j *job, s Submission, now time.Time) (Outcome, bool) {
 	if !h.capacityKnown(now) {
