watch: notice a silent connection to the store within 3 s

Cause: a request for changes waited up to 4 s at the store and 0.5 s more for its response; nothing else shows a silent connection. The platform allows 3 s (stability-ms).

Evidence, code before: "watch op: timeout" 4.5 s after the request began, and version 3 in force from the store 51 ms after that, at all instances. That rules out a change that was lost or applied late, and a peer that had it earlier. After: timeout after 2.5 s, in force 51 ms later.

The wait is 2 s.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -114,6 +114,18 @@
 	holdResponses atomic.Bool
 	delayReads    atomic.Bool
 	reset         atomic.Bool
+
+	mu      sync.Mutex
+	silence chan struct{} // closed when the open connections go silent
+	closed  chan struct{}
+}
+
+// goSilent makes the open connections carry no more bytes, without a reset. New ones work.
+func (fp *faultProxy) goSilent() {
+	fp.mu.Lock()
+	defer fp.mu.Unlock()
+	close(fp.silence)
+	fp.silence = make(chan struct{})
 }
 
 // readDelay delays each read of a proxy with delayReads.
@@ -125,9 +137,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	fp := &faultProxy{listener: listener, target: target}
+	fp := &faultProxy{listener: listener, target: target, silence: make(chan struct{}), closed: make(chan struct{})}
 	go fp.serve()
-	t.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() {
+		_ = listener.Close()
+		close(fp.closed)
+	})
 	return fp
 }
 
@@ -142,14 +157,17 @@
 			_ = in.Close()
 			continue
 		}
-		go fp.copy(in, out, &fp.holdResponses)
-		go fp.copy(out, in, &fp.holdAll)
+		fp.mu.Lock()
+		silence := fp.silence
+		fp.mu.Unlock()
+		go fp.copy(in, out, &fp.holdResponses, silence)
+		go fp.copy(out, in, &fp.holdAll, silence)
 	}
 }
 
-// copy forwards bytes from one connection to another. It holds them back while
-// holdAll or held is set.
-func (fp *faultProxy) copy(to, from net.Conn, held *atomic.Bool) {
+// copy forwards bytes from one connection to another, until silence is closed. It holds
+// them back while holdAll or held is set.
+func (fp *faultProxy) copy(to, from net.Conn, held *atomic.Bool, silence <-chan struct{}) {
 	defer to.Close()
 	defer from.Close()
 	buffer := make([]byte, 32<<10)
@@ -158,6 +176,12 @@
 		if fp.reset.Load() {
 			return
 		}
+		select {
+		case <-silence:
+			<-fp.closed
+			return
+		default:
+		}
 		if fp.delayReads.Load() {
 			time.Sleep(readDelay)
 		}
--- /dev/null
+++ b/proof/silent_test.go
@@ -0,0 +1,61 @@
+package proof
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/platform/stand"
+)
+
+// Guards against an old configuration in force: the open connections of all instances to the store
+// go silent, and a change that follows is read only when the requests for changes time out
+// (review/4). The platform allows 3 s after the silence (stability-ms).
+func TestConfigurationIsInForceInTimeAfterConnectionsWentSilent(t *testing.T) {
+	const allowed = 3 * time.Second
+	s, store := newEmptySoak(t, 1)
+	for i, dc := range []string{"kochi", "tvm"} {
+		s.addWorker(i, dc)
+	}
+	for i, dc := range []string{"kochi", "kochi", "tvm"} {
+		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
+	}
+	s.waitRecovered()
+	s.putConfig() // each instance sends its next request for changes now
+	time.Sleep(500 * time.Millisecond)
+
+	for _, i := range s.instances {
+		i.storeProxy.goSilent()
+	}
+	silenced := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	s.version++
+	key, value := stand.ConfigRow(s.version)
+	s.store.Put(key, strings.ReplaceAll(value, "/q/", "/new/"))
+	time.Sleep(time.Until(silenced.Add(allowed)))
+
+	for _, i := range s.instances {
+		statuses := map[string]int{}
+		for _, prefix := range []string{"/q/", "/new/"} {
+			req, err := stand.NewJobRequest(i.callersAddr, "00000000000000aa", 1, taskMilliCores, 70*time.Millisecond, jobTimeout, s.spec)
+			if err != nil {
+				t.Fatal(err)
+			}
+			req.URL.Path = strings.Replace(req.URL.Path, "/q/", prefix, 1)
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = resp.Body.Close()
+			statuses[prefix] = resp.StatusCode
+		}
+		want := map[string]int{"/q/": http.StatusNotFound, "/new/": http.StatusOK}
+		if diff := cmp.Diff(want, statuses); diff != "" {
+			t.Errorf("%s: status by route (-want +got):\n%s", i.name, diff)
+		}
+	}
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -26,14 +26,17 @@
 
 const (
 	// feedWait is the longest time that one request waits for a change. The
-	// platform charges for each request, so a longer wait costs less; on the
-	// other hand, a dead connection is noticed only after this time.
-	feedWait = 4 * time.Second
+	// platform charges for each request, so a longer wait costs less. On the
+	// other hand, a connection that has gone silent is noticed only after this
+	// time and the time in which the source expects the response: together less
+	// than the 3 s after which a change of the configuration or of a worker has
+	// to be in effect although connections went silent (stability-ms).
+	feedWait = 2 * time.Second
 
 	// relistAfter is the staleness at which the cache reads the whole table
 	// instead of all changes that it missed: workers rewrite their rows every
 	// 1.5 s, so the missed changes soon outnumber the rows.
-	relistAfter = 2 * feedWait
+	relistAfter = 8 * time.Second
 
 	minRetryDelay = 50 * time.Millisecond
 	maxRetryDelay = 500 * time.Millisecond // well below the time within which a new configuration has to take effect
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -28,12 +28,15 @@
 	oldest  int64          // Watch fails for changes after an older version than this one
 	stale   *table.Changes // returned by List instead of the present rows
 	down    bool           // all requests fail
+	silence chan struct{}  // closed when the requests in progress lose their connections without a reset
 	changed chan struct{}
 	lists   int
 	watches int
 }
 
-func newStore() *store { return &store{rows: map[string]table.Row{}, changed: make(chan struct{})} }
+func newStore() *store {
+	return &store{rows: map[string]table.Row{}, changed: make(chan struct{}), silence: make(chan struct{})}
+}
 
 func (s *store) put(key, value string, deleted bool) {
 	s.mu.Lock()
@@ -83,10 +86,18 @@
 // Watch returns the changes after a version, and waits for the first one.
 func (s *store) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (table.Changes, error) {
 	deadline := time.After(wait)
+	timeout := time.After(wait + responseMargin)
 	s.mu.Lock()
 	s.watches++
+	silence := s.silence
 	s.mu.Unlock()
 	for {
+		select {
+		case <-silence:
+			<-timeout
+			return table.Changes{}, errDown
+		default:
+		}
 		s.mu.Lock()
 		switch {
 		case s.down:
@@ -108,6 +119,7 @@
 			return c, nil
 		}
 		select {
+		case <-silence:
 		case <-changed:
 		case <-deadline:
 			return c, nil
@@ -117,6 +129,17 @@
 	}
 }
 
+// responseMargin is how much longer than its wait a client waits for the response to Watch.
+const responseMargin = 500 * time.Millisecond
+
+// goSilent makes the requests in progress end by their timeouts. New ones work.
+func (s *store) goSilent() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.silence)
+	s.silence = make(chan struct{})
+}
+
 // startCache runs a cache until the test ends. The returned function waits until
 // changes have arrived, and returns those that the cache has reported since the
 // last call.
@@ -425,3 +448,28 @@
 		t.Error("the cache was not current within a second")
 	})
 }
+
+// Guards against old configurations and leaving workers in use: a connection to the store goes silent
+// while a request for changes waits on it, and the change is read only after more than the 3 s that the
+// platform allows (review/4).
+func TestChangeIsReadInTimeAfterConnectionsWentSilent(t *testing.T) {
+	const allowed = 3 * time.Second
+	for _, waited := range []time.Duration{0, time.Millisecond, 400 * time.Millisecond, time.Second, 1900 * time.Millisecond, 3500 * time.Millisecond} {
+		t.Run(waited.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStore()
+				s.put("t/a", "1", false)
+				c, reported := startCache(t, s)
+				wantChanges(t, reported, "t/a=1")
+				s.put("t/a", "2", false) // the request for the next change starts now
+				time.Sleep(waited)
+				s.goSilent()
+				s.put("t/a", "3", false)
+				time.Sleep(allowed)
+				if diff := cmp.Diff("3", string(c.Get("t/a").Value)); diff != "" {
+					t.Errorf("value after %v (-want +got):\n%s", allowed, diff)
+				}
+			})
+		})
+	}
+}
