watch: ask without a wait after a failed request

What callers could see: jobs refused or late for up to 2 s more after a home was lost, since instances whose connections had gone silent claimed none.

Cause: after a timeout the next request for changes waited for a change, and until its response the store counted as unreachable.

TestStoreIsReachableAtOnceAfterASilentConnection failed before.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -248,13 +248,17 @@
 	return nil
 }
 
-// follow reads the next changes, and reports whether more may be pending.
+// follow reads the next changes, and reports whether more may be pending. After a failed request
+// it does not wait for a change, so that the store counts as reachable as soon as it responds.
 func (c *Cache) follow(ctx context.Context) (more bool, err error) {
 	c.mu.Lock()
-	after := c.version
+	after, wait := c.version, feedWait
+	if !c.reachable {
+		wait = 0
+	}
 	c.mu.Unlock()
 
-	changes, err := c.source.Watch(ctx, c.name, after, feedWait)
+	changes, err := c.source.Watch(ctx, c.name, after, wait)
 	if err != nil {
 		return false, err
 	}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -473,3 +473,24 @@
 		})
 	}
 }
+
+// Guards against a home that gets no successor for seconds: an instance claims none while the store
+// counts as unreachable, which it did until a request for changes had waited for a change.
+func TestStoreIsReachableAtOnceAfterASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStore()
+		s.put("t/a", "1", false)
+		c, reported := startCache(t, s)
+		wantChanges(t, reported, "t/a=1")
+		s.put("t/a", "2", false)
+		time.Sleep(time.Millisecond)
+		s.goSilent()
+		for c.StoreReachable() {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if !c.StoreReachable() {
+			t.Error("the store does not count as reachable 100 ms after the request on the silent connection has timed out")
+		}
+	})
+}
