fleet: fetch a newer configuration from peers until it is there

What callers could see: an old configuration in force at an instance that can't reach the store, for as long as that lasts.

Cause: the configuration of a peer was requested when the version in its heartbeat changed. If that request failed, the next one came with the next change.

Each review compares the versions in the heartbeats of live peers, and requests the newest at most each 250 ms.

TestConfigurationOfAPeerIsFetchedUntilItIsThere failed before (one request).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,11 +51,12 @@
 	homeTable     *watch.Cache
 	instanceTable *watch.Cache
 
-	peers        *peer.Group
-	heartbeats   *beat.Detector
-	callerServer *entry.QueueServer
-	routing      atomic.Pointer[model.Routing]
-	stopSettings atomic.Pointer[setup.Stop]
+	peers           *peer.Group
+	heartbeats      *beat.Detector
+	callerServer    *entry.QueueServer
+	routing         atomic.Pointer[model.Routing]
+	fetchingRouting atomic.Bool // from a peer
+	stopSettings    atomic.Pointer[setup.Stop]
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -57,10 +57,11 @@
 	}
 }
 
-// review applies the latest rows and heartbeats to the homes and to the polling of the
-// workers' table, and closes idle clients of workers.
+// review applies the latest rows and heartbeats to the configuration, to the homes and to the
+// polling of the workers' table, and closes idle clients of workers.
 func (in *Instance) review() {
 	in.removeMissing(time.Now())
+	in.fetchNewerRouting()
 	in.cancelJobsOfDeadOrigins()
 	in.updateWorkerPolling()
 	in.closeIdleClients()
@@ -213,16 +214,7 @@
 }
 
 // onPeerChange handles a heartbeat that reports a change.
-func (in *Instance) onPeerChange(h beat.Heartbeat) {
-	in.changed.notify()
-	own := int64(0)
-	if r := in.routing.Load(); r != nil {
-		own = r.Version
-	}
-	if h.RoutingVersion > own {
-		in.background.Go(func() { in.fetchRouting(h.Instance) })
-	}
-}
+func (in *Instance) onPeerChange(beat.Heartbeat) { in.changed.notify() }
 
 // cancelJobsOfDeadOrigins cancels the jobs of origins that are suspected dead, so that
 // none of their runs is left when the callers submit the jobs again.
--- a/fleet/routing.go
+++ b/fleet/routing.go
@@ -43,8 +43,38 @@
 	in.log.Info().Int64("version", r.Version).Int("routes", len(r.Routes)).Str("source", source).Msg("configuration in force")
 }
 
-// routingTimeout bounds the request for a configuration to a peer.
-const routingTimeout = time.Second
+const (
+	// routingTimeout bounds the request for a configuration to a peer.
+	routingTimeout = time.Second
+
+	// routingRetryDelay is the time between two such requests.
+	routingRetryDelay = 250 * time.Millisecond
+)
+
+// fetchNewerRouting fetches the configuration of a live peer in the background if it is newer than
+// the own one. The next review tries again until the configuration is there.
+func (in *Instance) fetchNewerRouting() {
+	newest, peerID := int64(0), ""
+	if r := in.routing.Load(); r != nil {
+		newest = r.Version
+	}
+	for id, s := range in.heartbeats.AlivePeers() {
+		if s.RoutingVersion > newest {
+			newest, peerID = s.RoutingVersion, id
+		}
+	}
+	if peerID == "" || !in.fetchingRouting.CompareAndSwap(false, true) {
+		return
+	}
+	in.background.Go(func() {
+		defer in.fetchingRouting.Store(false)
+		in.fetchRouting(peerID)
+		select {
+		case <-time.After(routingRetryDelay):
+		case <-in.ctx.Done():
+		}
+	})
+}
 
 // fetchRouting applies the configuration of a peer if it is newer. Covers the case that
 // the peer can reach the store and this instance can't.
