platform, lease, home: don't take a second response for that to another request

Callers saw tasks run twice at a time and jobs refused, with workers that answer a request twice, the second time late.

Cause: a second response stays in its connection and is read as the one to the next request. A start's response read as that to a renewal was a report without runs, so all confirmed runs of the worker were "lost" and started again; an older list did the same to later runs.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -21,11 +21,14 @@
 	mu         sync.Mutex
 	running    map[string]string // id of the worker by task
 	starts     map[string]int    // number of runs by task
+	done       map[string]int    // number of runs that ended as done, by task
 	violations []string
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{running: map[string]string{}, starts: map[string]int{}} }
+func NewLedger() *Ledger {
+	return &Ledger{running: map[string]string{}, starts: map[string]int{}, done: map[string]int{}}
+}
 
 // Violations returns a description of each violation.
 func (l *Ledger) Violations() []string {
@@ -41,6 +44,13 @@
 	return l.starts[task]
 }
 
+// Done returns the number of runs of a task that ended as done.
+func (l *Ledger) Done(task string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.done[task]
+}
+
 // WorkerOf returns the id of the worker that runs a task, or "" if none does.
 func (l *Ledger) WorkerOf(task string) string {
 	l.mu.Lock()
@@ -73,6 +83,12 @@
 	}
 }
 
+func (l *Ledger) recordDone(task string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.done[task]++
+}
+
 func (l *Ledger) addViolation(text string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -341,6 +357,9 @@
 	r.timer.Stop()
 	delete(w.runs, task)
 	w.ledger.recordEnd(w.ID, task)
+	if reason == lease.Done {
+		w.ledger.recordDone(task)
+	}
 	w.lastRun[task] = max(w.lastRun[task], r.number)
 	w.lastSequence++
 	w.endedRuns = append(w.endedRuns, lease.EndedRun{Sequence: w.lastSequence, Task: task, Run: r.number, Reason: reason})
--- a/home/home.go
+++ b/home/home.go
@@ -26,7 +26,8 @@
 )
 
 // Endpoint sends requests to one worker, each at most once. An error with a method Sent that
-// returns false guarantees that no part of the request reached the worker.
+// returns false guarantees that no part of the request reached the worker. Close closes the idle
+// connections; later requests open new ones.
 type Endpoint interface {
 	Start(s lease.Start, timeout time.Duration) (lease.Reply, error)
 	Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error)
--- a/home/origin.go
+++ b/home/origin.go
@@ -60,7 +60,8 @@
 	path.starter.Link.RecordSend(RequestBytes+path.specBytes, now)
 }
 
-// sendStart sends a start once and records the response time.
+// sendStart sends a start once, and records the response time. A response that belongs to an earlier
+// request counts as none.
 func (w *worker) sendStart(info model.Worker, s lease.Start, path startPath) (lease.Reply, error) {
 	sentAt := time.Now()
 	link := w.home.options.Link
@@ -74,10 +75,29 @@
 		timeout, queued = w.timeoutFor(startTimeout, link, path.starter.Link)
 		reply, err = path.starter.Start(info, s, timeout)
 	}
-	if err == nil {
-		w.home.recordResponseTime(time.Since(sentAt) - queued)
+	if err != nil {
+		return reply, err
 	}
-	return reply, err
+	w.home.recordResponseTime(time.Since(sentAt) - queued)
+	return reply, w.checkReply(reply, sentAt)
+}
+
+// checkReply returns errOutdated for the reply to a request sent at sentAt that belongs to an earlier
+// request.
+func (w *worker) checkReply(r lease.Reply, sentAt time.Time) error {
+	w.home.mu.Lock()
+	defer w.home.mu.Unlock()
+	return w.checkOutdated(w.tracker.IsOutdated(r.Clock, sentAt))
+}
+
+// checkOutdated returns errOutdated for an outdated response. Its connection, which is idle now, would
+// bring the response to its request to a later one. The lock is held.
+func (w *worker) checkOutdated(outdated bool) error {
+	if !outdated {
+		return nil
+	}
+	w.endpoint.Close()
+	return errOutdated
 }
 
 // handleOriginError handles a start that failed at the origin. The lock is held.
--- a/home/renew.go
+++ b/home/renew.go
@@ -110,6 +110,9 @@
 		return w.ctx.Err()
 	}
 	now := time.Now()
+	if err == nil {
+		err = w.checkOutdated(w.tracker.IsOutdatedReport(report, sentAt))
+	}
 	if err != nil {
 		w.recordNoResponse("hold", err, now)
 		return err
@@ -151,8 +154,9 @@
 }
 
 var (
-	errFenced  = errors.New("there is a later home")
-	errRefused = errors.New("the worker refused the renewal")
+	errFenced   = errors.New("there is a later home")
+	errRefused  = errors.New("the worker refused the renewal")
+	errOutdated = errors.New("the response belongs to an earlier request")
 )
 
 // handleReport processes the response to a renewal. The lock is held.
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -23,7 +23,11 @@
 	h := w.home
 	h.options.Link.RecordSend(RequestBytes, time.Now())
 	timeout, _ := w.timeoutFor(requestTimeout, h.options.Link)
+	sentAt := time.Now()
 	reply, err := w.endpoint.Stop(lease.Stop{Task: task, Run: run, Token: h.options.Token}, timeout)
+	if err == nil {
+		err = w.checkReply(reply, sentAt)
+	}
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/lease/report.go
+++ b/lease/report.go
@@ -10,11 +10,11 @@
 // runs that ended, of those that were tracked.
 func (t *Tracker) ApplyReport(renewal Renewal, r Report, sentAt, now time.Time) []EndedRun {
 	var ended []EndedRun
-	if r.Incarnation != 0 && t.incarnation != 0 && r.Incarnation != t.incarnation {
-		t.resetForRestart(r.Clock, now)
-	}
-	if r.Incarnation != 0 {
-		t.incarnation = r.Incarnation
+	if r.Incarnation != 0 && r.Incarnation != t.incarnation {
+		if t.incarnation != 0 {
+			t.resetForRestart(r.Clock, now)
+		}
+		t.incarnation, t.incarnationAt = r.Incarnation, now
 	}
 	t.lastEndAcked = max(t.lastEndAcked, renewal.LastEndSeen)
 	stale := r.Clock < t.lastReportClock
@@ -69,18 +69,22 @@
 		switch {
 		case e == nil && !newer:
 		case e == nil:
-			t.runs[a.Task] = &trackedRun{Run: Run{Task: a.Task, Number: a.Run}, state: inherited, needsUnknown: true, stateSetAt: now, startedAt: now}
+			t.runs[a.Task] = &trackedRun{
+				Run: Run{Task: a.Task, Number: a.Run}, state: inherited, needsUnknown: true,
+				stateSetAt: now, seenClock: t.lastReportClock, startedAt: now,
+			}
 			t.unsizedRuns++
 			t.lastLeaseEnd = max(t.lastLeaseEnd, t.Clock.At(now)+t.maxLease.Milliseconds())
 		case e.Number == a.Run:
-			e.recordProgress(a.Percent, now)
+			e.recordProgress(a.Percent, t.lastReportClock, now)
 		}
 	}
 }
 
-// recordProgress records that a run is on the worker, and the share of its work that is done.
-// It confirms a run whose start got no response.
-func (e *trackedRun) recordProgress(percent int, now time.Time) {
+// recordProgress records that a run was on the worker at a time of the worker's clock, and the share of
+// its work that is done. It confirms a run whose start got no response.
+func (e *trackedRun) recordProgress(percent int, clock int64, now time.Time) {
+	e.seenClock = max(e.seenClock, clock)
 	if e.state == unconfirmed {
 		e.state, e.stateSetAt = running, now
 	}
@@ -90,8 +94,8 @@
 }
 
 // removeMissing removes and returns the runs that the worker should have and does not list:
-// those that were confirmed before the renewal was sent, and unconfirmed ones whose start would
-// arrive after the end of its lease.
+// those that were confirmed before the renewal was sent and the report was made, and unconfirmed
+// ones whose start would arrive after the end of its lease.
 func (t *Tracker) removeMissing(r Report, sentAt time.Time) []EndedRun {
 	var ended []EndedRun
 	for _, e := range t.runs {
@@ -99,7 +103,7 @@
 		if listed {
 			continue
 		}
-		confirmed := e.state != startSent && e.state != unconfirmed && e.stateSetAt.Before(sentAt)
+		confirmed := e.state != startSent && e.state != unconfirmed && e.stateSetAt.Before(sentAt) && r.Clock > e.seenClock
 		expired := e.state == unconfirmed && r.Clock > e.leaseEnd
 		if confirmed || expired {
 			ended = append(ended, EndedRun{Task: e.Task, Run: e.Number, Reason: Lost})
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -27,6 +27,7 @@
 	state        runState
 	leaseEnd     int64     // end of the lease given with the start, on the worker's clock
 	stateSetAt   time.Time // when state was last set to running, stopping or inherited
+	seenClock    int64     // worker's clock until which the worker certainly has the run
 	percent      int
 	percentAt    time.Time
 	startedAt    time.Time
@@ -52,6 +53,9 @@
 	lastLeaseEnd int64     // latest end of any granted lease, on the worker's clock
 	lastResponse time.Time // when the worker last responded
 
+	incarnationAt     time.Time // when the incarnation was first heard of
+	outdatedResponses int       // in a row
+
 	lastReport      time.Time // when the last report was received
 	lastReportClock int64     // worker's clock in the last report
 }
@@ -116,7 +120,7 @@
 	if e == nil {
 		return false
 	}
-	e.state, e.stateSetAt = running, now
+	e.state, e.stateSetAt, e.seenClock = running, now, t.Clock.At(now)
 	return true
 }
 
