fleet, home: make the cancel of a submission reach its home

What callers could see: a job run twice, when an answer of 504 or the end of their connection was followed by their next submission while the first one ran on.

Cause: the home was notified once, and a request without a response, such as over a connection that had gone silent, was not repeated: its timeout of 0.5 s is the time in which such a connection is noticed. A cancel that was read together with its job could be handled first, and was then ignored. A call to a home that failed cancelled nothing.

A submission has a number. A home keeps cancels for 4 s and refuses the submission when it arrives; the origin repeats a cancel until the job's time is over.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,6 +58,8 @@
 	fetchingRouting atomic.Bool // from a peer
 	stopSettings    atomic.Pointer[setup.Stop]
 
+	submissions atomic.Int64 // number of submissions to other instances
+
 	ctx        context.Context
 	cancel     context.CancelFunc
 	background conc.WaitGroup
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"foxtailmux/home"
+	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -18,7 +19,13 @@
 	// maxForwards bounds the attempts to hand one job to a home.
 	maxForwards = 6
 
-	cancelTimeout = 500 * time.Millisecond
+	// cancelTimeout bounds one request to cancel a submission. A silent connection takes half a
+	// second to be noticed and replaced.
+	cancelTimeout = time.Second
+
+	// The time between two such requests grows from minCancelRetry to maxCancelRetry.
+	minCancelRetry = 50 * time.Millisecond
+	maxCancelRetry = 400 * time.Millisecond
 )
 
 // errNotHome is returned by an instance that is not, or no longer, the home of the data
@@ -31,7 +38,8 @@
 func (in *Instance) Run(ctx context.Context, s home.Submission) home.Outcome {
 	began := time.Now().Add(-s.Age)
 	s.TimeLeft += s.Age
-	s.Origin, s.Whole, s.Content = in.self.Instance, in.askingPaused(), s.Batch.Digest()
+	s.Origin, s.Incarnation = in.self.Instance, in.self.Incarnation
+	s.Whole, s.Content = in.askingPaused(), s.Batch.Digest()
 	outcome := in.forward(ctx, s, newForwarding(in.self.DataCentre), began)
 	if outcome.Result != home.NoCapacity {
 		return outcome
@@ -112,6 +120,7 @@
 	}
 
 	in.heartbeats.RecordForward(owner.Instance)
+	s.Number, s.SentAt = in.submissions.Add(1), pause.SinceBoot()
 	if in.keepsSpec(owner.Instance, dataCentre, s) {
 		defer in.keepSpec(s)()
 		s.SpecBytes, s.Batch.Spec = len(s.Batch.Spec), ""
@@ -119,8 +128,8 @@
 	in.link.RecordSend(len(s.Batch.Spec)+jobOverheadBytes, time.Now())
 	var outcome home.Outcome
 	err := in.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
-	if ctx.Err() != nil {
-		in.cancelAt(owner.Instance, dataCentre, s.Key())
+	if ctx.Err() != nil || err != nil && !notAccepted(err) {
+		in.cancelAt(owner.Instance, dataCentre, s)
 	}
 	return outcome, err
 }
@@ -132,14 +141,29 @@
 	return in.localHomes[dataCentre]
 }
 
-// cancelAt notifies a home that the caller of a job disconnected.
-func (in *Instance) cancelAt(instance, dataCentre string, job home.Key) {
+// cancelAt notifies a home that nobody waits for a submission any more. It repeats a request without
+// a response until the job's time is over, when the home ends the job by itself: the caller may submit
+// the job again elsewhere, where it must not run beside this submission.
+func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission) {
+	until := time.Now().Add(s.TimeLeft)
+	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Attempt: s.Attempt()}
 	in.background.Go(func() {
-		ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
-		defer cancel()
-		err := in.peers.Call(ctx, instance, methodCancel, cancelRequest{DataCentre: dataCentre, Job: job, Origin: in.self.Instance}, nil)
-		if err != nil {
-			in.log.Info().Err(err).Stringer("job", job).Msg("cancel not delivered")
+		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
+			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
+			err := in.peers.Call(ctx, instance, methodCancel, r, nil)
+			cancel()
+			if err == nil {
+				return
+			}
+			if time.Now().After(until) {
+				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Msg("cancel not delivered")
+				return
+			}
+			select {
+			case <-time.After(delay):
+			case <-in.ctx.Done():
+				return
+			}
 		}
 	})
 }
--- a/fleet/routing_test.go
+++ b/fleet/routing_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"sync/atomic"
@@ -38,17 +37,14 @@
 	return g
 }
 
-// Guards against an old configuration in force at an instance without the store: it asked a peer for
-// the newer one when the peer's heartbeat first reported it, and never again if that request failed.
-func TestConfigurationOfAPeerIsFetchedUntilItIsThere(t *testing.T) {
-	var requests atomic.Int32
-	other := startGroup(t, "other")
-	other.Handle(methodRouting, func(context.Context, json.RawMessage) (any, error) {
-		if requests.Add(1) <= 2 {
-			return nil, errors.New("not now")
-		}
-		return model.Routing{Version: 5}, nil
-	})
+// listener is an instance that hears heartbeats.
+type listener struct {
+	*Instance
+	hear func(heartbeat string) // sends it a heartbeat
+}
+
+func newListener(t *testing.T) listener {
+	t.Helper()
 	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -59,26 +55,42 @@
 		ctx: ctx, log: &logger.Logger{Logger: quiet}, meter: meter.New("entry", "kochi"), changed: newNotifier(),
 		configured: make(chan struct{}), peers: startGroup(t, "entry"),
 	}
-	in.peers.SetPeer("other", other.Addr())
 	in.heartbeats = beat.New(beat.Options{
 		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange, Log: &quiet,
 	})
 	go in.heartbeats.Run(ctx)
-	defer func() {
-		cancel()
-		<-in.heartbeats.Done()
-		in.background.Wait()
-	}()
-
 	sender, err := net.Dial("udp", udp.LocalAddr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer sender.Close()
-	for range 30 {
-		if _, err := fmt.Fprint(sender, `{"instance":"other","incarnation":"1","routing":5,"nextMillis":250}`); err != nil {
-			t.Fatal(err)
+	t.Cleanup(func() {
+		cancel()
+		<-in.heartbeats.Done()
+		in.background.Wait()
+		_ = sender.Close()
+	})
+	return listener{in, func(heartbeat string) {
+		if _, err := io.WriteString(sender, heartbeat); err != nil {
+			t.Error(err)
+		}
+	}}
+}
+
+// Guards against an old configuration in force at an instance without the store: it asked a peer for
+// the newer one when the peer's heartbeat first reported it, and never again if that request failed.
+func TestConfigurationOfAPeerIsFetchedUntilItIsThere(t *testing.T) {
+	var requests atomic.Int32
+	other := startGroup(t, "other")
+	other.Handle(methodRouting, func(context.Context, json.RawMessage) (any, error) {
+		if requests.Add(1) <= 2 {
+			return nil, errors.New("not now")
 		}
+		return model.Routing{Version: 5}, nil
+	})
+	in := newListener(t)
+	in.peers.SetPeer("other", other.Addr())
+	for range 30 {
+		in.hear(`{"instance":"other","incarnation":"1","routing":5,"nextMillis":250}`)
 		time.Sleep(100 * time.Millisecond)
 		in.fetchNewerRouting()
 		if in.routing.Load() != nil {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -27,11 +27,11 @@
 	Job        home.Submission `json:"job"`
 }
 
-// cancelRequest cancels a job of an origin at the home of a data centre.
+// cancelRequest cancels a submission at the home of a data centre.
 type cancelRequest struct {
-	DataCentre string   `json:"dataCentre"`
-	Job        home.Key `json:"job"`
-	Origin     string   `json:"origin"`
+	DataCentre string       `json:"dataCentre"`
+	Job        home.Key     `json:"job"`
+	Attempt    home.Attempt `json:"attempt"`
 }
 
 // decodeRun decodes a request that hands a job, or a question about one, to a home of this
@@ -76,7 +76,7 @@
 		return nil, eris.Wrap(err, "decode cancel")
 	}
 	if h := in.localHome(r.DataCentre); h != nil {
-		h.Cancel(r.Job, r.Origin)
+		h.Cancel(r.Job, r.Attempt)
 	}
 	return struct{}{}, nil
 }
--- a/home/finish.go
+++ b/home/finish.go
@@ -9,11 +9,13 @@
 const callerLeft = "its caller went away"
 
 // Cancel ends the job with a key whose caller has left and stops its runs, if the job is unfinished
-// and origin is the instance that has submitted it last.
-func (h *Home) Cancel(k Key, origin string) {
+// and was submitted last by the attempt. An attempt that has not arrived yet, since requests of one
+// connection are handled at the same time, is refused when it does.
+func (h *Home) Cancel(k Key, a Attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if j := h.jobs[k]; j != nil && j.origin == origin {
+	h.cancelled[a] = time.Now()
+	if j := h.jobs[k]; j != nil && j.attempt == a {
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
@@ -36,7 +38,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, j := range h.jobs {
-		last := lastHeartbeat(j.origin)
+		last := lastHeartbeat(j.attempt.Origin)
 		if j.enteredAt.After(last) {
 			last = j.enteredAt
 		}
--- a/home/home.go
+++ b/home/home.go
@@ -78,6 +78,10 @@
 	// maxKeptOutcomes bounds the number of kept outcomes.
 	maxKeptOutcomes = 4096
 
+	// cancelRetention is how long the cancel of a submission that has not arrived is kept. The
+	// submission is under way for less, or refused for its age.
+	cancelRetention = 4 * time.Second
+
 	// runNumberBits is the number of low bits of a run number that count the runs under one
 	// fencing token; the token fills the bits above. They hold 16.7 million runs, such as 1000
 	// a minute for 11 days; a home that starts more gets into the numbers of the next token.
@@ -104,6 +108,7 @@
 	jobs              map[Key]*job
 	waiting           map[*job]struct{} // jobs with tasks to start
 	finished          map[Key]finishedJob
+	cancelled         map[Attempt]time.Time     // when they were cancelled
 	unclaimedEnds     map[string]lease.EndedRun // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
 	behind            bool // the last tick came too late
@@ -140,6 +145,7 @@
 		jobs:          map[Key]*job{},
 		waiting:       map[*job]struct{}{},
 		finished:      map[Key]finishedJob{},
+		cancelled:     map[Attempt]time.Time{},
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
@@ -272,6 +278,11 @@
 			delete(h.finished, id)
 		}
 	}
+	for a, at := range h.cancelled {
+		if now.Sub(at) > cancelRetention {
+			delete(h.cancelled, a)
+		}
+	}
 	if now.Sub(h.unclaimedEndsAt) > outcomeRetention {
 		clear(h.unclaimedEnds)
 	}
--- a/home/job.go
+++ b/home/job.go
@@ -13,7 +13,7 @@
 	key          Key
 	batch        model.Batch
 	route        model.Route
-	origin       string
+	attempt      Attempt       // the last one
 	arrivedAt    time.Time     // at its origin
 	waitedBefore time.Duration // estimated wait of its caller before that, in earlier submissions
 	enteredAt    time.Time     // here, when it was last submitted
@@ -61,7 +61,7 @@
 		key:       s.Key(),
 		batch:     s.Batch,
 		route:     s.Route,
-		origin:    s.Origin,
+		attempt:   s.Attempt(),
 		arrivedAt: now.Add(-s.Age),
 		enteredAt: now,
 		deadline:  now.Add(s.TimeLeft),
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -206,7 +206,7 @@
 func TestCancelEndsOnlyTheSubmissionItIsFor(t *testing.T) {
 	cases := map[string]func(h *home.Home, cancelFirst context.CancelFunc, s home.Submission){
 		"connection of the earlier origin closed": func(_ *home.Home, cancelFirst context.CancelFunc, _ home.Submission) { cancelFirst() },
-		"cancel of the earlier origin":            func(h *home.Home, _ context.CancelFunc, s home.Submission) { h.Cancel(s.Key(), "entry") },
+		"cancel of the earlier origin":            func(h *home.Home, _ context.CancelFunc, s home.Submission) { h.Cancel(s.Key(), s.Attempt()) },
 	}
 	for name, cancel := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -235,3 +235,23 @@
 		})
 	}
 }
+
+// Guards against a task that runs twice: a submission and its cancel are read together, and the cancel
+// is handled first.
+func TestCancelledSubmissionThatArrivesLaterIsNotRun(t *testing.T) {
+	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
+		s := submission("a", 2)
+		s.Incarnation, s.Number = "1", 7
+		h.Cancel(s.Key(), s.Attempt())
+		if diff := cmp.Diff(home.Cancelled, resultOf(submit(h, s))); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(0, dc.ledger.Starts("a.0.0.0")); diff != "" {
+			t.Errorf("starts (-want +got):\n%s", diff)
+		}
+		s.Number++
+		if diff := cmp.Diff(home.Succeeded, resultOf(submit(h, s))); diff != "" {
+			t.Errorf("result of the next submission (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -47,12 +47,15 @@
 // to a home. Age is the time since its request arrived at the origin, and TimeLeft how long its caller
 // still waits.
 type Submission struct {
-	Batch    model.Batch   `json:"batch"`
-	Route    model.Route   `json:"route"`
-	Origin   string        `json:"origin"`            // id of the instance
-	Content  uint64        `json:"content,omitempty"` // digest of Batch, which may come without its specification
-	Age      time.Duration `json:"age"`
-	TimeLeft time.Duration `json:"left"`
+	Batch       model.Batch   `json:"batch"`
+	Route       model.Route   `json:"route"`
+	Origin      string        `json:"origin"`                // id of the instance
+	Incarnation string        `json:"incarnation,omitempty"` // of the origin
+	Number      int64         `json:"number,omitempty"`      // of the origin's submissions
+	SentAt      time.Duration `json:"sentAt,omitempty"`      // when it was sent, by the origin's time since boot
+	Content     uint64        `json:"content,omitempty"`     // digest of Batch, which may come without its specification
+	Age         time.Duration `json:"age"`
+	TimeLeft    time.Duration `json:"left"`
 
 	// Resumed reports that an earlier home may have started tasks of the job.
 	Resumed bool `json:"resumed,omitempty"`
@@ -121,8 +124,11 @@
 	if h.closed || h.fenced {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
+	if _, ok := h.cancelled[s.Attempt()]; ok {
+		return nil, Outcome{Result: Cancelled, Reason: callerLeft}
+	}
 	if j := h.jobs[s.Key()]; j != nil {
-		j.origin, j.enteredAt = s.Origin, time.Now()
+		j.attempt, j.enteredAt = s.Attempt(), time.Now()
 		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
 		return j, Outcome{}
