home, fleet: cancel the jobs of an origin's earlier incarnation

What callers could see: a job run twice after the instance that held their connection lost power and was up again within about a second. Found while looking for the users' TWICE on two homes; not proved to be its cause.

Cause: a home cancels the jobs of origins whose heartbeats are missing, by the name of the instance, so the heartbeats of the next incarnation kept the jobs of the one before. A killed process is noticed by its connections; one that loses power is not.

TestRestartedOriginIsNotTheOneOfEarlierJobs, TestJobOfAnEarlierIncarnationOfItsOriginIsCancelled: the question could not be asked before, lastMessage took the name alone.

--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -43,3 +43,22 @@
 		t.Errorf("cancels (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a task that runs twice: an origin that has lost power and is up again before its
+// heartbeats are missed counted as the origin of the jobs from before.
+func TestRestartedOriginIsNotTheOneOfEarlierJobs(t *testing.T) {
+	in := newListener(t)
+	in.hear(`{"instance":"other","incarnation":"2","nextMillis":250}`)
+	for range 50 {
+		if time.Sleep(20 * time.Millisecond); in.heartbeats.IsAlive("other") {
+			break
+		}
+	}
+	got := map[string]bool{}
+	for _, incarnation := range []string{"1", "2"} {
+		got[incarnation] = !in.lastMessage("other", incarnation).IsZero()
+	}
+	if diff := cmp.Diff(map[string]bool{"1": false, "2": true}, got); diff != "" {
+		t.Errorf("heard of incarnation (-want +got):\n%s", diff)
+	}
+}
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -224,10 +224,15 @@
 	}
 }
 
-// lastMessage returns when the last message of an instance was received.
-func (in *Instance) lastMessage(instance string) time.Time {
-	if instance == in.self.Instance {
+// lastMessage returns when the last message of an incarnation of an instance was received. It returns
+// the zero time for one that has a successor.
+func (in *Instance) lastMessage(instance, incarnation string) time.Time {
+	if instance == in.self.Instance && incarnation == in.self.Incarnation {
 		return time.Now()
 	}
-	return in.heartbeats.Status(instance).LastMessage
+	status := in.heartbeats.Status(instance)
+	if status.Incarnation != incarnation {
+		return time.Time{}
+	}
+	return status.LastMessage
 }
--- a/home/finish.go
+++ b/home/finish.go
@@ -30,15 +30,16 @@
 	}
 }
 
-// CancelOrphaned cancels the jobs of origins whose last heartbeat is older than the timeout.
+// CancelOrphaned cancels the jobs of origins whose last heartbeat is older than the timeout. An
+// incarnation that has a successor has none.
 // The arrival of a job counts as a heartbeat too: it may come before the next heartbeat of an
 // instance that has just started or was paused.
-func (h *Home) CancelOrphaned(lastHeartbeat func(instance string) time.Time, timeout time.Duration) {
+func (h *Home) CancelOrphaned(lastHeartbeat func(instance, incarnation string) time.Time, timeout time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, j := range h.jobs {
-		last := lastHeartbeat(j.attempt.Origin)
+		last := lastHeartbeat(j.attempt.Origin, j.attempt.Incarnation)
 		if j.enteredAt.After(last) {
 			last = j.enteredAt
 		}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -420,7 +420,7 @@
 		go func() { outcome <- resultOf(submit(h, submission("a", 2))) }()
 		for len(outcome) == 0 {
 			time.Sleep(100 * time.Millisecond)
-			h.CancelOrphaned(func(string) time.Time { return lastHeartbeat }, time.Second)
+			h.CancelOrphaned(func(string, string) time.Time { return lastHeartbeat }, time.Second)
 		}
 		// The job arrived after the last heartbeat, which counts as a heartbeat too.
 		if got, took := <-outcome, time.Since(began); got != home.Cancelled || took < time.Second || took > 1200*time.Millisecond {
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -255,3 +255,26 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice: the origin of its job has lost power and is up again before
+// its heartbeats are missed.
+func TestJobOfAnEarlierIncarnationOfItsOriginIsCancelled(t *testing.T) {
+	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
+		s := submission("a", 2)
+		s.Incarnation = "1"
+		dc.workers["w0"].RunTime = func(string) time.Duration { return 5 * time.Second }
+		dc.workers["w1"].RunTime = dc.workers["w0"].RunTime
+		results := make(chan home.Result, 1)
+		go func() { results <- resultOf(submit(h, s)) }()
+		time.Sleep(1100 * time.Millisecond)
+		h.CancelOrphaned(func(_, incarnation string) time.Time {
+			if incarnation == "2" {
+				return time.Now()
+			}
+			return time.Time{}
+		}, time.Second)
+		if diff := cmp.Diff(home.Cancelled, <-results); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+	})
+}
