beat, fleet, peer: count the time that a forwarded job was under way

Cause: a forwarded job carries how long its caller still waits, and the home counted that from the moment of reading. A job that was held up on the network, or by a pause of either process, was new when it arrived. The close of a broken connection left its bytes to the kernel, which delivers them later.

Heartbeats carry the time since boot; the fastest of the last 30 to 60 s tells how two clocks compare. What was under way for over 0.5 s, or longer than its caller waits, is refused unrun. A broken connection is reset.

--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -55,12 +55,39 @@
 		return nil, err
 	}
 	in.heartbeats.RecordForward(r.Job.Origin)
+	if err := in.addTransit(&r.Job); err != nil {
+		return nil, err
+	}
 	if r.Job.SpecBytes > 0 {
 		r.Job.OriginStarter = in.originStarter(r)
 	}
 	return h.Submit(ctx, r.Job), nil
 }
 
+// maxTransit is the longest time that a forwarded job may be under way. It is a fraction of the time
+// after which callers submit a job again, and above the queueing time of links that are busy.
+const maxTransit = 500 * time.Millisecond
+
+// errLate is returned for a job that was under way for too long.
+var errLate = eris.New("the job was under way for too long and is not run")
+
+// addTransit adds the time that a forwarded job was under way to its age. It returns errLate if that was
+// too long: bytes that were held up by a partition, or by a pause of either instance, are delivered
+// afterwards, when the caller may have submitted the job elsewhere.
+func (in *Instance) addTransit(s *home.Submission) error {
+	transit, ok := in.heartbeats.Transit(s.Origin, s.Incarnation, s.SentAt)
+	if !ok {
+		return nil
+	}
+	if transit > maxTransit || transit >= s.TimeLeft {
+		in.log.Warn().Stringer("job", s.Key()).Str("origin", s.Origin).Int64("transitMillis", transit.Milliseconds()).
+			Int64("leftMillis", s.TimeLeft.Milliseconds()).Msg("job arrived late")
+		return errLate
+	}
+	s.Age, s.TimeLeft = s.Age+transit, s.TimeLeft-transit
+	return nil
+}
+
 // serveStartable returns how many tasks of a job could start in time at a home of this instance.
 func (in *Instance) serveStartable(_ context.Context, params json.RawMessage) (any, error) {
 	r, h, err := in.decodeRun(params)
--- a/peer/link.go
+++ b/peer/link.go
@@ -110,8 +110,11 @@
 	if c != nil && c.usable() {
 		return c, nil
 	}
-	if c != nil && !c.closed() && l.isAlive(ctx, c) {
-		return c, nil
+	if c != nil && !c.closed() {
+		if l.isAlive(ctx, c) {
+			return c, nil
+		}
+		c.stream.discardUnsent()
 	}
 
 	l.disconnect()
@@ -128,6 +131,7 @@
 		return
 	}
 
+	c.stream.discardUnsent()
 	l.disconnect()
 	if !c.stream.idleTimedOut.Load() {
 		_, _ = l.connect(ctx)
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -144,6 +144,15 @@
 	return err
 }
 
+// discardUnsent makes the close of a broken connection discard the bytes that the other end has not
+// received. Otherwise the kernel delivers them, with requests whose calls have ended, as soon as the
+// other end can be reached again.
+func (s *stream) discardUnsent() {
+	if c, ok := s.conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // a connection that has failed delivers nothing
+	}
+}
+
 // Close closes the connection.
 func (s *stream) Close() error {
 	return s.conn.Close()
--- a/proof/unread_test.go
+++ b/proof/unread_test.go
@@ -31,29 +31,15 @@
 	}
 	s.waitRecovered()
 
-	submit := func(i *soakInstance, id string, timeout time.Duration) int {
-		ctx, cancel := context.WithTimeout(t.Context(), timeout)
-		defer cancel()
-		req, err := stand.NewJobRequest(i.callersAddr, id, 2, taskMilliCores, runTime, timeout, s.spec)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp, err := http.DefaultClient.Do(req.WithContext(ctx))
-		if err != nil {
-			return 0
-		}
-		_ = resp.Body.Close()
-		return resp.StatusCode
-	}
 	for n, i := range s.instances[:2] { // one of them is the home of its data centre
 		id := fmt.Sprintf("%016x", 1000+n)
 		i.process().pause()
 		time.AfterFunc(pauseTime, func() { _ = i.process().cmd.Process.Signal(syscall.SIGCONT) })
-		if diff := cmp.Diff(0, submit(i, id, callerTimeout)); diff != "" {
+		if diff := cmp.Diff(0, s.submitOnce(i, id, runTime, callerTimeout)); diff != "" {
 			t.Errorf("status of the first submission (-want +got):\n%s", diff)
 		}
 		time.Sleep(resendDelay)
-		if diff := cmp.Diff(http.StatusOK, submit(s.instances[2], id, 3*time.Second)); diff != "" {
+		if diff := cmp.Diff(http.StatusOK, s.submitOnce(s.instances[2], id, runTime, 3*time.Second)); diff != "" {
 			t.Errorf("status of the second submission (-want +got):\n%s", diff)
 		}
 		time.Sleep(time.Second) // until the work of the resumed instance shows
@@ -61,3 +47,19 @@
 	}
 	s.check()
 }
+
+// submitOnce submits a job of two tasks and returns the HTTP status, or 0 if the caller gave up.
+func (s *soak) submitOnce(i *soakInstance, id string, runTime, timeout time.Duration) int {
+	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
+	defer cancel()
+	req, err := stand.NewJobRequest(i.callersAddr, id, 2, taskMilliCores, runTime, timeout, s.spec)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
