home: don't extend the lease of runs whose jobs have not arrived

Cause: a new home renewed the lease of a worker as soon as it had reported its runs, those of the earlier home included, before their jobs had been submitted again. If this home was lost too, nobody stopped the runs, and they lived for a lease more, longer than the 1.3 s after which their callers submit the jobs again.

A worker with only such runs gets no lease until one of them is adopted. The adoption itself takes place within 0.3 s, or the runs are stopped, as before.

TestRunsOfALostHomeEndWithTheirLeaseIfTheNextIsLostToo failed before: four tasks ran 1.1 s after the loss of the first home.

--- a/home/handover_test.go
+++ b/home/handover_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/fakes"
 	"foxtailmux/home"
 )
@@ -123,3 +125,32 @@
 		t.Errorf("seed %d: outcomes %v of %d jobs", seed, outcomes, jobs)
 	}
 }
+
+// Guards against a task that runs twice after two homes were lost in a row: the second one extended the
+// leases of the runs that it found before it knew whose they are, and its loss left them running longer
+// than the time after which their callers submit the jobs again.
+func TestRunsOfALostHomeEndWithTheirLeaseIfTheNextIsLostToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 2)
+		for _, w := range dc.workers {
+			w.RunTime = func(string) time.Duration { return 10 * time.Second }
+		}
+		first := dc.readyHome(1)
+		go submit(first, submission("a", 4))
+		time.Sleep(300 * time.Millisecond)
+		dc.close(first)
+		lost := time.Now()
+
+		time.Sleep(500 * time.Millisecond)
+		second := dc.newHome(2)
+		time.Sleep(200 * time.Millisecond)
+		if diff := cmp.Diff(4, dc.ledger.RunningTasks()); diff != "" {
+			t.Fatalf("running tasks when the second home is lost (-want +got):\n%s", diff)
+		}
+		dc.close(second)
+		time.Sleep(time.Until(lost.Add(1100 * time.Millisecond)))
+		if diff := cmp.Diff(0, dc.ledger.RunningTasks()); diff != "" {
+			t.Errorf("running tasks 1.1 s after the loss of the first home (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/renew.go
+++ b/home/renew.go
@@ -128,15 +128,30 @@
 	request := lease.Renewal{Token: w.home.options.Token, LastEndSeen: w.tracker.LastEndSeen()}
 	// The lease of an unresponsive worker is not extended: the request might be carried out and
 	// delay the expiry of its runs.
-	if w.reported && !w.health.IsUnresponsive(now) {
+	if !w.reported || w.health.IsUnresponsive(now) {
+		return request
+	}
+	onlyInherited := w.hasOnlyInheritedRuns()
+	if !onlyInherited {
 		request.Until = w.tracker.GrantLease(now)
 	}
-	if wait && request.Until > 0 && w.tracker.Len() > 0 {
+	switch {
+	case !wait || w.tracker.Len() == 0:
+	case onlyInherited:
+		request.WaitMillis = minRenewalWait.Milliseconds()
+	default:
 		request.WaitMillis = w.renewalWait(now).Milliseconds()
 	}
 	return request
 }
 
+// hasOnlyInheritedRuns reports whether all runs on the worker are of an earlier home and not adopted.
+// Their lease is not extended before their jobs arrive: if this home is lost too, nobody stops them,
+// and their callers submit the jobs again after little more than a lease.
+func (w *worker) hasOnlyInheritedRuns() bool {
+	return w.tracker.HasInherited() && len(w.assignments) == 0
+}
+
 // renewalWait returns how long the worker may hold back its response to the next renewal to
 // wait for the end of a run: until shortly after the first end that is expected, so that a lost
 // response is noticed soon.
