home: start no task of a job whose time is over

What callers could see: a task started beside the next submission of their job, after a pause of the home of less than a second.

Cause: the tick ends jobs whose time is over; an end or a report that was handled before it still started their waiting tasks.

TestTaskOfAJobWhoseTimeIsOverIsNotStarted failed before (one start).

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -38,6 +38,9 @@
 		if len(p.available) == 0 {
 			return
 		}
+		if now.After(j.deadline) {
+			continue // the next tick ends it
+		}
 		h.startWaitingTasks(j, p, now)
 	}
 }
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -278,3 +278,23 @@
 		}
 	})
 }
+
+// Guards against a task that runs beside the next submission of its caller: after a pause of the home an
+// end is handled, and starts a waiting task, before the tick that ends the job whose time is over.
+func TestTaskOfAJobWhoseTimeIsOverIsNotStarted(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		dc.workers["w0"].RunTime = func(string) time.Duration { return 51 * time.Millisecond }
+		results := make(chan home.Result, 2)
+		go func() { results <- resultOf(submit(h, submission("before", 2))) }()
+		time.Sleep(5 * time.Millisecond)
+		s := submission("late", 1)
+		s.Resumed, s.TasksReported, s.TimeLeft = true, true, 45*time.Millisecond // over 4 ms before the ends, 10 ms before the tick
+		go func() { results <- resultOf(submit(h, s)) }()
+		for range 2 {
+			<-results
+		}
+		if diff := cmp.Diff(0, dc.ledger.Starts("late.0.0.0")); diff != "" {
+			t.Errorf("starts (-want +got):\n%s", diff)
+		}
+	})
+}
