platform, fleet: take no odd entry for a worker

But entries whose address can't be dialled, or whose capacity is negative or the largest number, were taken for workers, dialled ten times a second, and waited for after a takeover. A worker whose own entry was overwritten stayed in use for good.

An instance's row needs an IP address.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -71,7 +72,11 @@
 			continue
 		}
 		var p beat.Peer
-		if err := json.Unmarshal(row.Value, &p); err != nil || p.Instance != name {
+		err := json.Unmarshal(row.Value, &p)
+		if err == nil {
+			_, err = netip.ParseAddrPort(p.Addr) // a host name would be looked up for each heartbeat
+		}
+		if err != nil || p.Instance != name {
 			in.log.Warn().Err(err).Str("row", row.Key).Msg("instance row not decoded")
 			continue
 		}
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -21,15 +21,13 @@
 	for _, row := range rows {
 		id := strings.TrimPrefix(row.Key, in.tables.Workers+"/")
 		if row.Deleted {
-			if w, ok := in.knownWorkers[id]; ok {
-				in.missingSince[id] = now
-				in.workerLeftAt[w.DataCentre] = now
-			}
+			in.recordMissing(id, now)
 			continue
 		}
 		w, err := in.adapter.DecodeWorker(row)
 		if err != nil {
 			in.log.Warn().Err(err).Int64("version", row.Version).Msg("worker row not decoded")
+			in.recordMissing(id, now)
 			continue
 		}
 		delete(in.missingSince, id)
@@ -42,6 +40,16 @@
 	in.changed.notify()
 }
 
+// recordMissing records that a worker has no row, or one that names no worker. The caller holds the
+// lock.
+func (in *Instance) recordMissing(id string, now time.Time) {
+	w, ok := in.knownWorkers[id]
+	if _, missing := in.missingSince[id]; !ok || missing {
+		return
+	}
+	in.missingSince[id], in.workerLeftAt[w.DataCentre] = now, now
+}
+
 // removeWorker removes a known worker. The caller holds the lock.
 func (in *Instance) removeWorker(id string) {
 	w, ok := in.knownWorkers[id]
