home, platform: use a restarted worker by the row that describes it

Cause: a home resets what it tracks of a worker when "born" in a report changes, but kept capacity and labels of the row before. "born" was not read from rows, which are polled each 0.7 s.

The new test without processes fails only for the missing comparison of row and report.

A worker is used if row and report name one incarnation, or one of them none. If they differ, the runs are asked for each 0.25 s and the table is read at once. Health starts anew.

Failed before: TestRestartedWorkerGetsNoTaskBeforeItsRowDescribesIt, TestHealthIsNotKeptOverARestart.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -179,6 +179,9 @@
 	w.faults = f
 }
 
+// Incarnation returns the present incarnation.
+func (w *LeasedWorker) Incarnation() int64 { return w.currentIncarnation() }
+
 // Renewals returns the number of lease renewals that were executed or refused as
 // fenced.
 func (w *LeasedWorker) Renewals() int {
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -175,6 +175,7 @@
 		Link:           in.link,
 		FreeDataCentre: func(milliCores int) (string, bool) { return in.capacityElsewhere(dataCentre, milliCores) },
 		OnFenced:       func() { in.onFenced(dataCentre, token) },
+		RefreshWorkers: in.workerTable.Refresh,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/home/home.go
+++ b/home/home.go
@@ -49,7 +49,8 @@
 // at the worker. Link is the network link of this machine, shared by all homes of the process.
 // FreeDataCentre returns the other data centre with the most free capacity, if that is enough
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
-// that there is a later home, and besides whenever a goroutine of the home panics.
+// that there is a later home, and besides whenever a goroutine of the home panics. RefreshWorkers
+// requests that SetWorkers be called soon, and must not block or call the home.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -57,6 +58,7 @@
 	Connect        func(w model.Worker, late func(took time.Duration)) Endpoint
 	FreeDataCentre func(milliCores int) (dataCentre string, ok bool)
 	OnFenced       func()
+	RefreshWorkers func()
 	Link           *plan.Link
 	Observer       Observer
 	Log            *log.Logger
@@ -216,6 +218,9 @@
 			h.options.Log.Info().Str("worker", id).Str("state", string(info.State)).Msg("worker changed its state")
 			w.signal()
 		}
+		if w.info.Incarnation != info.Incarnation {
+			w.signal()
+		}
 		w.info, w.removed = info, false
 		w.tracker.SetCapacity(info.Capacity)
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -46,6 +46,7 @@
 	listed         map[string]model.Worker
 	freeDataCentre func(int) (string, bool)
 	fenced         atomic.Int32
+	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
 	logWriter      io.Writer
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
@@ -78,6 +79,7 @@
 		Link:           dc.link,
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
 		OnFenced:       func() { dc.fenced.Add(1) },
+		RefreshWorkers: func() { dc.refreshes.Add(1) },
 		Observer:       noopObserver{},
 		Log:            &log.Logger{Writer: log.IOWriter{Writer: dc.logWriter}},
 	})
--- a/home/renew.go
+++ b/home/renew.go
@@ -39,6 +39,9 @@
 		return w.home.probeInterval(maxRenewalRetry), false // resolveRuns sends the renewals
 	case !w.reported, w.tracker.Len() > 0, w.needsProbe():
 		return 0, true
+	case !w.isDescribed():
+		rest := describeRetry - time.Since(w.tracker.LastReport())
+		return rest, rest <= 0
 	case w.tracker.HasUnackedEnds():
 		rest := ackDelay - time.Since(w.tracker.LastResponse())
 		return rest, rest <= 0
@@ -190,7 +193,11 @@
 	}
 
 	w.recordResponse(now)
+	before := w.tracker.Incarnation()
 	ended := w.tracker.ApplyReport(request, r, sentAt, now)
+	if before != 0 && w.tracker.Incarnation() != before {
+		w.handleRestart(before)
+	}
 	if !w.reported {
 		w.reported, w.reportedAt = true, now
 		w.home.keepUnclaimedEnds(r.Ended)
@@ -204,6 +211,17 @@
 	return nil
 }
 
+// handleRestart handles the first report of another incarnation of the worker. What was learned of the
+// earlier one does not hold for it.
+func (w *worker) handleRestart(before int64) {
+	w.home.options.Log.Info().Str("worker", w.info.ID).Int64("before", before).Int64("incarnation", w.tracker.Incarnation()).
+		Bool("described", w.isDescribed()).Msg("worker has restarted")
+	w.health = plan.Health{}
+	if !w.isDescribed() {
+		w.home.options.RefreshWorkers()
+	}
+}
+
 // keepUnclaimedEnds keeps ended runs of an earlier home for jobs that have not arrived yet.
 func (h *Home) keepUnclaimedEnds(ends []lease.EndedRun) {
 	for _, e := range ends {
--- /dev/null
+++ b/home/restart_test.go
@@ -0,0 +1,102 @@
+package home_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"foxtailmux/fakes"
+	"foxtailmux/home"
+	"foxtailmux/model"
+)
+
+// setRow replaces the row of a worker with one that describes its present incarnation.
+func (dc *testCentre) setRow(h *home.Home, id string) {
+	w := dc.listed[id]
+	w.Capacity, w.Incarnation = dc.workers[id].Capacity, dc.workers[id].Incarnation()
+	dc.listed[id] = w
+	h.SetWorkers(dc.listed, true)
+}
+
+// Guards against a worker above its capacity: it has restarted as a smaller one under its id, its next
+// incarnation has reported its runs, and its row is read only later (review/5).
+func TestRestartedWorkerGetsNoTaskBeforeItsRowDescribesIt(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		w := dc.workers["w0"]
+		w.Capacity.MilliCores = 96 * core
+		dc.setRow(h, "w0")
+		results := make(chan home.Result, 4)
+		go func() { results <- resultOf(submit(h, submission("running", 1))) }()
+		time.Sleep(runTime / 2)
+		w.Capacity.MilliCores = 64 * core
+		w.Crash()
+		time.Sleep(20 * time.Millisecond) // until its next incarnation has reported
+		if n := dc.refreshes.Load(); n == 0 {
+			t.Error("the row was not requested")
+		}
+		for _, id := range []string{"a", "b", "c"} {
+			s := submission(id, 1)
+			s.Resumed, s.TasksReported = true, true // waits for capacity
+			go func() { results <- resultOf(submit(h, s)) }()
+		}
+		time.Sleep(300 * time.Millisecond)
+		if diff := cmp.Diff(0, dc.ledger.RunningTasks()); diff != "" {
+			t.Errorf("running tasks before the row is read (-want +got):\n%s", diff)
+		}
+		dc.setRow(h, "w0")
+		for range 4 {
+			if got := <-results; got != home.Succeeded {
+				t.Errorf("result %q", got)
+			}
+		}
+		dc.checkLedger()
+	})
+}
+
+// The row of the next incarnation may be read before the incarnation has reported: the worker has to
+// be asked, also if it is idle.
+func TestRestartedIdleWorkerIsUsedAfterItsRowWasRead(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		dc.setRow(h, "w0")
+		time.Sleep(time.Minute)
+		dc.workers["w0"].Crash()
+		dc.setRow(h, "w0")
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(home.Succeeded, resultOf(submit(h, submission("a", 2)))); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+		before := dc.workers["w0"].Renewals()
+		time.Sleep(time.Minute)
+		if n := dc.workers["w0"].Renewals() - before; n > 2 {
+			t.Errorf("%d requests in a minute to an idle worker that is described", n)
+		}
+	})
+}
+
+// A worker that was slow is not avoided after its restart.
+func TestHealthIsNotKeptOverARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 1)
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{Slowdown: 6})
+		s := submission("slow", 2)
+		s.TimeLeft = 5 * time.Second
+		submit(h, s)
+		health := func() int { return h.State().Workers["w0"].Health }
+		if health() == 0 {
+			t.Fatal("the slow worker is healthy")
+		}
+		dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{})
+		dc.workers["w0"].Crash()
+		w := dc.listed["w0"]
+		w.Incarnation = dc.workers["w0"].Incarnation()
+		h.SetWorkers(map[string]model.Worker{"w0": w}, true)
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(0, health()); diff != "" {
+			t.Errorf("health state after the restart (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/worker.go
+++ b/home/worker.go
@@ -38,6 +38,10 @@
 	maxRenewalRetry = 100 * time.Millisecond
 	maxIdleRetry    = 500 * time.Millisecond
 
+	// describeRetry is the time between requests to a worker whose row describes another incarnation
+	// than the one that last responded.
+	describeRetry = 250 * time.Millisecond
+
 	// ackDelay is how long the acknowledgement of the last ended runs on an idle worker is
 	// delayed. It needs a request of its own.
 	ackDelay = 500 * time.Millisecond
@@ -111,7 +115,14 @@
 
 // isUsable reports whether new tasks may start on the worker.
 func (w *worker) isUsable() bool {
-	return w.reported && !w.removed && w.info.State == model.Live
+	return w.reported && !w.removed && w.info.State == model.Live && w.isDescribed()
+}
+
+// isDescribed reports whether the row of the worker describes the incarnation that responds. A worker
+// may restart under its id with less capacity or other labels.
+func (w *worker) isDescribed() bool {
+	row, reported := w.info.Incarnation, w.tracker.Incarnation()
+	return row == 0 || reported == 0 || row == reported
 }
 
 // RequestBytes is the size on the wire of a request without the specification of its task:
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -83,6 +83,9 @@
 // HasUnackedEnds reports whether the worker still keeps ended runs that were processed here.
 func (t *Tracker) HasUnackedEnds() bool { return t.lastEndSeen > t.lastEndAcked }
 
+// Incarnation returns the incarnation that the worker last reported, 0 if unknown.
+func (t *Tracker) Incarnation() int64 { return t.incarnation }
+
 // Len returns the number of runs that have not certainly ended.
 func (t *Tracker) Len() int { return len(t.runs) }
 
--- a/model/worker.go
+++ b/model/worker.go
@@ -23,6 +23,7 @@
 	Connections int         `json:"connections"`
 	Capacity    Resources   `json:"capacity"`
 	Labels      []string    `json:"labels,omitempty"`
+	Incarnation int64       `json:"incarnation,omitempty"` // of the worker that the rest describes; 0 is unknown
 }
 
 // Entry describes one entry instance, as listed by the platform. PeerAddr is its address
