entry: notice at once that a caller has left

What callers could see: a job that ran on for up to 250 ms beside its next submission.

Cause: the connection of a request was checked each 250 ms.

The watch waits for the socket to become readable, without a timer, and checks each 250 ms only where bytes of a next request hide the end.

TestCallerThatLeavesIsNoticedAtOnce failed before in both cases.

--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -63,7 +63,7 @@
 	}
 
 	ctx, cancel := context.WithCancel(c.Context())
-	w := watchConn(rawConn(c.RequestCtx().Conn()), cancel)
+	w := watchConn(c.RequestCtx().Conn(), cancel)
 	defer w.stop()
 	return s.intake.Submit(ctx, job)
 }
--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -89,8 +89,9 @@
 		return s.refuse(c, http.StatusServiceUnavailable, "the instance is leaving", time.Second)
 	}
 
-	conn := rawConn(c.RequestCtx().Conn())
-	unread := unreadTime(conn, s.options.Pauses.Last())
+	conn := c.RequestCtx().Conn()
+	socket := rawConn(conn)
+	unread := unreadTime(socket, s.options.Pauses.Last())
 	if unread > minLateRead {
 		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", unread.Milliseconds()).
 			Int64("timeoutMillis", timeout.Milliseconds()).Msg("request read late")
@@ -98,7 +99,7 @@
 	switch {
 	case unread >= timeout:
 		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
-	case isClosed(conn):
+	case isClosed(socket):
 		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
 	}
 
--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -118,3 +118,53 @@
 		})
 	}
 }
+
+// Guards against a job that runs on beside its next submission: the end of the caller's connection is
+// noticed a quarter of a second late.
+func TestCallerThatLeavesIsNoticedAtOnce(t *testing.T) {
+	for name, pipelined := range map[string]bool{"first request": false, "second request of a connection": true} {
+		t.Run(name, func(t *testing.T) {
+			d := &cancelRecorder{dispatcher{routing: testRouting}, make(chan time.Time, 1)}
+			_, addr, _ := serveQueuesBehind(t, d, &fixedPause{}, func(l net.Listener) net.Listener { return l })
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			if pipelined {
+				if _, err := io.WriteString(conn, "GET /q/ HTTP/1.1\r\nHost: h.example\r\n\r\n"); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := conn.Read(make([]byte, 4096)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if _, err := io.WriteString(conn, "POST /q/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\nx"); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(100 * time.Millisecond)
+			left := time.Now()
+			_ = conn.Close()
+			select {
+			case at := <-d.cancelled:
+				if took := at.Sub(left); took > 100*time.Millisecond {
+					t.Errorf("the job was cancelled after %v", took)
+				}
+			case <-time.After(5 * time.Second):
+				t.Error("the job was not cancelled")
+			}
+		})
+	}
+}
+
+// cancelRecorder is a Dispatcher that records when a job is cancelled.
+type cancelRecorder struct {
+	dispatcher
+	cancelled chan time.Time
+}
+
+func (d *cancelRecorder) Run(ctx context.Context, _ home.Submission) home.Outcome {
+	<-ctx.Done()
+	d.cancelled <- time.Now()
+	return home.Outcome{Result: home.Cancelled}
+}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -2,75 +2,107 @@
 
 import (
 	"errors"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
 	"github.com/sourcegraph/conc"
 )
 
-// watchInterval is the time between two checks of a caller's connection.
+// watchInterval is the time between two checks of a caller's connection whose end can't be waited for.
 const watchInterval = 250 * time.Millisecond
 
-// connWatcher checks regularly whether the caller of a request is still connected.
+// connWatcher watches whether the caller of a request is still connected.
 type connWatcher struct {
-	conn     syscall.RawConn // nil if the connection is not watched
+	conn     net.Conn
+	raw      syscall.RawConn // socket of conn, nil if the connection is not watched
 	onClosed func()
 	stopped  chan struct{}
 	group    conc.WaitGroup
 }
 
-// watchConn calls onClosed when the caller has closed the connection. Since stop
+// watchConn calls onClosed as soon as the caller has closed the connection. Since stop
 // calls it too, it may be called twice. A caller that closed only its sending side
-// counts as disconnected. A connection without a socket, nil, is not watched.
-func watchConn(conn syscall.RawConn, onClosed func()) *connWatcher {
-	w := &connWatcher{conn: conn, onClosed: onClosed, stopped: make(chan struct{})}
-	if conn != nil {
-		w.group.Go(w.run)
+// counts as disconnected. A connection without a socket is not watched. Nothing else may
+// read from the connection until stop has returned.
+func watchConn(conn net.Conn, onClosed func()) *connWatcher {
+	w := &connWatcher{conn: conn, raw: rawConn(conn), onClosed: onClosed, stopped: make(chan struct{})}
+	if w.raw == nil {
+		return w
 	}
+	_ = conn.SetReadDeadline(time.Time{}) // fails for a closed connection only, which run notices
+	w.group.Go(w.run)
 	return w
 }
 
 func (w *connWatcher) run() {
+	if w.awaitReadable() && isClosed(w.raw) {
+		w.onClosed()
+		return
+	}
+	// Bytes of a next request are in the socket: its end is seen once they are read.
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
-
 	for {
 		select {
 		case <-w.stopped:
 			return
 		case <-ticker.C:
 		}
-		if isClosed(w.conn) {
+		if isClosed(w.raw) {
 			w.onClosed()
 			return
 		}
 	}
 }
 
-// stop ends the checks and calls onClosed, which releases the request's context.
+// awaitReadable waits until the socket has bytes, or its end, to read. It returns false if the watch
+// was stopped before.
+func (w *connWatcher) awaitReadable() bool {
+	err := w.raw.Read(func(fd uintptr) bool { return !hasNothing(fd) })
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// stop ends the watch and calls onClosed, which releases the request's context.
 func (w *connWatcher) stop() {
 	close(w.stopped)
-	w.group.Wait()
+	if w.raw != nil {
+		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // ends awaitReadable
+		w.group.Wait()
+		_ = w.conn.SetReadDeadline(time.Time{})
+	}
 	w.onClosed()
 }
 
 // isClosed reports whether the caller closed the connection or the connection failed.
-// A connection without a socket counts as open. It peeks at the socket, so that the bytes of a next request stay in it.
+// A connection without a socket, nil, counts as open.
 func isClosed(conn syscall.RawConn) bool {
 	if conn == nil {
 		return false
 	}
-	var n int
-	var err error
-	var peeked [1]byte
+	closed := false
 	control := conn.Control(func(fd uintptr) {
-		n, _, err = syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		n, err := peek(fd)
+		closed = n == 0 && err == nil || err != nil && !isTemporary(err)
 	})
-	if control != nil {
-		return true
-	}
-	if err != nil {
-		return !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-	}
-	return n == 0
+	return control != nil || closed
+}
+
+// hasNothing reports whether a socket is open and has no bytes to read.
+func hasNothing(fd uintptr) bool {
+	_, err := peek(fd)
+	return isTemporary(err)
+}
+
+// peek returns the number of bytes that can be read at once, 0 or 1, and leaves them in the socket.
+// Without an error, 0 is the end of the stream.
+func peek(fd uintptr) (int, error) {
+	var peeked [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+func isTemporary(err error) bool {
+	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
 }
