--- a/lease/clock.go
+++ b/lease/clock.go
@@ -1,3 +1,8 @@
+// Package lease tracks, for the home of a worker (the entry instance that at present owns it),
+// the runs on that worker, one run being one execution of a task: what they reserve, whether
+// their starts are confirmed, and until when the worker may execute them. A lease is the
+// permission to execute runs until a time on the worker's clock; it covers all runs on the
+// worker and is extended by renewals.
 package lease
 
 import "time"
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -51,15 +51,20 @@
 	400,  // the first seed with low-bandwidth links
 	418,  // two instances got the same port: a fault of this test
 	7105, // a crashed worker carried out requests that it had received before: a fault of the fake
+	9000, // the first seed with connections that go silent
 }
 
-// Seeds below firstSeedOfAllFaults draw from the first earlierFaultKinds kinds of
-// faults only, so that they inject the same faults as at the time they failed.
-const (
-	firstSeedOfAllFaults = 100
-	earlierFaultKinds    = 13
-	allFaultKinds        = 17
-)
+// Seeds draw from the first kinds of faults only, as many as there were when they were first used, so
+// that they inject the same faults as at the time they failed.
+func faultKinds(seed uint64) int {
+	switch {
+	case seed < 100:
+		return 13
+	case seed < 9000:
+		return 17
+	}
+	return 19
+}
 
 // With seeds from firstLowBandwidthSeed on, instances are configured with
 // low-bandwidth links, so that the origin of a job (the instance that holds the
@@ -200,9 +205,6 @@
 	if seed >= firstLowBandwidthSeed {
 		s.linkMbits, s.spec = 2, strings.Repeat("s", lowBandwidthSpecBytes)
 	}
-	if seed < firstSeedOfAllFaults {
-		s.faultKinds = earlierFaultKinds
-	}
 	for i := range 6 {
 		s.addWorker(i, []string{"kochi", "tvm"}[i%2])
 	}
@@ -244,7 +246,7 @@
 func newEmptySoak(t *testing.T, seed uint64) (s *soak, store string) {
 	s = &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		statuses: map[string][]int{}, faultKinds: allFaultKinds, spec: "s",
+		statuses: map[string][]int{}, faultKinds: faultKinds(seed), spec: "s",
 	}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(server.Close)
@@ -500,6 +502,10 @@
 	case 16:
 		proxy.delayReads.Store(true)
 		until(func() { proxy.delayReads.Store(false) })
+	case 17:
+		proxy.goSilent()
+	case 18:
+		i.storeProxy.goSilent()
 	}
 }
 
