--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -12,6 +12,7 @@
 	"foxtailmux/home"
 	"foxtailmux/model"
 	"foxtailmux/plan"
+	"foxtailmux/socket"
 )
 
 // defaultCallerTimeout is the timeout of a caller that sends none. Callers of the
@@ -90,8 +91,8 @@
 	}
 
 	conn := c.RequestCtx().Conn()
-	socket := rawConn(conn)
-	unread := unreadTime(socket, s.options.Pauses.Last())
+	raw := socket.Raw(conn)
+	unread := unreadTime(raw, s.options.Pauses.Last())
 	if unread > minLateRead {
 		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", unread.Milliseconds()).
 			Int64("timeoutMillis", timeout.Milliseconds()).Msg("request read late")
@@ -99,7 +100,7 @@
 	switch {
 	case unread >= timeout:
 		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
-	case isClosed(socket):
+	case socket.Peek(raw) == socket.Closed:
 		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
 	}
 
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -1,13 +1,11 @@
 package entry
 
 import (
-	"net"
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"foxtailmux/pause"
+	"foxtailmux/socket"
 )
 
 const (
@@ -24,24 +22,11 @@
 	Last() pause.Pause
 }
 
-// rawConn returns the socket of a connection, or nil if it has none.
-func rawConn(conn net.Conn) syscall.RawConn {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
 // unreadTime returns how long a request that was just read may have waited in its socket, which is
 // nil if there is none. Used after a pause of the process: the caller of a request from before may
 // have submitted its job elsewhere in the meantime.
 func unreadTime(conn syscall.RawConn, last pause.Pause) time.Duration {
-	unread := sinceLastBytes(conn)
+	unread := socket.SinceLastBytes(conn)
 	if last.Length == 0 {
 		return unread
 	}
@@ -54,21 +39,3 @@
 	}
 	return sinceEnd + last.Length
 }
-
-// sinceLastBytes returns the time since the last bytes arrived at a socket, by a clock that stands
-// still while the machine is suspended. It returns 0 if they have just arrived, and also if the
-// socket does not tell, as on kernels that leave this field empty.
-func sinceLastBytes(conn syscall.RawConn) time.Duration {
-	if conn == nil {
-		return 0
-	}
-	var info *unix.TCPInfo
-	var err error
-	control := conn.Control(func(fd uintptr) {
-		info, err = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if control != nil || err != nil {
-		return 0
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
-}
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+
+	"foxtailmux/socket"
 )
 
 // watchInterval is the time between two checks of a caller's connection whose end can't be waited for.
@@ -27,7 +29,7 @@
 // counts as disconnected. A connection without a socket is not watched. Nothing else may
 // read from the connection until stop has returned.
 func watchConn(conn net.Conn, onClosed func()) *connWatcher {
-	w := &connWatcher{conn: conn, raw: rawConn(conn), onClosed: onClosed, stopped: make(chan struct{})}
+	w := &connWatcher{conn: conn, raw: socket.Raw(conn), onClosed: onClosed, stopped: make(chan struct{})}
 	if w.raw == nil {
 		return w
 	}
@@ -37,7 +39,7 @@
 }
 
 func (w *connWatcher) run() {
-	if w.awaitReadable() && isClosed(w.raw) {
+	if w.awaitReadable() && socket.Peek(w.raw) == socket.Closed {
 		w.onClosed()
 		return
 	}
@@ -50,7 +52,7 @@
 			return
 		case <-ticker.C:
 		}
-		if isClosed(w.raw) {
+		if socket.Peek(w.raw) == socket.Closed {
 			w.onClosed()
 			return
 		}
@@ -60,8 +62,7 @@
 // awaitReadable waits until the socket has bytes, or its end, to read. It returns false if the watch
 // was stopped before.
 func (w *connWatcher) awaitReadable() bool {
-	err := w.raw.Read(func(fd uintptr) bool { return !hasNothing(fd) })
-	return !errors.Is(err, os.ErrDeadlineExceeded)
+	return !errors.Is(socket.Await(w.raw), os.ErrDeadlineExceeded)
 }
 
 // stop ends the watch and calls onClosed, which releases the request's context.
@@ -74,35 +75,3 @@
 	}
 	w.onClosed()
 }
-
-// isClosed reports whether the caller closed the connection or the connection failed.
-// A connection without a socket, nil, counts as open.
-func isClosed(conn syscall.RawConn) bool {
-	if conn == nil {
-		return false
-	}
-	closed := false
-	control := conn.Control(func(fd uintptr) {
-		n, err := peek(fd)
-		closed = n == 0 && err == nil || err != nil && !isTemporary(err)
-	})
-	return control != nil || closed
-}
-
-// hasNothing reports whether a socket is open and has no bytes to read.
-func hasNothing(fd uintptr) bool {
-	_, err := peek(fd)
-	return isTemporary(err)
-}
-
-// peek returns the number of bytes that can be read at once, 0 or 1, and leaves them in the socket.
-// Without an error, 0 is the end of the stream.
-func peek(fd uintptr) (int, error) {
-	var peeked [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
-func isTemporary(err error) bool {
-	return errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
-}
