home: keep no cancel of a submission without a number

Submissions within one process have none, so that a kept cancel could have refused later ones of the same origin. No caller sends such a cancel today.

--- a/home/finish.go
+++ b/home/finish.go
@@ -14,7 +14,9 @@
 func (h *Home) Cancel(k Key, a Attempt) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.cancelled[a] = time.Now()
+	if a.Number > 0 {
+		h.cancelled[a] = time.Now()
+	}
 	if j := h.jobs[k]; j != nil && j.attempt == a {
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
