--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -18,7 +18,7 @@
 // connection that has gone silent, and the submission runs on beside the next one of its caller.
 func TestCancelIsRepeatedUntilItIsDelivered(t *testing.T) {
 	var mu sync.Mutex
-	var got []home.Attempt
+	var got []home.SubmissionID
 	other := startGroup(t, "other")
 	other.Handle(methodCancel, func(_ context.Context, params json.RawMessage) (any, error) {
 		var r cancelRequest
@@ -27,7 +27,7 @@
 		}
 		mu.Lock()
 		defer mu.Unlock()
-		if got = append(got, r.Attempt); len(got) < 3 {
+		if got = append(got, r.Submission); len(got) < 3 {
 			return nil, errors.New("not now")
 		}
 		return struct{}{}, nil
@@ -38,7 +38,7 @@
 	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: 3 * time.Second}
 	in.cancelAt("other", "kochi", s)
 	in.background.Wait()
-	want := []home.Attempt{s.Attempt(), s.Attempt(), s.Attempt()}
+	want := []home.SubmissionID{s.ID(), s.ID(), s.ID()}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("cancels (-want +got):\n%s", diff)
 	}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -146,7 +146,7 @@
 // the job again elsewhere, where it must not run beside this submission.
 func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission) {
 	until := time.Now().Add(s.TimeLeft)
-	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Attempt: s.Attempt()}
+	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Submission: s.ID()}
 	in.background.Go(func() {
 		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
 			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -29,9 +29,9 @@
 
 // cancelRequest cancels a submission at the home of a data centre.
 type cancelRequest struct {
-	DataCentre string       `json:"dataCentre"`
-	Job        home.Key     `json:"job"`
-	Attempt    home.Attempt `json:"attempt"`
+	DataCentre string            `json:"dataCentre"`
+	Job        home.Key          `json:"job"`
+	Submission home.SubmissionID `json:"submission"`
 }
 
 // decodeRun decodes a request that hands a job, or a question about one, to a home of this
@@ -103,7 +103,7 @@
 		return nil, eris.Wrap(err, "decode cancel")
 	}
 	if h := in.localHome(r.DataCentre); h != nil {
-		h.Cancel(r.Job, r.Attempt)
+		h.Cancel(r.Job, r.Submission)
 	}
 	return struct{}{}, nil
 }
--- a/home/finish.go
+++ b/home/finish.go
@@ -9,15 +9,15 @@
 const callerLeft = "its caller went away"
 
 // Cancel ends the job with a key whose caller has left and stops its runs, if the job is unfinished
-// and was submitted last by the attempt. An attempt that has not arrived yet, since requests of one
+// and the submission is its last one. A submission that has not arrived yet, since requests of one
 // connection are handled at the same time, is refused when it does.
-func (h *Home) Cancel(k Key, a Attempt) {
+func (h *Home) Cancel(k Key, id SubmissionID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if a.Number > 0 {
-		h.cancelled[a] = time.Now()
+	if id.Number > 0 {
+		h.cancelled[id] = time.Now()
 	}
-	if j := h.jobs[k]; j != nil && j.attempt == a {
+	if j := h.jobs[k]; j != nil && j.lastSubmission == id {
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
@@ -41,7 +41,7 @@
 	defer h.mu.Unlock()
 	now := time.Now()
 	for _, j := range h.jobs {
-		last := lastHeartbeat(j.attempt.Origin, j.attempt.Incarnation)
+		last := lastHeartbeat(j.lastSubmission.Origin, j.lastSubmission.Incarnation)
 		if j.enteredAt.After(last) {
 			last = j.enteredAt
 		}
--- a/home/home.go
+++ b/home/home.go
@@ -110,8 +110,8 @@
 	jobs              map[Key]*job
 	waiting           map[*job]struct{} // jobs with tasks to start
 	finished          map[Key]finishedJob
-	cancelled         map[Attempt]time.Time     // when they were cancelled
-	unclaimedEnds     map[string]lease.EndedRun // ended runs of earlier homes, by task
+	cancelled         map[SubmissionID]time.Time // when they were cancelled
+	unclaimedEnds     map[string]lease.EndedRun  // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
 	behind            bool // the last tick came too late
 	lag               time.Duration
@@ -147,7 +147,7 @@
 		jobs:          map[Key]*job{},
 		waiting:       map[*job]struct{}{},
 		finished:      map[Key]finishedJob{},
-		cancelled:     map[Attempt]time.Time{},
+		cancelled:     map[SubmissionID]time.Time{},
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
@@ -283,9 +283,9 @@
 			delete(h.finished, id)
 		}
 	}
-	for a, at := range h.cancelled {
+	for id, at := range h.cancelled {
 		if now.Sub(at) > cancelRetention {
-			delete(h.cancelled, a)
+			delete(h.cancelled, id)
 		}
 	}
 	if now.Sub(h.unclaimedEndsAt) > outcomeRetention {
--- a/home/job.go
+++ b/home/job.go
@@ -10,19 +10,19 @@
 
 // job is an unfinished job. Its fields are guarded by the home's lock.
 type job struct {
-	key          Key
-	batch        model.Batch
-	route        model.Route
-	attempt      Attempt       // the last one
-	arrivedAt    time.Time     // at its origin
-	waitedBefore time.Duration // estimated wait of its caller before that, in earlier submissions
-	enteredAt    time.Time     // here, when it was last submitted
-	deadline     time.Time
-	objective    time.Duration
-	resumed      bool
-	startPath    startPath
-	originMisses int // starts that the origin failed to send
-	submissions  int
+	key            Key
+	batch          model.Batch
+	route          model.Route
+	lastSubmission SubmissionID
+	arrivedAt      time.Time     // at its origin
+	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
+	enteredAt      time.Time     // here, when it was last submitted
+	deadline       time.Time
+	objective      time.Duration
+	resumed        bool
+	startPath      startPath
+	originMisses   int // starts that the origin failed to send
+	submissions    int
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
@@ -58,16 +58,16 @@
 
 func (h *Home) newJob(s Submission, now time.Time) *job {
 	j := &job{
-		key:       s.Key(),
-		batch:     s.Batch,
-		route:     s.Route,
-		attempt:   s.Attempt(),
-		arrivedAt: now.Add(-s.Age),
-		enteredAt: now,
-		deadline:  now.Add(s.TimeLeft),
-		resumed:   s.Resumed,
-		startPath: s.startPath(),
-		ended:     make(chan struct{}),
+		key:            s.Key(),
+		batch:          s.Batch,
+		route:          s.Route,
+		lastSubmission: s.ID(),
+		arrivedAt:      now.Add(-s.Age),
+		enteredAt:      now,
+		deadline:       now.Add(s.TimeLeft),
+		resumed:        s.Resumed,
+		startPath:      s.startPath(),
+		ended:          make(chan struct{}),
 	}
 	for i, step := range s.Batch.Steps {
 		j.estimates = append(j.estimates, h.estimate(s.Route.Name, step.Estimate))
--- a/home/key.go
+++ b/home/key.go
@@ -29,14 +29,14 @@
 	return k
 }
 
-// Attempt identifies one submission of a job by its origin.
-type Attempt struct {
+// SubmissionID identifies one submission of a job by its origin.
+type SubmissionID struct {
 	Origin      string `json:"origin"`
 	Incarnation string `json:"incarnation"` // of the origin
 	Number      int64  `json:"number"`      // rises with each submission of the incarnation; 0 is unknown
 }
 
-// Attempt returns the identity of the submission.
-func (s Submission) Attempt() Attempt {
-	return Attempt{Origin: s.Origin, Incarnation: s.Incarnation, Number: s.Number}
+// ID returns the identity of the submission.
+func (s Submission) ID() SubmissionID {
+	return SubmissionID{Origin: s.Origin, Incarnation: s.Incarnation, Number: s.Number}
 }
--- a/home/origin.go
+++ b/home/origin.go
@@ -107,7 +107,7 @@
 		return // the job was submitted again by another instance
 	}
 	j.originMisses++
-	h.options.Log.Warn().Err(e).Stringer("job", j.key).Str("origin", j.attempt.Origin).Int("misses", j.originMisses).Msg("origin did not start a task")
+	h.options.Log.Warn().Err(e).Stringer("job", j.key).Str("origin", j.lastSubmission.Origin).Int("misses", j.originMisses).Msg("origin did not start a task")
 	if e.JobUnknown || j.originMisses >= maxOriginMisses {
 		h.abort(j, Outcome{Result: Cancelled, Reason: "the instance of its caller does not start its tasks"})
 	}
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -206,7 +206,7 @@
 func TestCancelEndsOnlyTheSubmissionItIsFor(t *testing.T) {
 	cases := map[string]func(h *home.Home, cancelFirst context.CancelFunc, s home.Submission){
 		"connection of the earlier origin closed": func(_ *home.Home, cancelFirst context.CancelFunc, _ home.Submission) { cancelFirst() },
-		"cancel of the earlier origin":            func(h *home.Home, _ context.CancelFunc, s home.Submission) { h.Cancel(s.Key(), s.Attempt()) },
+		"cancel of the earlier origin":            func(h *home.Home, _ context.CancelFunc, s home.Submission) { h.Cancel(s.Key(), s.ID()) },
 	}
 	for name, cancel := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -242,7 +242,7 @@
 	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
 		s := submission("a", 2)
 		s.Incarnation, s.Number = "1", 7
-		h.Cancel(s.Key(), s.Attempt())
+		h.Cancel(s.Key(), s.ID())
 		if diff := cmp.Diff(home.Cancelled, resultOf(submit(h, s))); diff != "" {
 			t.Errorf("result (-want +got):\n%s", diff)
 		}
--- a/home/submit.go
+++ b/home/submit.go
@@ -124,11 +124,11 @@
 	if h.closed || h.fenced {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
-	if _, ok := h.cancelled[s.Attempt()]; ok {
+	if _, ok := h.cancelled[s.ID()]; ok {
 		return nil, Outcome{Result: Cancelled, Reason: callerLeft}
 	}
 	if j := h.jobs[s.Key()]; j != nil {
-		j.attempt, j.enteredAt = s.Attempt(), time.Now()
+		j.lastSubmission, j.enteredAt = s.ID(), time.Now()
 		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
 		return j, Outcome{}
