entry: answer a job that outlasts a planned stop before the close

Cause: an instance that always has open requests stops at its limit of 5.7 s. A job is accepted if twice its estimated time is left, and some take longer; their connections were closed.

A job that is accepted during a stop ends 150 ms before the limit and is answered 504.

TestJobThatOutlastsTheStopIsAnsweredBeforeTheClose failed before.

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -43,6 +43,19 @@
 	return time.Until(*closesAt) > estimateSafetyFactor*plan.CriticalPath(b.Steps, estimates)
 }
 
+// closeMargin is the time before the server closes at which it answers the jobs that are still open.
+const closeMargin = 150 * time.Millisecond
+
+// untilClose returns how long a job may stay open that its caller waits for so long: less on a server
+// that drains and would cut the connection before.
+func (s *QueueServer) untilClose(left time.Duration) time.Duration {
+	closesAt := s.closesAt.Load()
+	if closesAt == nil {
+		return left
+	}
+	return min(left, time.Until(*closesAt)-closeMargin)
+}
+
 // findRoute returns the route of the host with the longest prefix of the path, and
 // the rest of the path behind the prefix. It returns false if there is none.
 func findRoute(r *model.Routing, host, path string) (model.Route, string, bool) {
@@ -105,7 +118,7 @@
 	}
 
 	left := timeout - unread
-	ctx, cancel := context.WithTimeout(c.Context(), left)
+	ctx, cancel := context.WithTimeout(c.Context(), s.untilClose(left))
 	w := watchConn(conn, cancel)
 	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: unread, TimeLeft: left})
 	w.stop()
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -258,6 +258,22 @@
 	}
 }
 
+// Guards against a request that is cut off by a planned stop: its job was accepted shortly before the
+// limit of the stop, and takes longer than expected.
+func TestJobThatOutlastsTheStopIsAnsweredBeforeTheClose(t *testing.T) {
+	d := &dispatcher{routing: testRouting, wait: true}
+	s, addr, _ := serveQueues(t, d)
+	closesAt := time.Now().Add(2300 * time.Millisecond) // twice the estimate, and a bit
+	s.Drain(closesAt)
+	status := exchange(t, "POST", addr, "/q/5c0e", "1").Status
+	if diff := cmp.Diff(http.StatusGatewayTimeout, status); diff != "" {
+		t.Errorf("status (-want +got):\n%s", diff)
+	}
+	if left := time.Until(closesAt); left < 0 {
+		t.Errorf("answered %v after the close", -left)
+	}
+}
+
 func TestJobOfADisconnectedCallerIsCancelled(t *testing.T) {
 	d := &dispatcher{routing: testRouting, wait: true}
 	s, addr, _ := serveQueues(t, d)
