--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -179,6 +179,13 @@
 	w.faults = f
 }
 
+// SetCapacity replaces the capacity, which is that of the next incarnation if Crash follows.
+func (w *LeasedWorker) SetCapacity(capacity model.Resources) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.Capacity = capacity
+}
+
 // Incarnation returns the present incarnation.
 func (w *LeasedWorker) Incarnation() int64 { return w.currentIncarnation() }
 
--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -25,12 +25,12 @@
 func TestRestartedWorkerGetsNoTaskBeforeItsRowDescribesIt(t *testing.T) {
 	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
 		w := dc.workers["w0"]
-		w.Capacity.MilliCores = 96 * core
+		w.SetCapacity(model.Resources{MilliCores: 96 * core, MemoryMB: 1000})
 		dc.setRow(h, "w0")
 		results := make(chan home.Result, 4)
 		go func() { results <- resultOf(submit(h, submission("running", 1))) }()
 		time.Sleep(runTime / 2)
-		w.Capacity.MilliCores = 64 * core
+		w.SetCapacity(model.Resources{MilliCores: 64 * core, MemoryMB: 1000})
 		w.Crash()
 		time.Sleep(20 * time.Millisecond) // until its next incarnation has reported
 		if n := dc.refreshes.Load(); n == 0 {
