--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -52,6 +52,7 @@
 	418,  // two instances got the same port: a fault of this test
 	7105, // a crashed worker carried out requests that it had received before: a fault of the fake
 	9000, // the first seed with connections that go silent
+	9200, // the first seed with workers that answer twice
 }
 
 // Seeds draw from the first kinds of faults only, as many as there were when they were first used, so
@@ -62,8 +63,10 @@
 		return 13
 	case seed < 9000:
 		return 17
+	case seed < 9200:
+		return 19
 	}
-	return 19
+	return 20
 }
 
 // With seeds from firstLowBandwidthSeed on, instances are configured with
@@ -119,6 +122,7 @@
 	holdResponses atomic.Bool
 	delayReads    atomic.Bool
 	reset         atomic.Bool
+	stutter       atomic.Bool // send each response twice, the second time late
 
 	mu      sync.Mutex
 	silence chan struct{} // closed when the open connections go silent
@@ -165,11 +169,30 @@
 		fp.mu.Lock()
 		silence := fp.silence
 		fp.mu.Unlock()
-		go fp.copy(in, out, &fp.holdResponses, silence)
+		go fp.copy(&stutteringConn{Conn: in, stutter: &fp.stutter}, out, &fp.holdResponses, silence)
 		go fp.copy(out, in, &fp.holdAll, silence)
 	}
 }
 
+// stutteringConn writes everything twice while stutter is set, the second time after a random delay.
+type stutteringConn struct {
+	net.Conn
+	stutter *atomic.Bool
+}
+
+// maxStutter is the longest delay of a second response.
+const maxStutter = 60 * time.Millisecond
+
+// Write writes the bytes, and again later.
+func (c *stutteringConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err == nil && c.stutter.Load() {
+		again := bytes.Clone(p)
+		time.AfterFunc(rand.N(maxStutter), func() { _, _ = c.Conn.Write(again) }) // it may be closed by then
+	}
+	return n, err
+}
+
 // copy forwards bytes from one connection to another, until silence is closed. It holds
 // them back while holdAll or held is set.
 func (fp *faultProxy) copy(to, from net.Conn, held *atomic.Bool, silence <-chan struct{}) {
@@ -506,6 +529,9 @@
 		proxy.goSilent()
 	case 18:
 		i.storeProxy.goSilent()
+	case 19:
+		proxy.stutter.Store(true)
+		until(func() { proxy.stutter.Store(false) })
 	}
 }
 
