peer: measure the transit of a request from its first one on

What callers saw: a job that its origin forwarded before the home had received a heartbeat of the origin's incarnation counted as just sent, however long it was held up. Its caller had submitted it again by then, and tasks could run twice at a time.

Cause: how the clocks of two instances compare was taken from heartbeats, which travel apart from the forward. None may have arrived yet, and where all of a window were late, the transit was that much too short, without a bound.

Evidence: TestTransitIsKnownWithoutAHeartbeatOfTheOrigin, a forward held up for 0.7 s, was served on the code before ("the home returned <nil>"), and is refused as late now. The one that is not held up is served in both.

Fix: the ping that opens and probes each connection between instances reads the clock of the other end, again each 2 s while the connection is used. The other clock was read between the ping's sending and the response, which bounds its offset. Each request carries the latest time, by the receiver's clock, at which its call can have begun, so the transit is never too long, and too short by the time of one ping at most, which is 0.5 s or fails. No request precedes the ping of its connection, so nothing is unknown and nothing has to be refused at a start of the fleet; a new connection to a restarted receiver has bounds of its own. A suspension counts on both sides, and a ping that spans one is not used.

Weighed: refusing jobs with an unknown transit (costs callers at a start of the fleet, and leaves late windows), and the receiver's clock in its heartbeats (gives a bound that makes a transit too long, so refuses wrongly).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -15,7 +15,6 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/model"
-	"foxtailmux/pause"
 )
 
 const (
@@ -49,7 +48,6 @@
 	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"` // free capacity of the sender's homes, by data centre
 	RoutingVersion int64                         `json:"routing"`         // version of the configuration in force
 	NextMillis     int64                         `json:"nextMillis"`      // time until the next heartbeat to the same peer
-	ClockMillis    int64                         `json:"clock,omitempty"` // sender's time since boot
 }
 
 // timeout is how long after this heartbeat its sender is suspected dead.
@@ -80,14 +78,12 @@
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
 // from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a
-// timeout; it must not block. Clock returns the time since boot, suspensions included; the default
-// is pause.SinceBoot.
+// timeout; it must not block.
 type Options struct {
 	Self         Peer
 	Conn         net.PacketConn
 	OwnHeartbeat func() Heartbeat
 	OnChange     func(h Heartbeat)
-	Clock        func() time.Duration
 	Log          *log.Logger
 }
 
@@ -105,14 +101,10 @@
 	sent        map[string]sentHeartbeat
 	lastForward map[string]time.Time // when a job was last forwarded to or from an instance
 	loggedAlive map[string]bool      // state that was last logged
-	offsets     map[string]*clockOffset
 }
 
 // New returns a detector that starts with Run.
 func New(o Options) *Detector {
-	if o.Clock == nil {
-		o.Clock = pause.SinceBoot
-	}
 	return &Detector{
 		options:     o,
 		done:        make(chan struct{}),
@@ -122,7 +114,6 @@
 		sent:        map[string]sentHeartbeat{},
 		lastForward: map[string]time.Time{},
 		loggedAlive: map[string]bool{},
-		offsets:     map[string]*clockOffset{},
 	}
 }
 
@@ -146,7 +137,6 @@
 	delete(d.statuses, instance)
 	delete(d.sent, instance)
 	delete(d.lastForward, instance)
-	delete(d.offsets, instance)
 }
 
 // Run sends and receives heartbeats until the context ends.
@@ -186,7 +176,7 @@
 	for _, hb := range d.due(now, len(own.Homes) > 0) {
 		body, ok := bodies[hb.period]
 		if !ok {
-			own.NextMillis, own.ClockMillis = hb.period.Milliseconds(), d.options.Clock().Milliseconds()
+			own.NextMillis = hb.period.Milliseconds()
 			body = d.encode(own)
 			bodies[hb.period] = body
 		}
@@ -236,9 +226,6 @@
 	d.mu.Lock()
 	old := d.statuses[h.Instance]
 	d.statuses[h.Instance] = Status{Heartbeat: h, LastHeartbeat: now, LastMessage: now}
-	if h.ClockMillis > 0 {
-		d.recordClock(h)
-	}
 	if old.Incarnation != h.Incarnation {
 		delete(d.sent, h.Instance) // a restarted instance has received no heartbeat yet
 	}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -7,7 +7,6 @@
 	"github.com/rotisserie/eris"
 
 	"foxtailmux/home"
-	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -120,7 +119,7 @@
 	}
 
 	in.heartbeats.RecordForward(owner.Instance)
-	s.Number, s.SentAt = in.submissions.Add(1), pause.SinceBoot()
+	s.Number = in.submissions.Add(1)
 	if in.keepsSpec(owner.Instance, dataCentre, s) {
 		defer in.keepSpec(s)()
 		s.SpecBytes, s.Batch.Spec = len(s.Batch.Spec), ""
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"foxtailmux/home"
+	"foxtailmux/peer"
 )
 
 // Methods that instances call on each other.
@@ -55,7 +56,7 @@
 		return nil, err
 	}
 	in.heartbeats.RecordForward(r.Job.Origin)
-	if err := in.addTransit(&r.Job); err != nil {
+	if err := in.addTransit(ctx, &r.Job); err != nil {
 		return nil, err
 	}
 	if r.Job.SpecBytes > 0 {
@@ -74,10 +75,10 @@
 // addTransit adds the time that a forwarded job was under way to its age. It returns errLate if that was
 // too long: bytes that were held up by a partition, or by a pause of either instance, are delivered
 // afterwards, when the caller may have submitted the job elsewhere.
-func (in *Instance) addTransit(s *home.Submission) error {
-	transit, ok := in.heartbeats.Transit(s.Origin, s.Incarnation, s.SentAt)
+func (in *Instance) addTransit(ctx context.Context, s *home.Submission) error {
+	transit, ok := peer.Transit(ctx)
 	if !ok {
-		return nil
+		return nil // an origin of an earlier version
 	}
 	if transit > maxTransit || transit >= s.TimeLeft {
 		in.log.Warn().Stringer("job", s.Key()).Str("origin", s.Origin).Int64("transitMillis", transit.Milliseconds()).
--- a/home/submit.go
+++ b/home/submit.go
@@ -52,7 +52,6 @@
 	Origin      string        `json:"origin"`                // id of the instance
 	Incarnation string        `json:"incarnation,omitempty"` // of the origin
 	Number      int64         `json:"number,omitempty"`      // of the origin's submissions
-	SentAt      time.Duration `json:"sentAt,omitempty"`      // when it was sent, by the origin's time since boot
 	Content     uint64        `json:"content,omitempty"`     // digest of Batch, which may come without its specification
 	Age         time.Duration `json:"age"`
 	TimeLeft    time.Duration `json:"left"`
--- a/peer/call.go
+++ b/peer/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -20,6 +21,7 @@
 // error is an *Error. The request is written at most once. A connection that was
 // idle for ProbeInterval is probed before the request is written to it.
 func (g *Group) Call(ctx context.Context, peerID, method string, params, result any) error {
+	began := g.options.Clock()
 	raw, err := encode(params)
 	if err == nil {
 		raw, err = wrap(raw)
@@ -27,25 +29,26 @@
 	if err != nil {
 		return encodeError(method, err)
 	}
-	return g.call(ctx, (*link).probedConn, peerID, method, raw, result)
+	return g.call(ctx, began, (*link).probedConn, peerID, method, raw, result)
 }
 
 // CallWithoutProbe is Call without the probe of an idle connection. It is meant for
 // heartbeats, which act as probes themselves and may get lost. The parameters must
 // encode as a JSON object, and the order of its keys may change on the way.
 func (g *Group) CallWithoutProbe(ctx context.Context, peerID, method string, params, result any) error {
+	began := g.options.Clock()
 	raw, err := encode(params)
 	if err != nil {
 		return encodeError(method, err)
 	}
-	return g.call(ctx, (*link).connWithoutProbe, peerID, method, raw, result)
+	return g.call(ctx, began, (*link).connWithoutProbe, peerID, method, raw, result)
 }
 
 func encodeError(method string, err error) error {
 	return &Error{Op: method, Kind: NotSent, Err: eris.Wrap(err, "encode parameters")}
 }
 
-func (g *Group) call(ctx context.Context, source connSource, peerID, method string, raw json.RawMessage, result any) error {
+func (g *Group) call(ctx context.Context, began time.Duration, source connSource, peerID, method string, raw json.RawMessage, result any) error {
 	l := g.link(peerID)
 	if l == nil {
 		return &Error{Op: method, Kind: UnknownPeer, Err: eris.Errorf("peer %q is unknown", peerID)}
@@ -58,7 +61,7 @@
 	}
 	defer func() { <-l.openCalls }()
 
-	failure := l.call(ctx, source, method, raw, result)
+	failure := l.call(ctx, began, source, method, raw, result)
 	if failure == nil {
 		return nil
 	}
@@ -66,7 +69,7 @@
 	return failure
 }
 
-func (l *link) call(ctx context.Context, source connSource, method string, params json.RawMessage, result any) *Error {
+func (l *link) call(ctx context.Context, began time.Duration, source connSource, method string, params json.RawMessage, result any) *Error {
 	var failure *Error
 	for range maxSendAttempts {
 		c, err := source(l, ctx)
@@ -74,7 +77,7 @@
 			return &Error{Kind: NotSent, Err: err}
 		}
 
-		failure = c.call(ctx, method, params, result)
+		failure = c.call(ctx, began, method, params, result)
 		if failure == nil || failure.Sent() || !c.closed() {
 			return failure
 		}
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/sourcegraph/jsonrpc2"
@@ -18,8 +19,9 @@
 
 // identity is the response to a ping.
 type identity struct {
-	ID          string `json:"id"`
-	Incarnation string `json:"incarnation"`
+	ID          string        `json:"id"`
+	Incarnation string        `json:"incarnation"`
+	Clock       time.Duration `json:"clock,omitempty"` // Options.Clock
 }
 
 // conn is one outgoing connection to a peer.
@@ -28,6 +30,7 @@
 	rpc    *jsonrpc2.Conn
 	lastID atomic.Uint64
 	open   atomic.Int64 // calls that wait for a response
+	offset atomic.Pointer[clockOffset]
 }
 
 func newConn(ctx context.Context, c net.Conn, o *Options, peerID string) *conn {
@@ -75,8 +78,8 @@
 	return !c.closed() && c.stream.idleTime() < c.stream.options.ProbeInterval
 }
 
-// call sends one request and waits for its response.
-func (c *conn) call(ctx context.Context, method string, params json.RawMessage, result any) *Error {
+// call sends one request and waits for its response. The call began at a time of the own clock.
+func (c *conn) call(ctx context.Context, began time.Duration, method string, params json.RawMessage, result any) *Error {
 	c.open.Add(1)
 	defer c.open.Add(-1)
 
@@ -85,7 +88,7 @@
 	c.stream.register(id, w)
 	defer c.stream.unregister(id)
 
-	waiter, err := c.rpc.DispatchCall(ctx, method, params, jsonrpc2.PickID(id))
+	waiter, err := c.rpc.DispatchCall(ctx, method, params, append(c.meta(began), jsonrpc2.PickID(id))...)
 	if err == nil {
 		err = waiter.Wait(ctx, result)
 	}
@@ -120,15 +123,27 @@
 	return &Error{Op: op, Kind: Unconfirmed, Err: err}
 }
 
-// ping probes the connection, and returns the identity of the other end.
+// errSlowPing is the error for a ping that took longer than ProbeTimeout by a clock that counts suspensions.
+var errSlowPing = eris.New("the response to the ping was late")
+
+// ping probes the connection, reads the clock of the other end and returns its identity.
 func (c *conn) ping(ctx context.Context) (identity, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.stream.options.ProbeTimeout)
+	o := c.stream.options
+	ctx, cancel := context.WithTimeout(ctx, o.ProbeTimeout)
 	defer cancel()
 
 	var id identity
-	if err := c.call(ctx, pingMethod, json.RawMessage("null"), &id); err != nil {
+	began := o.Clock()
+	if err := c.call(ctx, began, pingMethod, json.RawMessage("null"), &id); err != nil {
 		return identity{}, err
 	}
+	now := o.Clock()
+	if now-began > o.ProbeTimeout {
+		return identity{}, errSlowPing
+	}
+	if id.Clock > 0 {
+		c.recordClock(newClockOffset(id.Clock, began, now))
+	}
 	return id, nil
 }
 
--- a/peer/link.go
+++ b/peer/link.go
@@ -122,12 +122,16 @@
 }
 
 // check replaces a connection that the peer closed, and a connection with open calls
-// that does not respond to a probe. If no new connection can be opened, OnConnectResult
+// that does not respond to a probe. It reads the peer's clock again while the connection is used. If no new connection can be opened, OnConnectResult
 // reports the peer as unreachable. A connection that timed out because it was idle is
 // not replaced before the next call.
 func (l *link) check(ctx context.Context) {
 	c := l.current.Load()
-	if c == nil || !l.isBroken(ctx, c) {
+	if c == nil {
+		return
+	}
+	if !l.isBroken(ctx, c) {
+		l.readClock(ctx, c)
 		return
 	}
 
@@ -148,6 +152,17 @@
 	return !l.isAlive(ctx, c)
 }
 
+// readClock reads the peer's clock if that is due and the connection is used. On an idle one, the probe
+// before the next call reads it.
+func (l *link) readClock(ctx context.Context, c *conn) {
+	if !c.usable() || !c.clockIsDue() {
+		return
+	}
+	if _, err := c.ping(ctx); err != nil {
+		l.options.Log.Debug().Err(err).Str("peer", l.id).Msg("clock not read") // check decides whether it is broken
+	}
+}
+
 func (l *link) isAlive(ctx context.Context, c *conn) bool {
 	_, err := c.ping(ctx)
 	return err == nil
--- a/peer/options.go
+++ b/peer/options.go
@@ -47,6 +47,9 @@
 	// block.
 	OnConnectResult func(peerID string, connected bool)
 
+	// Clock returns the time since boot, suspensions included. The default is pause.SinceBoot.
+	Clock func() time.Duration
+
 	Log Logger // nil discards the messages
 
 	MaxFrame        int // bytes of one message
@@ -94,6 +97,9 @@
 		o.OnBytes = func(string, int) {}
 	}
 
+	if o.Clock == nil {
+		o.Clock = pause.SinceBoot
+	}
 	if o.Log == nil {
 		o.Log = &log.Logger{Level: log.PanicLevel}
 	}
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -70,7 +70,7 @@
 	}
 	if req.Method == pingMethod {
 		self := s.group.options.Self
-		_ = c.Reply(ctx, req.ID, identity{ID: self.ID, Incarnation: self.Incarnation})
+		_ = c.Reply(ctx, req.ID, identity{ID: self.ID, Incarnation: self.Incarnation, Clock: s.group.options.Clock()})
 		return
 	}
 
@@ -79,6 +79,11 @@
 		refuse(ctx, c, req.ID, CodeMethodNotFound, "unknown method "+req.Method)
 		return
 	}
+	ctx, err := withArrival(ctx, req, s.group.options.Clock)
+	if err != nil {
+		refuse(ctx, c, req.ID, CodeInvalidRequest, err.Error())
+		return
+	}
 
 	select {
 	case s.open <- struct{}{}:
