--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -14,7 +14,7 @@
 
 // Guards against an old configuration in force: the open connections of all instances to the store
 // go silent, and a change that follows is read only when the requests for changes time out
-// (review/4). The platform allows 3 s after the silence (stability-ms).
+// (review/4). The platform allows 3 s after the silence.
 func TestConfigurationIsInForceInTimeAfterConnectionsWentSilent(t *testing.T) {
 	const allowed = 3 * time.Second
 	s, store := newEmptySoak(t, 1)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -29,8 +29,8 @@
 	// platform charges for each request, so a longer wait costs less. On the
 	// other hand, a connection that has gone silent is noticed only after this
 	// time and the time in which the source expects the response: together less
-	// than the 3 s after which a change of the configuration or of a worker has
-	// to be in effect although connections went silent (stability-ms).
+	// than the 3 s that the platform allows for a change to be in effect after
+	// connections went silent.
 	feedWait = 2 * time.Second
 
 	// relistAfter is the staleness at which the cache reads the whole table
