--- a/fleet/originstart_test.go
+++ b/fleet/originstart_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	params, err := json.Marshal(startRequest{
 		Job: home.Key{ID: job}, DataCentre: "kochi", Worker: "w", Addr: "a", Timeout: time.Second,
-		Start: lease.Start{Task: job + ".0.0.0", Run: 3, Until: 99, Token: token},
+		Start: lease.Start{Task: job + ".0.0.0", Run: 3, Until: 99, Token: token, Earliest: 5},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -97,8 +97,8 @@
 		t.Error(diff)
 	}
 	sent := []lease.Start{
-		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken},
-		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken + 1},
+		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken, Earliest: 5},
+		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken + 1, Earliest: 5},
 	}
 	if diff := cmp.Diff(sent, w.starts); diff != "" {
 		t.Error(diff)
--- a/home/origin.go
+++ b/home/origin.go
@@ -64,6 +64,7 @@
 // request counts as none.
 func (w *worker) sendStart(info model.Worker, s lease.Start, path startPath) (lease.Reply, error) {
 	sentAt := time.Now()
+	s.Earliest = w.earliestClock(sentAt)
 	link := w.home.options.Link
 	var timeout, queued time.Duration
 	var reply lease.Reply
@@ -82,6 +83,17 @@
 	return reply, w.checkReply(reply, sentAt)
 }
 
+// earliestClock returns the least value that the worker's clock can have at a local time, 0 if the clock is
+// not known.
+func (w *worker) earliestClock(at time.Time) int64 {
+	w.home.mu.Lock()
+	defer w.home.mu.Unlock()
+	if !w.tracker.Clock.Known() {
+		return 0
+	}
+	return w.tracker.Clock.Earliest(at)
+}
+
 // checkReply returns errOutdated for the reply to a request sent at sentAt that belongs to an earlier
 // request.
 func (w *worker) checkReply(r lease.Reply, sentAt time.Time) error {
--- a/home/origin_test.go
+++ b/home/origin_test.go
@@ -54,6 +54,26 @@
 	})
 }
 
+// The origin tells responses to earlier requests by the worker's clock, which the home knows.
+func TestStartsByTheOriginCarryTheEarliestClock(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		time.Sleep(5 * time.Second)
+		var earliest int64
+		s := withOriginStarts(&fakeOrigin{}, "a", 1)
+		s.OriginStarter.Start = func(w model.Worker, s lease.Start, timeout time.Duration) (lease.Reply, error) {
+			earliest = s.Earliest
+			reply, err := dc.workers[w.ID].Start(s, timeout)
+			if behind := reply.Clock - earliest; behind < 0 || behind > 200 {
+				t.Errorf("the start carries the clock %d, the worker's is %d", earliest, reply.Clock)
+			}
+			return reply, err
+		}
+		if got := resultOf(submit(h, s)); got != home.Succeeded || earliest == 0 {
+			t.Errorf("result %q, clock %d", got, earliest)
+		}
+	})
+}
+
 // Failures of an unresponsive origin must not be attributed to the workers, and its job must
 // not keep their capacity reserved.
 func TestUnresponsiveOriginCostsOnlyItsJobs(t *testing.T) {
--- a/lease/message.go
+++ b/lease/message.go
@@ -10,6 +10,10 @@
 	Spec  string `json:"spec,omitempty"`
 	Until int64  `json:"until"`
 	Token int64  `json:"token"` // fencing token of the home
+
+	// Earliest is the least value of the worker's clock when the start is sent, 0 if unknown. A response from
+	// before belongs to an earlier request.
+	Earliest int64 `json:"earliest,omitempty"`
 }
 
 // Stop requests the end of a run, or that a run that has not begun never begins.
