home: ask an idle worker for its incarnation before a start

What happened on the worker: it was idle for longer than connections are kept (5 s), restarted under its id with less capacity, and got starts by its old row until the table was read again, up to 0.7 s later.

Cause: a restart shows by the close of a connection, by a list of runs or by the row. Without an open connection nothing that the home had received by then told of it. X-Expect-Instance does not help: it is sent with the worker's id, the only name of a boot that the platform's page gives, and the id stays over such a restart.

Evidence: TestIdleWorkerThatRestartedGetsNoTaskByItsOldRow. Before: three tasks ran at once, 81 of 64 cores.

Fix: a worker that has not responded for 4 s is asked for its list of runs first, once for all starts of that moment. If it does not respond, or reports an incarnation that its row does not describe, the task goes elsewhere and the row is requested.

Open: where origins send the starts, the origin's connection may be closed although the worker has responded to the home within 4 s.

--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -75,6 +75,42 @@
 	})
 }
 
+// Guards against tasks above a worker's capacity: an idle worker restarts with less, while no connection is
+// open whose end would show it, and gets starts by its old row.
+func TestIdleWorkerThatRestartedGetsNoTaskByItsOldRow(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		w := dc.workers["w0"]
+		w.SetCapacity(model.Resources{MilliCores: 96 * core, MemoryMB: 1000})
+		dc.setRow(h, "w0")
+		if got := resultOf(submit(h, submission("before", 1))); got != home.Succeeded {
+			t.Fatalf("result %q", got)
+		}
+		time.Sleep(time.Minute)
+		w.SetCapacity(model.Resources{MilliCores: 64 * core, MemoryMB: 1000})
+		w.Crash()
+		results := make(chan home.Result, 3)
+		for _, id := range []string{"a", "b", "c"} {
+			s := submission(id, 1)
+			s.Resumed, s.TasksReported = true, true // waits for capacity
+			go func() { results <- resultOf(submit(h, s)) }()
+		}
+		time.Sleep(300 * time.Millisecond)
+		if diff := cmp.Diff(0, dc.ledger.RunningTasks()); diff != "" {
+			t.Errorf("running tasks before the row is read (-want +got):\n%s", diff)
+		}
+		if n := dc.refreshes.Load(); n == 0 {
+			t.Error("the row was not requested")
+		}
+		dc.setRow(h, "w0")
+		for range 3 {
+			if got := <-results; got != home.Succeeded {
+				t.Errorf("result %q", got)
+			}
+		}
+		dc.checkLedger()
+	})
+}
+
 // A worker that was slow is not avoided after its restart.
 func TestHealthIsNotKeptOverARestart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/home/worker.go
+++ b/home/worker.go
@@ -42,6 +42,11 @@
 	// than the one that last responded.
 	describeRetry = 250 * time.Millisecond
 
+	// maxSilence is the time without a response after which a worker is asked for its incarnation before a
+	// start. Endpoints close connections that were idle for little longer, and without one a restart of the
+	// worker does not show.
+	maxSilence = 4 * time.Second
+
 	// ackDelay is how long the acknowledgement of the last ended runs on an idle worker is
 	// delayed. It needs a request of its own.
 	ackDelay = 500 * time.Millisecond
@@ -71,9 +76,10 @@
 	assignments map[string]assignment
 	reported    bool // it has reported its runs
 	reportedAt  time.Time
-	removed     bool // from the list of workers
-	resolving   bool // a goroutine resolves unconfirmed runs
-	checking    bool // a progress check is in flight
+	removed     bool          // from the list of workers
+	resolving   bool          // a goroutine resolves unconfirmed runs
+	checking    bool          // a progress check is in flight
+	asking      chan struct{} // holds an element while the worker is asked before a start
 }
 
 func newWorker(h *Home, info model.Worker) *worker {
@@ -84,6 +90,7 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		notify:      make(chan struct{}, 1),
+		asking:      make(chan struct{}, 1),
 		tracker:     lease.NewTracker(info.Capacity, h.options.MaxLease),
 		assignments: map[string]assignment{},
 	}
