peer: report a result that can't be sent as unconfirmed

Callers would see a job run at two homes. fleet takes a call that was refused for one that started nothing and forwards the job to another home. A result above MaxFrame, or one that can't be encoded, came back as refused although the handler had done its work. No outcome of a job is that large today (10,000 task names of up to 90 bytes against 32 MB), so this was not the users' case; the kind was wrong all the same.

Both now leave the call unconfirmed, as a panic does, and the latter has a code of its own. The tests that took them for refusals (TestErrorsOfHandlersAreRefusals, TestResponseAboveTheLimitIsRefused) asserted the fault; TestResultThatCannotBeSentLeavesTheCallUnconfirmed checks the same calls and codes. Before: both were 'refused'. go test ./peer -race

--- a/peer/conn.go
+++ b/peer/conn.go
@@ -109,10 +109,12 @@
 func classify(op string, w *requestWrite, err error) *Error {
 	var response *jsonrpc2.Error
 	if errors.As(err, &response) {
-		if response.Code == CodeHandlerPanicked {
-			return &Error{Op: op, Kind: Unconfirmed, Code: response.Code, Err: eris.New(response.Message)}
+		kind := Refused
+		switch response.Code {
+		case CodeHandlerPanicked, CodeResponseTooLarge, CodeResultInvalid:
+			kind = Unconfirmed
 		}
-		return &Error{Op: op, Kind: Refused, Code: response.Code, Err: eris.New(response.Message)}
+		return &Error{Op: op, Kind: kind, Code: response.Code, Err: eris.New(response.Message)}
 	}
 	if !w.mayBeSent.Load() {
 		return &Error{Op: op, Kind: NotSent, Err: err}
--- a/peer/error.go
+++ b/peer/error.go
@@ -19,21 +19,21 @@
 	UnknownPeer Kind = "noPeer"
 )
 
-// JSON-RPC error codes of refused calls. A call that was refused with CodeBusy or
-// CodeMethodNotFound did not reach a handler. A call that ends with CodeHandlerPanicked is
-// not refused, but Unconfirmed.
+// JSON-RPC error codes of failed calls. A call that was refused with CodeBusy or
+// CodeMethodNotFound did not reach a handler. A call that ends with CodeHandlerPanicked,
+// CodeResponseTooLarge or CodeResultInvalid is not refused, but Unconfirmed: its handler has
+// done its work or a part of it.
 const (
 	CodeBusy             int64 = -32000 // MaxOpenRequests are in progress on the connection
-	CodeHandlerFailed    int64 = -32001 // the handler returned an error, or the parameters or the result can't be converted
-	CodeHandlerPanicked  int64 = -32003
+	CodeHandlerFailed    int64 = -32001 // the handler returned an error, or the parameters can't be converted
 	CodeResponseTooLarge int64 = -32002 // the result exceeds MaxFrame
+	CodeHandlerPanicked  int64 = -32003
+	CodeResultInvalid    int64 = -32004 // the result can't be converted
 	CodeInvalidRequest   int64 = -32600
 	CodeMethodNotFound   int64 = -32601
 )
 
-// Error is the type of all errors of the exported methods. Code is set if Kind is
-// Refused, and is CodeHandlerPanicked if the handler panicked; Kind is Unconfirmed then,
-// since the handler may have done a part of its work.
+// Error is the type of all errors of the exported methods. Code is set if the peer responded.
 type Error struct {
 	Op   string
 	Kind Kind
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -111,11 +111,10 @@
 func TestErrorsOfHandlersAreRefusals(t *testing.T) {
 	a, b := startGroup(t, optionsFor("a")), startGroup(t, optionsFor("b"))
 	b.Handle("fail", func(context.Context, json.RawMessage) (any, error) { return nil, eris.New("broken") })
-	b.Handle("unencodable", func(context.Context, json.RawMessage) (any, error) { return func() {}, nil })
 	a.SetPeer("b", b.Addr())
 
 	for method, code := range map[string]int64{
-		"fail": CodeHandlerFailed, "unencodable": CodeHandlerFailed, "absent": CodeMethodNotFound,
+		"fail": CodeHandlerFailed, "absent": CodeMethodNotFound,
 	} {
 		wantOutcome(t, call(t, a, "b", method, nil, nil), outcome{Kind: Refused, Sent: true, Code: code})
 	}
@@ -236,14 +235,22 @@
 	}
 }
 
-func TestResponseAboveTheLimitIsRefused(t *testing.T) {
+// Guards against one submission that is sent to two homes: its first home has run it, and the error
+// for a result that can't be sent counted as a refusal.
+func TestResultThatCannotBeSentLeavesTheCallUnconfirmed(t *testing.T) {
 	const limit = 10_000 // bytes
 	small := optionsFor("b")
 	small.MaxFrame = limit
 	a, b := startGroup(t, optionsFor("a")), startGroup(t, small)
 	b.Handle("grow", func(context.Context, json.RawMessage) (any, error) { return make([]byte, limit), nil })
+	b.Handle("odd", func(context.Context, json.RawMessage) (any, error) { return func() {}, nil })
 	a.SetPeer("b", b.Addr())
-	wantOutcome(t, call(t, a, "b", "grow", nil, nil), outcome{Kind: Refused, Sent: true, Code: CodeResponseTooLarge})
+	for method, code := range map[string]int64{"grow": CodeResponseTooLarge, "odd": CodeResultInvalid} {
+		o := outcomeOf(t, call(t, a, "b", method, nil, nil))
+		if diff := cmp.Diff(outcome{Kind: Unconfirmed, Sent: true, Code: code}, o); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", method, diff)
+		}
+	}
 }
 
 func TestRequestsInProgressAreBounded(t *testing.T) {
--- a/peer/serve.go
+++ b/peer/serve.go
@@ -17,8 +17,8 @@
 // Handler serves the requests of one method. Its context ends when the connection of
 // the request is closed, and when the process was paused: requests that arrived on the
 // connection may be long outdated then, so the connection is closed. The calling
-// instance receives an error as Refused with CodeHandlerFailed, and a panic as
-// Unconfirmed with CodeHandlerPanicked.
+// instance receives an error as Refused with CodeHandlerFailed, and a panic, or a result that
+// can't be sent, as Unconfirmed.
 type Handler func(ctx context.Context, params json.RawMessage) (any, error)
 
 // server serves the requests of one incoming connection.
@@ -118,7 +118,7 @@
 	// The result can't be encoded: nothing was written, so the connection stays usable. If
 	// the write of the response failed instead, the connection is closed and the refusal
 	// fails as well.
-	refuse(ctx, c, req.ID, CodeHandlerFailed, err.Error())
+	refuse(ctx, c, req.ID, CodeResultInvalid, err.Error())
 }
 
 // errPanicked is wrapped by the error for a handler that panicked.
