entry, socket: notice the end of a caller's connection behind unread bytes

Callers whose connection carries more than one request, such as the next one, could leave unnoticed: their job ran on until its time was over, beside the submission that follows 1.3 s after a broken connection. The watcher saw readable bytes and from then on looked every 250 ms for an end that is only read after them; a reset was hidden the same way.

It now waits for the hang-up that the kernel reports besides unread bytes (POLLRDHUP), so there is nothing left to poll. TestCallerThatLeavesAfterFurtherBytesIsNoticedAtOnce fails before in 3 of 3 cases (closed, half closed, reset: not cancelled within a second). socket.Await, which waited for bytes or the end, is replaced by AwaitHangUp, and its test by one that also sends bytes. The users' callers aren't known to send a request before the response to the one before, so this is not shown to be their case.

go test ./entry ./socket -race

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -113,7 +113,7 @@
 	switch {
 	case unread >= timeout:
 		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
-	case socket.Peek(raw) == socket.Closed:
+	case socket.HungUp(raw):
 		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
 	}
 
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -162,7 +162,7 @@
 	select {
 	case <-ctx.Done():
 		t.Error("the job was cancelled")
-	case <-time.After(3 * watchInterval): // enough for several checks of the connection
+	case <-time.After(750 * time.Millisecond):
 	}
 	close(fake.release)
 	if r := readReply(t, conn); r.Status != 200 {
--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -157,6 +157,43 @@
 	}
 }
 
+// Guards against a job that runs on beside its next submission: the caller has sent more than its request,
+// such as the next one, and has left.
+func TestCallerThatLeavesAfterFurtherBytesIsNoticedAtOnce(t *testing.T) {
+	ends := map[string]func(c *net.TCPConn){
+		"closed":      func(c *net.TCPConn) { _ = c.Close() },
+		"half closed": func(c *net.TCPConn) { _ = c.CloseWrite() },
+		"reset":       func(c *net.TCPConn) { _, _ = c.SetLinger(0), c.Close() },
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) {
+			d := &cancelRecorder{dispatcher{routing: testRouting}, make(chan time.Time, 1)}
+			_, addr, _ := serveQueuesBehind(t, d, &fixedPause{}, func(l net.Listener) net.Listener { return l })
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			for _, text := range []string{"POST /q/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\n\r\nx", "GET /q/ HTTP/1.1\r\n"} {
+				if _, err := io.WriteString(conn, text); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			left := time.Now()
+			end(conn.(*net.TCPConn))
+			select {
+			case at := <-d.cancelled:
+				if took := at.Sub(left); took > 100*time.Millisecond {
+					t.Errorf("the job was cancelled after %v", took)
+				}
+			case <-time.After(time.Second):
+				t.Error("the job was not cancelled within a second")
+			}
+		})
+	}
+}
+
 // cancelRecorder is a Dispatcher that records when a job is cancelled.
 type cancelRecorder struct {
 	dispatcher
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -12,15 +12,11 @@
 	"foxtailmux/socket"
 )
 
-// watchInterval is the time between two checks of a caller's connection whose end can't be waited for.
-const watchInterval = 250 * time.Millisecond
-
 // connWatcher watches whether the caller of a request is still connected.
 type connWatcher struct {
 	conn     net.Conn
 	raw      syscall.RawConn // socket of conn, nil if the connection is not watched
 	onClosed func()
-	stopped  chan struct{}
 	group    conc.WaitGroup
 }
 
@@ -29,7 +25,7 @@
 // counts as disconnected. A connection without a socket is not watched. Nothing else may
 // read from the connection until stop has returned.
 func watchConn(conn net.Conn, onClosed func()) *connWatcher {
-	w := &connWatcher{conn: conn, raw: socket.Raw(conn), onClosed: onClosed, stopped: make(chan struct{})}
+	w := &connWatcher{conn: conn, raw: socket.Raw(conn), onClosed: onClosed}
 	if w.raw == nil {
 		return w
 	}
@@ -39,37 +35,15 @@
 }
 
 func (w *connWatcher) run() {
-	if w.awaitReadable() && socket.Peek(w.raw) == socket.Closed {
+	if err := socket.AwaitHangUp(w.raw); !errors.Is(err, os.ErrDeadlineExceeded) {
 		w.onClosed()
-		return
-	}
-	// Bytes of a next request are in the socket: its end is seen once they are read.
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-w.stopped:
-			return
-		case <-ticker.C:
-		}
-		if socket.Peek(w.raw) == socket.Closed {
-			w.onClosed()
-			return
-		}
 	}
 }
 
-// awaitReadable waits until the socket has bytes, or its end, to read. It returns false if the watch
-// was stopped before.
-func (w *connWatcher) awaitReadable() bool {
-	return !errors.Is(socket.Await(w.raw), os.ErrDeadlineExceeded)
-}
-
 // stop ends the watch and calls onClosed, which releases the request's context.
 func (w *connWatcher) stop() {
-	close(w.stopped)
 	if w.raw != nil {
-		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // ends awaitReadable
+		_ = w.conn.SetReadDeadline(time.Unix(1, 0)) // ends AwaitHangUp
 		w.group.Wait()
 		_ = w.conn.SetReadDeadline(time.Time{})
 	}
--- a/socket/socket.go
+++ b/socket/socket.go
@@ -46,10 +46,33 @@
 	return state
 }
 
-// Await waits until a socket is no longer quiet. It returns os.ErrDeadlineExceeded at the read deadline
-// of the connection.
-func Await(raw syscall.RawConn) error {
-	return raw.Read(func(fd uintptr) bool { return peek(fd) != Quiet })
+// HungUp reports whether the other end has closed a socket, at least for sending, or the socket has failed,
+// also while there are bytes left to read. A connection without a socket, nil, counts as open.
+func HungUp(raw syscall.RawConn) bool {
+	if raw == nil {
+		return false
+	}
+	hungUp := true
+	if err := raw.Control(func(fd uintptr) { hungUp = pollHangUp(fd) }); err != nil {
+		return true
+	}
+	return hungUp
+}
+
+// AwaitHangUp waits until HungUp holds. It returns os.ErrDeadlineExceeded at the read deadline of the
+// connection.
+func AwaitHangUp(raw syscall.RawConn) error {
+	return raw.Read(pollHangUp)
+}
+
+func pollHangUp(fd uintptr) bool {
+	const hangUp = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	_, err := unix.Poll(fds, 0)
+	for errors.Is(err, unix.EINTR) {
+		_, err = unix.Poll(fds, 0)
+	}
+	return err != nil || fds[0].Revents&hangUp != 0
 }
 
 // peek looks at the next byte and leaves it in the socket.
--- a/socket/socket_test.go
+++ b/socket/socket_test.go
@@ -64,21 +64,54 @@
 	}
 }
 
-func TestAwaitEndsWithBytesOrTheDeadline(t *testing.T) {
+func TestHangUp(t *testing.T) {
+	cases := map[string]struct {
+		change func(near, far *net.TCPConn)
+		want   bool
+	}{
+		"nothing sent":        {func(_, _ *net.TCPConn) {}, false},
+		"bytes":               {func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")) }, false},
+		"bytes and the end":   {func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")); _ = far.Close() }, true},
+		"the end":             {func(_, far *net.TCPConn) { _ = far.CloseWrite() }, true},
+		"reset":               {func(_, far *net.TCPConn) { _ = far.SetLinger(0); _ = far.Close() }, true},
+		"bytes and the reset": {func(_, far *net.TCPConn) { _, _ = far.Write([]byte("x")); _ = far.SetLinger(0); _ = far.Close() }, true},
+		"closed here":         {func(near, _ *net.TCPConn) { _ = near.Close() }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			near, far := connect(t)
+			c.change(near, far)
+			time.Sleep(50 * time.Millisecond)
+			if diff := cmp.Diff(c.want, socket.HungUp(socket.Raw(near))); diff != "" {
+				t.Errorf("hung up (-want +got):\n%s", diff)
+			}
+		})
+	}
+	if socket.HungUp(nil) {
+		t.Error("a connection without a socket is hung up")
+	}
+}
+
+func TestAwaitHangUpEndsWithTheConnectionOrTheDeadline(t *testing.T) {
 	near, far := connect(t)
 	raw := socket.Raw(near)
+	if _, err := io.WriteString(far, "x"); err != nil {
+		t.Fatal(err)
+	}
 	if err := near.SetReadDeadline(time.Now().Add(50 * time.Millisecond)); err != nil {
 		t.Fatal(err)
 	}
-	if err := socket.Await(raw); !errors.Is(err, os.ErrDeadlineExceeded) {
+	if err := socket.AwaitHangUp(raw); !errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("at the deadline: %v", err)
 	}
 	if err := near.SetReadDeadline(time.Time{}); err != nil {
 		t.Fatal(err)
 	}
 	time.AfterFunc(50*time.Millisecond, func() { _, _ = io.WriteString(far, "x") })
-	if err := socket.Await(raw); err != nil {
-		t.Errorf("with bytes: %v", err)
+	closed := time.Now().Add(100 * time.Millisecond)
+	time.AfterFunc(time.Until(closed), func() { _ = far.Close() })
+	if err := socket.AwaitHangUp(raw); err != nil || time.Now().Before(closed) {
+		t.Errorf("%v before the end: %v", time.Until(closed), err)
 	}
 	if diff := cmp.Diff(socket.Readable, socket.Peek(raw)); diff != "" {
 		t.Errorf("state after the wait (-want +got):\n%s", diff)
