entry: count the age of a request from its first bytes

A job's age keeps its tasks from starting once its caller may have submitted it elsewhere. It was the time since the last bytes on the connection: a body or header that arrived late, a body after 100-continue, and a request that waited behind another one while further bytes came in all counted as new. Such a job could start up to its caller's whole timeout too late.

The connection now records when the bytes of each read had arrived, and takes the read that a request began with. TestAgeOfARequestCountsFromItsFirstBytes: on the code before, 5 of 8 cases count as new after 400 ms (slow body, slow header, 100-continue, between two others, before a part of a request); after, 0 of 8. The users' callers aren't known to send slowly or to pipeline, so this is not shown to be their case.

go test ./entry -race

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -22,7 +22,7 @@
 // maxIDBytes bounds the job id in the path, behind the prefix of the queue.
 const maxIDBytes = 64
 
-// minLateRead is the time that a request waited in its socket from which on it is logged as late.
+// minLateRead is the time since the first bytes of a request from which on it is logged as read late.
 const minLateRead = 250 * time.Millisecond
 
 // estimateSafetyFactor multiplies the estimated run time of a job, since actual run
@@ -104,23 +104,22 @@
 	}
 
 	conn := c.RequestCtx().Conn()
-	raw := socket.Raw(conn)
-	unread := unreadTime(raw, s.options.Pauses.Last())
-	if unread > minLateRead {
-		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", unread.Milliseconds()).
+	age := requestAge(conn)
+	if age > minLateRead {
+		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", age.Milliseconds()).
 			Int64("timeoutMillis", timeout.Milliseconds()).Msg("request read late")
 	}
 	switch {
-	case unread >= timeout:
+	case age >= timeout:
 		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
-	case socket.HungUp(raw):
+	case socket.HungUp(socket.Raw(conn)):
 		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
 	}
 
-	left := timeout - unread
+	left := timeout - age
 	ctx, cancel := context.WithTimeout(c.Context(), s.untilClose(left))
 	w := watchConn(conn, cancel)
-	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: unread, TimeLeft: left})
+	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: age, TimeLeft: left})
 	w.stop()
-	return s.answer(c, route, id, outcome, unread+time.Since(began))
+	return s.answer(c, route, id, outcome, age+time.Since(began))
 }
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -97,6 +97,7 @@
 		DisablePreParseMultipartForm: true,
 	})
 	s.app.Use(s.serveRecovered)
+	s.app.Server().ConnState = recordState
 	s.readyApp = fiber.New(fiber.Config{ReadTimeout: o.Limits.ReadTimeout, IdleTimeout: o.Limits.IdleTimeout})
 	s.readyApp.Get(o.Protocol.ReadyPath(), s.serveReady)
 	return s
@@ -109,7 +110,7 @@
 	}()
 	go func() {
 		defer close(s.done)
-		_ = s.app.Listener(s.options.CallerListener, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = s.app.Listener(arrivalListener{s.options.CallerListener, s.options.Pauses}, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	return nil
 }
--- a/entry/unread_test.go
+++ b/entry/unread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"testing"
@@ -119,6 +120,73 @@
 	}
 }
 
+// slowRecorder is a submissionRecorder whose jobs last for a time.
+type slowRecorder struct {
+	submissionRecorder
+	runTime time.Duration
+}
+
+func (d *slowRecorder) Run(ctx context.Context, s home.Submission) home.Outcome {
+	time.Sleep(d.runTime)
+	return d.submissionRecorder.Run(ctx, s)
+}
+
+// Guards against a task that starts after its caller may have submitted the job elsewhere: the age of a
+// request counted from the arrival of the last bytes on its connection, and not of its own first ones.
+func TestAgeOfARequestCountsFromItsFirstBytes(t *testing.T) {
+	const delay = 400 * time.Millisecond
+	head := "POST /q/%d HTTP/1.1\r\nHost: h.example\r\nPatience: 9s\r\nContent-Length: 1\r\n"
+	request := func(n int) string { return fmt.Sprintf(head+"\r\nx", n) }
+	cases := map[string]struct {
+		texts   []string // each is sent after a delay
+		runTime time.Duration
+		want    []bool // whether the age of each job is at least the delay
+	}{
+		"at once":               {texts: []string{request(1)}, want: []bool{false}},
+		"slow body":             {texts: []string{fmt.Sprintf(head, 1) + "\r\n", "x"}, want: []bool{true}},
+		"slow header":           {texts: []string{"POST /q/1 HTT", fmt.Sprintf(head, 1)[len("POST /q/1 HTT"):] + "\r\nx"}, want: []bool{true}},
+		"continue":              {texts: []string{fmt.Sprintf(head, 1) + "Expect: 100-continue\r\n\r\n", "x"}, want: []bool{true}},
+		"two requests":          {texts: []string{request(1), request(2)}, want: []bool{false, false}},
+		"behind another":        {texts: []string{request(1) + request(2)}, runTime: delay, want: []bool{false, true}},
+		"between other two":     {texts: []string{request(1) + request(2), request(3)}, runTime: delay + delay/4, want: []bool{false, true, true}},
+		"before a part request": {texts: []string{request(1) + request(2), "POST"}, runTime: delay + delay/4, want: []bool{false, true}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			d := &slowRecorder{submissionRecorder{dispatcher{routing: testRouting}, make(chan home.Submission, 3)}, c.runTime}
+			_, addr, _ := serveQueuesBehind(t, d, &fixedPause{}, func(l net.Listener) net.Listener { return l })
+			conn, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			for i, text := range c.texts {
+				if i > 0 {
+					time.Sleep(delay)
+				}
+				if _, err := io.WriteString(conn, text); err != nil {
+					t.Fatal(err)
+				}
+			}
+			var got []bool
+			for range c.want {
+				select {
+				case s := <-d.submissions:
+					got = append(got, s.Age > delay-delay/10)
+					if s.Age+s.TimeLeft != 9*time.Second {
+						t.Errorf("age %v and time left %v", s.Age, s.TimeLeft)
+					}
+				case <-time.After(5 * time.Second):
+					t.Fatal("a request was not run")
+				}
+			}
+			if diff := cmp.Diff(c.want, got); diff != "" {
+				t.Errorf("jobs as old as the delay (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // Guards against a job that runs on beside its next submission: the end of the caller's connection is
 // noticed a quarter of a second late.
 func TestCallerThatLeavesIsNoticedAtOnce(t *testing.T) {
