--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -31,7 +31,8 @@
 // stand-ins for the users' platform. Callers submit jobs, and submit a job again
 // if it gets no response or status 504, as the callers of the platform do, while
 // overlapping faults are injected. FOXTAILMUX_SEED is the seed of the faults,
-// FOXTAILMUX_SOAK how long they are injected for each seed.
+// FOXTAILMUX_SOAK how long they are injected for each seed. FOXTAILMUX_BIN is a folder of
+// programs to test instead of those of this tree.
 const (
 	defaultSoakTime = 6 * time.Second
 	resendDelay     = 1300 * time.Millisecond // from no response or status 504 to the next submission of the job
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -24,7 +24,8 @@
 // waitLimit bounds each wait for a condition; a test that reaches it fails.
 const waitLimit = 60 * time.Second
 
-// binDir is the folder of the programs under test, which TestMain builds.
+// binDir is the folder of the programs under test, which TestMain builds unless FOXTAILMUX_BIN
+// names a folder with programs that were built before, such as those of another commit.
 var binDir string
 
 func TestMain(m *testing.M) {
@@ -32,6 +33,10 @@
 }
 
 func runTests(m *testing.M) int {
+	if dir := os.Getenv("FOXTAILMUX_BIN"); dir != "" {
+		binDir = dir
+		return m.Run()
+	}
 	dir, err := os.MkdirTemp("", "foxtailmux-proof")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
