proof: a faulty link between each two ends of the soak

Faults could be injected between the workers or the store and everybody, and by a relay of one test between instances. Each instance now finds in the store the addresses of its own links, which are fault proxies for TCP and UDP, to each of the other instances and workers; callers have a link to each instance.

A violation comes with the submissions and runs of its job and the home of each token.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -24,6 +26,7 @@
 
 	"foxtailmux/fakes"
 	"foxtailmux/model"
+	"foxtailmux/platform"
 	"foxtailmux/platform/stand"
 )
 
@@ -94,160 +97,92 @@
 	rows          []workerRow // the workers' rows in the store
 	instances     []*soakInstance
 	version       int
+	jobCount      atomic.Int64
+	callersLeave  atomic.Bool    // callers leave early
+	restarts      sync.WaitGroup // of instances
 
-	mu       sync.Mutex
-	statuses map[string][]int // HTTP status of each submission, 0 without a response, by job
-	jobCount atomic.Int64
+	mu          sync.Mutex
+	submissions map[string][]submitted // by job
+	mixed       []string               // responses to jobs that succeeded before all of their tasks had
+	links       map[linkKey]*faultProxy
+	targets     map[string]string // name of an instance or a worker by address
 }
 
-// workerRow is the row of a worker in the platform's store.
-type workerRow struct{ key, value string }
+// linkKey names both ends of a link: instances, workers, or callers.
+type linkKey struct{ from, to string }
 
-// soakInstance is an entry instance, which keeps its addresses over restarts.
-type soakInstance struct {
-	name, settingsFile, callersAddr string
+// callersEnd is the end of a link at which callers are.
+const callersEnd = "callers"
 
-	storeProxy *faultProxy
-
-	mu   sync.Mutex
-	proc *process
+// soakJob is a job of equal tasks.
+type soakJob struct {
+	id                string
+	tasks, milliCores int
+	estimate, timeout time.Duration
 }
 
-// faultProxy is a TCP proxy in front of a worker or the store. It can hold back
-// bytes, in both directions or only those of responses, delay them, or close its
-// connections.
-type faultProxy struct {
-	listener      net.Listener
-	target        string
-	holdAll       atomic.Bool
-	holdResponses atomic.Bool
-	delayReads    atomic.Bool
-	reset         atomic.Bool
-	stutter       atomic.Bool // send each response twice, the second time late
-
-	mu      sync.Mutex
-	silence chan struct{} // closed when the open connections go silent
-	closed  chan struct{}
+// submitted is a submission of a job. The status is 0 without a response.
+type submitted struct {
+	instance    string
+	sent, ended time.Time
+	status      int
 }
 
-// goSilent makes the open connections carry no more bytes, without a reset. New ones work.
-func (fp *faultProxy) goSilent() {
-	fp.mu.Lock()
-	defer fp.mu.Unlock()
-	close(fp.silence)
-	fp.silence = make(chan struct{})
+func (s submitted) String() string {
+	return fmt.Sprintf("%s sent %s ended %s status %d", s.instance, s.sent.UTC().Format(logTime), s.ended.UTC().Format(logTime), s.status)
 }
 
-// readDelay delays each read of a proxy with delayReads.
-const readDelay = 40 * time.Millisecond
+// logTime is the layout of times in the logs of the programs.
+const logTime = "2006-01-02T15:04:05.000Z"
 
-func startFaultProxy(t *testing.T, target string) *faultProxy {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	fp := &faultProxy{listener: listener, target: target, silence: make(chan struct{}), closed: make(chan struct{})}
-	go fp.serve()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		close(fp.closed)
-	})
-	return fp
-}
-
-func (fp *faultProxy) serve() {
-	for {
-		in, err := fp.listener.Accept()
-		if err != nil {
-			return
-		}
-		out, err := net.Dial("tcp", fp.target)
-		if err != nil {
-			_ = in.Close()
-			continue
-		}
-		fp.mu.Lock()
-		silence := fp.silence
-		fp.mu.Unlock()
-		go fp.copy(&stutteringConn{Conn: in, stutter: &fp.stutter}, out, &fp.holdResponses, silence)
-		go fp.copy(out, in, &fp.holdAll, silence)
-	}
-}
-
-// stutteringConn writes everything twice while stutter is set, the second time after a random delay.
-type stutteringConn struct {
-	net.Conn
-	stutter *atomic.Bool
-}
+// workerRow is the row of a worker in the platform's store.
+type workerRow struct{ key, value string }
 
-// maxStutter is the longest delay of a second response.
-const maxStutter = 60 * time.Millisecond
+// soakInstance is an entry instance, which keeps its addresses over restarts.
+type soakInstance struct {
+	name, dataCentre, settingsFile, callersAddr string
 
-// Write writes the bytes, and again later.
-func (c *stutteringConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	if err == nil && c.stutter.Load() {
-		again := bytes.Clone(p)
-		time.AfterFunc(rand.N(maxStutter), func() { _, _ = c.Conn.Write(again) }) // it may be closed by then
-	}
-	return n, err
-}
+	storeProxy *faultProxy
+	busy       atomic.Bool // a fault has ended the process and will start it again
 
-// copy forwards bytes from one connection to another, until silence is closed. It holds
-// them back while holdAll or held is set.
-func (fp *faultProxy) copy(to, from net.Conn, held *atomic.Bool, silence <-chan struct{}) {
-	defer to.Close()
-	defer from.Close()
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(buffer)
-		if fp.reset.Load() {
-			return
-		}
-		select {
-		case <-silence:
-			<-fp.closed
-			return
-		default:
-		}
-		if fp.delayReads.Load() {
-			time.Sleep(readDelay)
-		}
-		for fp.holdAll.Load() || held.Load() {
-			time.Sleep(10 * time.Millisecond)
-		}
-		if _, failed := to.Write(buffer[:n]); err != nil || failed != nil {
-			return
-		}
-	}
+	mu   sync.Mutex
+	proc *process
 }
 
 // newSoak returns a soak with six workers and three instances in two data centres.
 func newSoak(t *testing.T, seed uint64) *soak {
-	s, store := newEmptySoak(t, seed)
+	s := newEmptySoak(t, seed)
 	if seed >= firstLowBandwidthSeed {
 		s.linkMbits, s.spec = 2, strings.Repeat("s", lowBandwidthSpecBytes)
 	}
-	for i := range 6 {
-		s.addWorker(i, []string{"kochi", "tvm"}[i%2])
+	s.addAll([]string{"kochi", "tvm", "kochi", "tvm", "kochi", "tvm"}, []string{"kochi", "kochi", "tvm"})
+	return s
+}
+
+// newFleet returns a soak with a worker and an instance for each of the data centres, which has
+// recovered.
+func newFleet(t *testing.T, workers, instances []string) *soak {
+	t.Helper()
+	s := newEmptySoak(t, 1)
+	s.addAll(workers, instances)
+	s.waitRecovered()
+	return s
+}
+
+func (s *soak) addAll(workers, instances []string) {
+	for i, dc := range workers {
+		s.addWorker(i, dc)
 	}
-	for i, dc := range []string{"kochi", "kochi", "tvm"} {
-		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
+	for i, dc := range instances {
+		s.addInstance(fmt.Sprintf("entry-%d", i), dc)
 	}
-	return s
 }
 
 // Guards against slow elections after a restart of a large fleet: the store writes
 // the rows of a table one after the other, so the homes' claims would wait behind
 // the rows of the instances if all of those were written again.
 func TestRestartedInstancesWriteOnlyTheirHomeClaims(t *testing.T) {
-	s, store := newEmptySoak(t, 1)
-	s.addWorker(0, "kochi")
-	for i := range 3 {
-		s.addInstance(fmt.Sprintf("entry-%d", i), "kochi", store)
-	}
-	s.waitRecovered()
+	s := newFleet(t, []string{"kochi"}, []string{"kochi", "kochi", "kochi"})
 	before := []int{s.store.Commits("nodes"), s.store.Commits("homes")}
 	for _, i := range s.instances {
 		_ = i.process().cmd.Process.Kill()
@@ -265,28 +200,22 @@
 	s.check()
 }
 
-// newEmptySoak returns a soak without workers and instances, and the address of
-// its store, which holds a configuration.
-func newEmptySoak(t *testing.T, seed uint64) (s *soak, store string) {
-	s = &soak{
+// newEmptySoak returns a soak without workers and instances, whose store holds a configuration.
+func newEmptySoak(t *testing.T, seed uint64) *soak {
+	s := &soak{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
-		statuses: map[string][]int{}, faultKinds: faultKinds(seed), spec: "s",
+		submissions: map[string][]submitted{}, links: map[linkKey]*faultProxy{}, targets: map[string]string{},
+		faultKinds: faultKinds(seed), spec: "s",
 	}
-	server := httptest.NewServer(s.store)
-	t.Cleanup(server.Close)
 	s.putConfig()
-	return s, server.Listener.Addr().String()
+	return s
 }
 
 // A data centre gets a home (the one entry instance that owns its workers) also if
 // its workers register after its instances have started and long after the other
 // data centre has got its home.
 func TestWorkersThatRegisterLateGetAHome(t *testing.T) {
-	s, store := newEmptySoak(t, 1)
-	s.addWorker(0, "kochi")
-	s.addInstance("entry-0", "kochi", store)
-	s.addInstance("entry-1", "tvm", store)
-	s.waitRecovered()
+	s := newFleet(t, []string{"kochi"}, []string{"kochi", "tvm"})
 	time.Sleep(5 * time.Second) // until all instances have read the workers' table
 	s.addWorker(1, "tvm")
 	began := time.Now()
@@ -310,7 +239,10 @@
 
 	c := startFaultProxy(s.t, server.Listener.Addr().String())
 	s.workers, s.workerServers, s.workerProxies = append(s.workers, w), append(s.workerServers, server), append(s.workerProxies, c)
-	key, value := stand.WorkerRow(id, c.listener.Addr().String(), dc, 64_000)
+	s.mu.Lock()
+	s.targets[c.addr()] = id
+	s.mu.Unlock()
+	key, value := stand.WorkerRow(id, c.addr(), dc, 64_000)
 	s.rows = append(s.rows, workerRow{key, value})
 	s.store.Put(key, value)
 }
@@ -406,10 +338,19 @@
 	}
 }
 
-func (s *soak) addInstance(name, dc, store string) {
-	i := &soakInstance{name: name, callersAddr: reserveAddr(s.t), storeProxy: startFaultProxy(s.t, store), settingsFile: filepath.Join(s.t.TempDir(), name+".yaml")}
+func (s *soak) addInstance(name, dc string) {
+	store := httptest.NewServer(s.store.View(func(key string, value []byte) []byte { return s.linked(name, key, value) }))
+	s.t.Cleanup(store.Close)
+	i := &soakInstance{
+		name: name, dataCentre: dc, settingsFile: filepath.Join(s.t.TempDir(), name+".yaml"),
+		callersAddr: reserveAddr(s.t), storeProxy: startFaultProxy(s.t, store.Listener.Addr().String()),
+	}
+	peers := reserveAddr(s.t)
+	s.mu.Lock()
+	s.targets[peers] = name
+	s.mu.Unlock()
 	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nlimits: {link: %d}\nstop: {drainDelay: 300ms, limit: 3s}\n",
-		name, dc, i.callersAddr, reserveAddr(s.t), reserveAddr(s.t), reserveAddr(s.t), i.storeProxy.listener.Addr(), s.linkMbits)
+		name, dc, i.callersAddr, reserveAddr(s.t), reserveAddr(s.t), peers, i.storeProxy.addr(), s.linkMbits)
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -417,6 +358,69 @@
 	i.run(s.t)
 }
 
+// link returns the proxy between an instance or the callers and an instance or a worker, by their
+// names. It starts the proxy if there is none.
+func (s *soak) link(from, to, addr string) *faultProxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := linkKey{from, to}
+	if s.links[key] == nil {
+		s.links[key] = startFaultProxy(s.t, addr)
+	}
+	return s.links[key]
+}
+
+// callersLink returns the proxy between callers and an instance.
+func (s *soak) callersLink(i *soakInstance) *faultProxy {
+	return s.link(callersEnd, i.name, i.callersAddr)
+}
+
+// linksOf returns the proxies of the links for which choose returns true.
+func (s *soak) linksOf(choose func(from, to string) bool) []*faultProxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*faultProxy
+	for key, link := range s.links {
+		if choose(key.from, key.to) {
+			list = append(list, link)
+		}
+	}
+	return list
+}
+
+func (s *soak) isInstance(name string) bool {
+	return slices.ContainsFunc(s.instances, func(i *soakInstance) bool { return i.name == name })
+}
+
+// homeOf returns the instance that the store names as the home of a data centre.
+func (s *soak) homeOf(dataCentre string) *soakInstance {
+	var row struct {
+		Instance string `json:"instance"`
+	}
+	if err := json.Unmarshal([]byte(s.store.Get("homes/"+dataCentre)), &row); err != nil {
+		s.t.Errorf("home of %s: %v", dataCentre, err)
+	}
+	n := slices.IndexFunc(s.instances, func(i *soakInstance) bool { return i.name == row.Instance })
+	return s.instances[max(n, 0)]
+}
+
+// linked returns the value of a row in which an instance finds the addresses of its own links to
+// instances and workers.
+func (s *soak) linked(instance, key string, value []byte) []byte {
+	if key == "nodes/"+instance {
+		return value
+	}
+	s.mu.Lock()
+	targets := maps.Clone(s.targets)
+	s.mu.Unlock()
+	for addr, name := range targets {
+		if quoted := []byte(strconv.Quote(addr)); bytes.Contains(value, quoted) {
+			value = bytes.ReplaceAll(value, quoted, []byte(strconv.Quote(s.link(instance, name, addr).addr())))
+		}
+	}
+	return value
+}
+
 func (i *soakInstance) run(t *testing.T) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -429,41 +433,65 @@
 	return i.proc
 }
 
-// submit submits a new job, and submits it again until it gets a response other
-// than status 504, at most maxSubmissions times, as the platform's callers do.
-func (s *soak) submit(client *http.Client, random *rand.Rand) {
+// newJob returns a new job of up to four tasks.
+func (s *soak) newJob(tasks int) soakJob {
 	id := fmt.Sprintf("%016x", s.jobCount.Add(1))
+	return soakJob{id: id, tasks: tasks, milliCores: taskMilliCores, estimate: 70 * time.Millisecond, timeout: jobTimeout}
+}
+
+// submit submits a job, and submits it again until it gets a response other than status 502 or
+// 504, at most maxSubmissions times, as the platform's callers do.
+func (s *soak) submit(client *http.Client, random *rand.Rand, job soakJob) {
 	for range maxSubmissions {
-		status := s.post(client, id, s.instances[random.IntN(len(s.instances))].callersAddr, 1+random.IntN(4))
-		s.mu.Lock()
-		s.statuses[id] = append(s.statuses[id], status)
-		s.mu.Unlock()
-		if status != 0 && status != http.StatusGatewayTimeout {
+		leaveAfter := job.timeout
+		if s.callersLeave.Load() {
+			leaveAfter = time.Duration(20+random.IntN(400)) * time.Millisecond
+		}
+		switch s.post(client, job, s.instances[random.IntN(len(s.instances))], leaveAfter) {
+		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+			time.Sleep(resendDelay)
+		default:
 			return
 		}
-		time.Sleep(resendDelay)
 	}
 }
 
-// post submits a job once and returns the HTTP status, or 0 without a response.
-func (s *soak) post(client *http.Client, id, addr string, tasks int) int {
-	ctx, cancel := context.WithTimeout(context.Background(), jobTimeout)
+// post submits a job once and returns the HTTP status, or 0 if the caller gets no response or leaves
+// after the given time.
+func (s *soak) post(client *http.Client, job soakJob, i *soakInstance, leaveAfter time.Duration) int {
+	sent := time.Now()
+	status, succeeded := s.exchange(client, job, i, leaveAfter)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submissions[job.id] = append(s.submissions[job.id], submitted{i.name, sent, time.Now(), status})
+	for n := range job.tasks {
+		if task := fmt.Sprintf("%s.0.0.%d", job.id, n); succeeded && s.ledger.Done(task) == 0 {
+			s.mixed = append(s.mixed, fmt.Sprintf("%s answered at %s as succeeded, but %s was not done", job.id, time.Now().UTC().Format(logTime), task))
+		}
+	}
+	return status
+}
+
+// exchange sends the request of a job and reads the response.
+func (s *soak) exchange(client *http.Client, job soakJob, i *soakInstance, leaveAfter time.Duration) (status int, succeeded bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
 	defer cancel()
-	req, err := stand.NewJobRequest(addr, id, tasks, taskMilliCores, 70*time.Millisecond, jobTimeout, s.spec)
+	addr := s.callersLink(i).addr()
+	req, err := stand.NewJobRequest(addr, job.id, job.tasks, job.milliCores, job.estimate, job.timeout, s.spec)
 	if err != nil {
 		s.t.Error(err)
-		return 0
+		return 0, false
 	}
 	resp, err := client.Do(req.WithContext(ctx))
 	if err != nil {
-		return 0
+		return 0, false
 	}
 	defer resp.Body.Close()
 	var text bytes.Buffer
 	if _, err := io.Copy(&text, resp.Body); err != nil {
-		return 0
+		return 0, false
 	}
-	return resp.StatusCode
+	return resp.StatusCode, resp.StatusCode == http.StatusOK && bytes.Equal(text.Bytes(), platform.SucceededBody)
 }
 
 // injectFault injects a random fault, which ends by itself.
@@ -557,7 +585,7 @@
 		client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 		callers.Go(func() {
 			for ctx.Err() == nil {
-				s.submit(client, random)
+				s.submit(client, random, s.newJob(1+random.IntN(4)))
 				time.Sleep(time.Duration(random.IntN(60)) * time.Millisecond)
 			}
 		})
@@ -573,22 +601,52 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if diff := cmp.Diff([]string(nil), s.mixed); diff != "" {
+		s.t.Errorf("responses before the end (-want +got):\n%s", diff)
+	}
 	counts := map[int]int{}
-	for id, statuses := range s.statuses {
-		for _, status := range statuses {
-			counts[status]++
+	for id, list := range s.submissions {
+		for _, sub := range list {
+			counts[sub.status]++
 		}
-		refused := !slices.ContainsFunc(statuses, func(n int) bool { return n != http.StatusServiceUnavailable })
+		refused := !slices.ContainsFunc(list, func(sub submitted) bool { return sub.status != http.StatusServiceUnavailable })
 		if refused && s.ledger.Starts(id+".0.0.0") > 0 {
 			s.t.Errorf("job %s was refused, but ran", id)
 		}
-		if slices.Contains(statuses, http.StatusOK) && s.ledger.Starts(id+".0.0.0") == 0 {
-			s.t.Errorf("job %s succeeded, but never ran", id)
+		ended := slices.ContainsFunc(list, func(sub submitted) bool { return sub.status == http.StatusOK })
+		if ended && s.ledger.Starts(id+".0.0.0") == 0 {
+			s.t.Errorf("job %s ended, but never ran", id)
+		}
+	}
+	s.traceViolations()
+	s.t.Logf("%d jobs, responses by status: %v", len(s.submissions), counts)
+}
+
+// traceViolations prints the submissions and runs of jobs with violations. The caller holds mu.
+func (s *soak) traceViolations() {
+	jobs := map[string]bool{}
+	for _, runs := range s.ledger.Overlaps() {
+		id, _, _ := strings.Cut(runs[0].Task, ".")
+		jobs[id] = true
+	}
+	for _, text := range s.mixed {
+		id, _, _ := strings.Cut(text, " ")
+		jobs[id] = true
+	}
+	for id := range jobs {
+		s.t.Logf("job %s: submissions %v", id, s.submissions[id])
+		for n := range maxTracedTasks {
+			for _, r := range s.ledger.Runs(fmt.Sprintf("%s.0.0.%d", id, n)) {
+				key, owner := s.store.At(r.Token)
+				s.t.Logf("%v, home %s %s", r, key, owner)
+			}
 		}
 	}
-	s.t.Logf("%d jobs, responses by status: %v", len(s.statuses), counts)
 }
 
+// maxTracedTasks is the number of tasks of a job whose runs are printed.
+const maxTracedTasks = 8
+
 // waitRecovered resumes paused instances and waits until a job succeeds at each
 // instance.
 func (s *soak) waitRecovered() {
@@ -597,28 +655,13 @@
 	for _, i := range s.instances {
 		_ = i.process().cmd.Process.Signal(syscall.SIGCONT)
 		waitFor(s.t, "a job succeeds at "+i.name, func() bool {
-			id := fmt.Sprintf("%016x", s.jobCount.Add(1))
-			return s.post(client, id, i.callersAddr, 1) == http.StatusOK
+			return s.post(client, s.newJob(1), i, jobTimeout) == http.StatusOK
 		})
 	}
 }
 
 func TestFleetSoak(t *testing.T) {
-	seeds, lasts := soakSeeds, defaultSoakTime
-	if text := os.Getenv("FOXTAILMUX_SEED"); text != "" {
-		n, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		seeds = []uint64{n}
-	}
-	if text := os.Getenv("FOXTAILMUX_SOAK"); text != "" {
-		d, err := time.ParseDuration(text)
-		if err != nil {
-			t.Fatal(err)
-		}
-		lasts = d
-	}
+	seeds, lasts := soakRange(t, soakSeeds)
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			s := newSoak(t, seed)
@@ -637,3 +680,25 @@
 		})
 	}
 }
+
+// soakRange returns the seeds of a soak and how long faults are injected for each: those of the
+// variables, or else the given seeds and defaultSoakTime.
+func soakRange(t *testing.T, seeds []uint64) ([]uint64, time.Duration) {
+	t.Helper()
+	lasts := defaultSoakTime
+	if text := os.Getenv("FOXTAILMUX_SEED"); text != "" {
+		n, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		seeds = []uint64{n}
+	}
+	if text := os.Getenv("FOXTAILMUX_SOAK"); text != "" {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lasts = d
+	}
+	return seeds, lasts
+}
--- a/proof/odd_test.go
+++ b/proof/odd_test.go
@@ -16,21 +16,14 @@
 // Guards against instances that end or stop following the workers' table after another writer has left
 // odd entries there, one of them in place of a worker's own (reported by operators of similar systems).
 func TestOddEntriesAmongTheWorkersStopNoInstance(t *testing.T) {
-	s, store := newEmptySoak(t, 1)
-	for i, dc := range []string{"kochi", "kochi", "tvm"} {
-		s.addWorker(i, dc)
-	}
-	for i, dc := range []string{"kochi", "tvm"} {
-		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
-	}
-	s.waitRecovered()
+	s := newFleet(t, []string{"kochi", "kochi", "tvm"}, []string{"kochi", "tvm"})
 	usual := s.rows[0].value
 	odd := map[string]string{
 		"deep":     strings.Replace(usual, `"labels":["a","r1"]`, `"labels":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000), 1),
 		"number":   strings.Replace(usual, `"cpu":64000`, `"cpu":1e400`, 1),
 		"negative": strings.Replace(usual, `"cpu":64000`, `"cpu":-64000`, 1),
 		"largest":  strings.Replace(usual, `"cpu":64000`, `"cpu":9223372036854775807`, 1),
-		"port":     strings.Replace(usual, s.workerProxies[0].listener.Addr().String(), "127.0.0.1:99999", 1),
+		"port":     strings.Replace(usual, s.workerProxies[0].addr(), "127.0.0.1:99999", 1),
 		"type":     `[]`,
 		"bytes":    "\xff\xfe{",
 		"empty":    "",
@@ -54,7 +47,7 @@
 	if n := s.workers[1].Renewals() - began; n > 0 {
 		t.Errorf("%d renewals to a worker whose entry was overwritten", n)
 	}
-	key, value := stand.WorkerRow("late", s.workerProxies[1].listener.Addr().String(), "tvm", 64_000)
+	key, value := stand.WorkerRow("late", s.workerProxies[1].addr(), "tvm", 64_000)
 	s.store.Put(key, value) // the table is still followed
 	s.store.Put(s.rows[1].key, s.rows[1].value)
 	waitFor(t, "the worker whose entry is back is used again", func() bool { return s.workers[1].Renewals() > began })
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -17,14 +16,7 @@
 // (review/4). The platform allows 3 s after the silence (stability-ms).
 func TestConfigurationIsInForceInTimeAfterConnectionsWentSilent(t *testing.T) {
 	const allowed = 3 * time.Second
-	s, store := newEmptySoak(t, 1)
-	for i, dc := range []string{"kochi", "tvm"} {
-		s.addWorker(i, dc)
-	}
-	for i, dc := range []string{"kochi", "kochi", "tvm"} {
-		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
-	}
-	s.waitRecovered()
+	s := newFleet(t, []string{"kochi", "tvm"}, []string{"kochi", "kochi", "tvm"})
 	s.putConfig() // each instance sends its next request for changes now
 	time.Sleep(500 * time.Millisecond)
 
--- a/proof/unread_test.go
+++ b/proof/unread_test.go
@@ -21,15 +21,8 @@
 		pauseTime     = 2500 * time.Millisecond
 		runTime       = 900 * time.Millisecond
 	)
-	s, store := newEmptySoak(t, 1)
-	for i, dc := range []string{"kochi", "kochi", "tvm", "tvm"} {
-		s.addWorker(i, dc)
-		s.workers[i].RunTime = func(string) time.Duration { return runTime }
-	}
-	for i, dc := range []string{"kochi", "kochi", "tvm"} {
-		s.addInstance(fmt.Sprintf("entry-%d", i), dc, store)
-	}
-	s.waitRecovered()
+	s := newFleet(t, []string{"kochi", "kochi", "tvm", "tvm"}, []string{"kochi", "kochi", "tvm"})
+	s.setRunTime(runTime)
 
 	for n, i := range s.instances[:2] { // one of them is the home of its data centre
 		id := fmt.Sprintf("%016x", 1000+n)
@@ -48,6 +41,13 @@
 	s.check()
 }
 
+// setRunTime sets the run time of all tasks that begin from now on.
+func (s *soak) setRunTime(d time.Duration) {
+	for _, w := range s.workers {
+		w.SetRunTime(func(string) time.Duration { return d })
+	}
+}
+
 // submitOnce submits a job of two tasks and returns the HTTP status, or 0 if the caller gave up.
 func (s *soak) submitOnce(i *soakInstance, id string, runTime, timeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
