proof: a disrupted fleet of three data centres

The soak's fleet has two data centres, callers that wait 2.5 s and no faults between instances or between callers and instances. The new test has the shape of a larger deployment: data centres of 3, 2 and 1 instances, three kinds of jobs and bursts of them, callers that wait 1.5 s and submit again 1.3 s later at any instance. Its disruptions are in a table, seeded, and can be chosen by name (FOXTAILMUX_FAULTS), so that a rate for each kind can be told.

--- /dev/null
+++ b/proof/disruption_test.go
@@ -0,0 +1,347 @@
+package proof
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"foxtailmux/fakes"
+	"foxtailmux/model"
+	"foxtailmux/platform/stand"
+)
+
+// The disruption test is a soak of a larger fleet: three data centres, jobs of several kinds, callers of
+// all data centres that wait for a short time. FOXTAILMUX_SEED and FOXTAILMUX_SOAK are as for the
+// soak; FOXTAILMUX_FAULTS names the disruptions that occur, all if it is empty.
+
+// disruptionSeeds are the seeds that CI runs.
+var disruptionSeeds = []uint64{1, 2}
+
+const (
+	disruptionTimeout = 1500 * time.Millisecond // of callers
+	jobInterval       = 40 * time.Millisecond   // mean time between new jobs
+	maxOpenJobs       = 300
+	burstJobs         = 15
+	burstInterval     = 3 * time.Second
+)
+
+// jobKind is a kind of jobs. The last digit of a job's id is the index of its kind.
+type jobKind struct {
+	share             int // percentage of the jobs
+	tasks, milliCores int
+	runTime, spread   time.Duration // tasks run for runTime and up to spread longer
+}
+
+var jobKinds = []jobKind{
+	{share: 73, tasks: 8, milliCores: 16_000, runTime: 60 * time.Millisecond, spread: 50 * time.Millisecond},
+	{share: 20, tasks: 2, milliCores: 32_000, runTime: 200 * time.Millisecond, spread: 10 * time.Millisecond},
+	{share: 7, tasks: 4, milliCores: 16_000, runTime: 900 * time.Millisecond, spread: 10 * time.Millisecond},
+}
+
+// kindOfTask returns the kind of the job of a task, and the number of the task in it.
+func kindOfTask(task string) (kind jobKind, number int) {
+	id, _, _ := strings.Cut(task, ".")
+	number, _ = strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
+	return jobKinds[int(id[len(id)-1]-'0')%len(jobKinds)], number
+}
+
+func needsOfTask(task string) model.Resources {
+	kind, _ := kindOfTask(task)
+	return model.Resources{MilliCores: kind.milliCores}
+}
+
+func runTimeOfTask(task string) time.Duration {
+	kind, number := kindOfTask(task)
+	return kind.runTime + time.Duration(number%5)*kind.spread/4
+}
+
+// newDisruptionSoak returns a soak with nine workers and six instances in three data centres.
+func newDisruptionSoak(t *testing.T, seed uint64) *soak {
+	s := newEmptySoak(t, seed)
+	s.addAll([]string{"kochi", "kochi", "kochi", "kochi", "tvm", "tvm", "tvm", "calicut", "calicut"},
+		[]string{"kochi", "kochi", "kochi", "tvm", "tvm", "calicut"})
+	for _, w := range s.workers {
+		w.Needs = needsOfTask
+		w.SetRunTime(runTimeOfTask)
+	}
+	return s
+}
+
+// startJobs submits jobs until the context is done: one by one, and bursts.
+func (s *soak) startJobs(ctx context.Context, seed uint64) *sync.WaitGroup {
+	random := rand.New(rand.NewPCG(seed, 1))
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 20}}
+	open := make(chan struct{}, maxOpenJobs)
+	var jobs sync.WaitGroup
+	submit := func() {
+		job, random := s.newJobOfAKind(random), rand.New(rand.NewPCG(random.Uint64(), 0))
+		open <- struct{}{}
+		jobs.Go(func() {
+			s.submit(client, random, job)
+			<-open
+		})
+	}
+	jobs.Go(func() {
+		for began, bursts := time.Now(), 1; ctx.Err() == nil; time.Sleep(time.Duration(random.ExpFloat64() * float64(jobInterval))) {
+			submit()
+			if time.Since(began) > time.Duration(bursts)*burstInterval {
+				bursts++
+				for range burstJobs {
+					submit()
+				}
+			}
+		}
+	})
+	return &jobs
+}
+
+func (s *soak) newJobOfAKind(random *rand.Rand) soakJob {
+	index, n := 0, random.IntN(100)
+	for n >= jobKinds[index].share {
+		n -= jobKinds[index].share
+		index++
+	}
+	kind := jobKinds[index]
+	return soakJob{
+		id: fmt.Sprintf("%015x%d", s.jobCount.Add(1), index), tasks: kind.tasks, milliCores: kind.milliCores,
+		estimate: kind.runTime + kind.spread/2, timeout: disruptionTimeout,
+	}
+}
+
+// disruption is a kind of faults, each of which ends by itself.
+type disruption struct {
+	name   string
+	inject func(s *soak)
+}
+
+var disruptions = []disruption{
+	{"killHome", func(s *soak) { s.end(s.randomHome(), syscall.SIGKILL, s.millis(0, 1500)) }},
+	{"killOrigin", func(s *soak) { s.end(s.randomInstance(), syscall.SIGKILL, s.millis(0, 1500)) }},
+	{"killBoth", func(s *soak) {
+		s.end(s.randomHome(), syscall.SIGKILL, s.millis(0, 1500))
+		s.end(s.randomInstance(), syscall.SIGKILL, s.millis(0, 1500))
+	}},
+	{"killTwice", func(s *soak) {
+		dataCentre, downFor := s.randomInstance().dataCentre, s.millis(0, 1500)
+		s.end(s.homeOf(dataCentre), syscall.SIGKILL, s.millis(1000, 3000))
+		time.AfterFunc(s.millis(500, 1500), func() { s.end(s.homeOf(dataCentre), syscall.SIGKILL, downFor) })
+	}},
+	{"powerLoss", func(s *soak) { s.losePower(s.randomInstance(), s.millis(500, 3000)) }},
+	{"terminate", func(s *soak) { s.end(s.randomInstance(), syscall.SIGTERM, s.millis(0, 500)) }},
+	{"pause", func(s *soak) { s.pauseFor(s.randomInstance(), s.millis(300, 4000)) }},
+	{"pauseHome", func(s *soak) { s.pauseFor(s.randomHome(), s.millis(300, 4000)) }},
+	{"pauseBoth", func(s *soak) {
+		s.pauseFor(s.randomHome(), s.millis(300, 4000))
+		s.pauseFor(s.randomInstance(), s.millis(300, 4000))
+	}},
+
+	{"cut", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(400, 4500), func(fp *faultProxy) flags { return flags{&fp.holdAll, &fp.dropDatagrams} })
+	}},
+	{"cutForGood", func(s *soak) {
+		links := s.peerLinks(s.randomInstance())
+		for _, link := range links {
+			link.goSilent()
+		}
+		s.fault(links, s.millis(400, 3000), func(fp *faultProxy) flags { return flags{&fp.unreachable, &fp.dropDatagrams} })
+	}},
+	{"cutOneWay", func(s *soak) {
+		i, d := s.randomInstance(), s.millis(400, 4500)
+		from := s.linksOf(func(from, to string) bool { return from == i.name && s.isInstance(to) })
+		to := s.linksOf(func(from, to string) bool { return to == i.name && s.isInstance(from) })
+		if s.random.IntN(2) == 0 {
+			from, to = to, from
+		}
+		s.fault(from, d, func(fp *faultProxy) flags { return flags{&fp.holdRequests, &fp.dropDatagrams} })
+		s.fault(to, d, func(fp *faultProxy) flags { return flags{&fp.holdResponses} })
+	}},
+	{"cutReset", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 2000), func(fp *faultProxy) flags { return flags{&fp.reset, &fp.dropDatagrams} })
+	}},
+	{"cutTCP", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 4500), func(fp *faultProxy) flags { return flags{&fp.holdAll} })
+	}},
+	{"resetPeers", func(s *soak) {
+		for _, link := range s.peerLinks(s.randomInstance()) {
+			link.resetClients()
+		}
+	}},
+	{"hold", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 4500), func(fp *faultProxy) flags { return flags{&fp.holdAll, &fp.holdDatagrams} })
+	}},
+	{"holdRequests", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 4500), func(fp *faultProxy) flags { return flags{&fp.holdRequests} })
+	}},
+	{"holdResponses", func(s *soak) {
+		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 4500), func(fp *faultProxy) flags { return flags{&fp.holdResponses} })
+	}},
+
+	{"callersReset", func(s *soak) { s.callersLink(s.randomInstance()).resetClients() }},
+	{"callersSilent", func(s *soak) { s.callersLink(s.randomInstance()).goSilent() }},
+	{"callersHeld", func(s *soak) { s.raise(s.millis(300, 3000), &s.callersLink(s.randomInstance()).holdAll) }},
+	{"callersLeave", func(s *soak) { s.raise(s.millis(300, 1500), &s.callersLeave) }},
+
+	{"workerCrash", func(s *soak) {
+		w := s.random.IntN(len(s.workers))
+		s.workers[w].Crash()
+		s.workerServers[w].CloseClientConnections()
+	}},
+	{"workerCut", func(s *soak) { s.raise(s.millis(300, 3000), &s.randomWorkerProxy().holdAll) }},
+	{"workerReset", func(s *soak) { s.raise(s.millis(300, 1000), &s.randomWorkerProxy().reset) }},
+	{"workerHeld", func(s *soak) { s.raise(s.millis(300, 2000), &s.randomWorkerProxy().holdResponses) }},
+	{"workerStutters", func(s *soak) { s.raise(s.millis(500, 3000), &s.randomWorkerProxy().stutter) }},
+	{"workerLate", func(s *soak) { s.setWorkerFaults(fakes.LeasedWorkerFaults{LateShare: 0.3}) }},
+	{"workerStartsLate", func(s *soak) { s.setWorkerFaults(fakes.LeasedWorkerFaults{StartDelay: s.millis(100, 2000)}) }},
+	{"workerLoses", func(s *soak) { s.setWorkerFaults(fakes.LeasedWorkerFaults{LoseResponses: true}) }},
+	{"workerStalls", func(s *soak) { s.setWorkerFaults(fakes.LeasedWorkerFaults{Stalled: true}) }},
+	{"cutFromWorkers", func(s *soak) {
+		home := s.randomHome().name
+		links := s.linksOf(func(from, to string) bool { return from == home && !s.isInstance(to) })
+		s.fault(links, s.millis(300, 2000), func(fp *faultProxy) flags { return flags{&fp.holdAll} })
+	}},
+
+	{"storeDown", func(s *soak) { s.setStoreFaults(stand.StoreFaults{Down: true}) }},
+	{"storeSlow", func(s *soak) { s.setStoreFaults(stand.StoreFaults{Delay: 400 * time.Millisecond}) }},
+	{"storeLoses", func(s *soak) { s.setStoreFaults(stand.StoreFaults{DropCommitResponses: true, TruncateHistory: true}) }},
+	{"storeHeld", func(s *soak) { s.raise(s.millis(300, 3000), &s.randomInstance().storeProxy.holdAll) }},
+}
+
+// flags are switches of faults.
+type flags []*atomic.Bool
+
+// millis returns a random duration.
+func (s *soak) millis(least, most int) time.Duration {
+	return time.Duration(least+s.random.IntN(most-least)) * time.Millisecond
+}
+
+// raise sets switches for some time.
+func (s *soak) raise(d time.Duration, list ...*atomic.Bool) {
+	for _, flag := range list {
+		flag.Store(true)
+		time.AfterFunc(d, func() { flag.Store(false) })
+	}
+}
+
+// fault sets switches of links for some time.
+func (s *soak) fault(links []*faultProxy, d time.Duration, of func(*faultProxy) flags) {
+	for _, link := range links {
+		s.raise(d, of(link)...)
+	}
+}
+
+// peerLinks returns the links between an instance and the others, of both directions.
+func (s *soak) peerLinks(i *soakInstance) []*faultProxy {
+	return s.linksOf(func(from, to string) bool {
+		return from == i.name && s.isInstance(to) || to == i.name && s.isInstance(from)
+	})
+}
+
+func (s *soak) randomInstance() *soakInstance { return s.instances[s.random.IntN(len(s.instances))] }
+
+func (s *soak) randomHome() *soakInstance { return s.homeOf(s.randomInstance().dataCentre) }
+
+func (s *soak) randomWorkerProxy() *faultProxy { return s.workerProxies[s.random.IntN(len(s.workers))] }
+
+func (s *soak) setWorkerFaults(f fakes.LeasedWorkerFaults) {
+	w := s.workers[s.random.IntN(len(s.workers))]
+	w.SetFaults(f)
+	time.AfterFunc(s.millis(300, 3000), func() { w.SetFaults(fakes.LeasedWorkerFaults{}) })
+}
+
+func (s *soak) setStoreFaults(f stand.StoreFaults) {
+	s.store.SetFaults(f)
+	time.AfterFunc(s.millis(300, 3000), func() { s.store.SetFaults(stand.StoreFaults{}) })
+}
+
+func (s *soak) pauseFor(i *soakInstance, d time.Duration) {
+	p := i.process()
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // it may have ended
+	time.AfterFunc(d, func() { _ = p.cmd.Process.Signal(syscall.SIGCONT) })
+}
+
+// end ends an instance with a signal and starts it again some time later.
+func (s *soak) end(i *soakInstance, signal syscall.Signal, downFor time.Duration) {
+	if !i.busy.CompareAndSwap(false, true) {
+		return
+	}
+	p := i.process()
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+	_ = p.cmd.Process.Signal(signal)
+	s.restarts.Go(func() {
+		defer i.busy.Store(false)
+		select {
+		case <-p.exited:
+		case <-time.After(waitLimit):
+			s.t.Errorf("%s did not exit", i.name)
+			return
+		}
+		time.Sleep(downFor)
+		i.run(s.t)
+	})
+}
+
+// losePower ends an instance without a sign to any of its peers, callers and workers.
+func (s *soak) losePower(i *soakInstance, downFor time.Duration) {
+	links := append(s.linksOf(func(from, to string) bool { return from == i.name || to == i.name }), i.storeProxy)
+	for _, link := range links {
+		link.goSilent()
+	}
+	s.fault(links, downFor, func(fp *faultProxy) flags { return flags{&fp.unreachable, &fp.dropDatagrams} })
+	s.end(i, syscall.SIGKILL, downFor)
+}
+
+// chosenDisruptions returns the disruptions that FOXTAILMUX_FAULTS names.
+func chosenDisruptions(t *testing.T) []disruption {
+	t.Helper()
+	text := os.Getenv("FOXTAILMUX_FAULTS")
+	if text == "" {
+		return disruptions
+	}
+	var list []disruption
+	for name := range strings.SplitSeq(text, ",") {
+		n := slices.IndexFunc(disruptions, func(d disruption) bool { return d.name == name })
+		if n < 0 {
+			t.Fatalf("no disruption %q", name)
+		}
+		list = append(list, disruptions[n])
+	}
+	return list
+}
+
+// Guards against tasks that run twice at the same time, and jobs answered as succeeded before all of their
+// tasks were done, in a fleet of three data centres whose callers submit again soon.
+func TestDisruptedFleetRunsEachTaskOnceAtATime(t *testing.T) {
+	chosen := chosenDisruptions(t)
+	seeds, lasts := soakRange(t, disruptionSeeds)
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			s := newDisruptionSoak(t, seed)
+			s.waitRecovered()
+			ctx, cancel := context.WithTimeout(context.Background(), lasts)
+			defer cancel()
+			jobs := s.startJobs(ctx, seed)
+			for ctx.Err() == nil {
+				d := chosen[s.random.IntN(len(chosen))]
+				t.Logf("%s %s", time.Now().UTC().Format(logTime), d.name)
+				d.inject(s)
+				time.Sleep(s.millis(300, 1500))
+			}
+			jobs.Wait()
+			s.restarts.Wait()
+			time.Sleep(time.Second) // until the last faults have ended
+			s.waitRecovered()
+			s.check()
+			t.Logf("%d jobs, %d tasks ran twice at once, %d responses before the end", len(s.submissions), len(s.ledger.Overlaps()), len(s.mixed))
+		})
+	}
+}
