fleet, home: log which submission a job and its cancel belong to

Two runs of one task at two homes could not be told apart by the logs: one submission that reached two homes, or two submissions of which the first was not ended, and by whom. The line `job ended`, one per job, now has the home, its token, the origin with its incarnation, the number of the submission, whether it was resumed, its age when it was accepted and how long it was under way. The origin logs each submission that it cancels, with the cause, and each one that goes on to a later home; the home logs each cancel that it receives and whether it ended a job. Submissions to a home of the same instance get numbers, too. At most one line per submission or cancel is new, none per task.

--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -9,8 +10,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"foxtailmux/home"
+	"foxtailmux/logger"
 	"foxtailmux/model"
 )
 
@@ -36,7 +39,7 @@
 	in.peers.SetPeer("other", other.Addr())
 
 	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: 3 * time.Second}
-	in.cancelAt("other", "kochi", s)
+	in.cancelAt("other", "kochi", s, context.Canceled)
 	in.background.Wait()
 	want := []home.SubmissionID{s.ID(), s.ID(), s.ID()}
 	if diff := cmp.Diff(want, got); diff != "" {
@@ -62,3 +65,37 @@
 		t.Errorf("heard of incarnation (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against logs that can't tell whether and why an origin cancelled a submission, and whether its
+// cancel found the home.
+func TestLogTellsWhyASubmissionIsCancelled(t *testing.T) {
+	in := newListener(t)
+	var logged bytes.Buffer
+	in.log = &logger.Logger{Logger: log.Logger{Writer: log.IOWriter{Writer: &logged}}}
+	in.peers.SetPeer("entry", in.peers.Addr())
+	in.peers.Handle(methodCancel, in.serveCancel)
+
+	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: time.Second}
+	in.cancelAt("entry", "kochi", s, context.Canceled)
+	in.background.Wait()
+
+	type line struct {
+		Message, Job, Home, To, Cause string
+		Submission                    int64
+	}
+	var got []line
+	for text := range bytes.Lines(logged.Bytes()) {
+		var l line
+		if err := json.Unmarshal(text, &l); err != nil {
+			t.Fatal(err)
+		}
+		got = append(got, l)
+	}
+	want := []line{
+		{Message: "submission is cancelled", Job: "a", Home: "kochi", To: "entry", Cause: "context canceled", Submission: 4},
+		{Message: "cancel for a home that is not here", Job: "a", Home: "kochi", Submission: 4},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,7 +58,7 @@
 	fetchingRouting atomic.Bool // from a peer
 	stopSettings    atomic.Pointer[setup.Stop]
 
-	submissions atomic.Int64 // number of submissions to other instances
+	submissions atomic.Int64 // number of submissions to homes
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -67,14 +67,14 @@
 			break
 		}
 		j.annotate(&s)
-		s.Age, s.TimeLeft = time.Since(began), time.Until(deadline)
+		s.Age, s.TimeLeft, s.Number = time.Since(began), time.Until(deadline), in.submissions.Add(1)
 		in.reserveUntilHeartbeat(dc, s)
 		outcome, err := in.submit(ctx, dc, s)
 		if ctx.Err() != nil {
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
-			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).
+			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
 				Bool("unsent", notAccepted(err)).Msg("home did not answer")
 		}
 		switch j.decide(dc, outcome, err) {
@@ -84,6 +84,9 @@
 			if !in.awaitLaterHome(ctx, dc, token) {
 				return j.failure()
 			}
+			_, later := in.homeOf(dc)
+			in.log.Info().Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
+				Int64("laterToken", later).Int64("ageMillis", time.Since(began).Milliseconds()).Msg("job goes to a later home")
 		case tryTarget:
 			in.delayRetryAfterError(ctx, err)
 		}
@@ -120,7 +123,7 @@
 	}
 
 	in.heartbeats.RecordForward(owner.Instance)
-	s.Number, s.SentAt = in.submissions.Add(1), pause.SinceBoot()
+	s.SentAt = pause.SinceBoot()
 	if in.keepsSpec(owner.Instance, dataCentre, s) {
 		defer in.keepSpec(s)()
 		s.SpecBytes, s.Batch.Spec = len(s.Batch.Spec), ""
@@ -128,8 +131,11 @@
 	in.link.RecordSend(len(s.Batch.Spec)+jobOverheadBytes, time.Now())
 	var outcome home.Outcome
 	err := in.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
-	if ctx.Err() != nil || err != nil && !notAccepted(err) {
-		in.cancelAt(owner.Instance, dataCentre, s)
+	switch {
+	case ctx.Err() != nil:
+		in.cancelAt(owner.Instance, dataCentre, s, context.Cause(ctx))
+	case err != nil && !notAccepted(err):
+		in.cancelAt(owner.Instance, dataCentre, s, err)
 	}
 	return outcome, err
 }
@@ -144,9 +150,11 @@
 // cancelAt notifies a home that nobody waits for a submission any more. It repeats a request without
 // a response until the job's time is over, when the home ends the job by itself: the caller may submit
 // the job again elsewhere, where it must not run beside this submission.
-func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission) {
+func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission, cause error) {
 	until := time.Now().Add(s.TimeLeft)
 	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Submission: s.ID()}
+	in.log.Info().AnErr("cause", cause).Stringer("job", r.Job).Str("home", dataCentre).Str("to", instance).
+		Int64("submission", s.Number).Msg("submission is cancelled")
 	in.background.Go(func() {
 		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
 			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
@@ -156,7 +164,7 @@
 				return
 			}
 			if time.Now().After(until) {
-				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Msg("cancel not delivered")
+				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Int64("submission", s.Number).Msg("cancel not delivered")
 				return
 			}
 			select {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -77,6 +77,7 @@
 func (in *Instance) addTransit(s *home.Submission) error {
 	transit, ok := in.heartbeats.Transit(s.Origin, s.Incarnation, s.SentAt)
 	if !ok {
+		s.Transit = home.UnknownTransit
 		return nil
 	}
 	if transit > maxTransit || transit >= s.TimeLeft {
@@ -84,7 +85,7 @@
 			Int64("leftMillis", s.TimeLeft.Milliseconds()).Msg("job arrived late")
 		return errLate
 	}
-	s.Age, s.TimeLeft = s.Age+transit, s.TimeLeft-transit
+	s.Transit, s.Age, s.TimeLeft = transit, s.Age+transit, s.TimeLeft-transit
 	return nil
 }
 
@@ -102,9 +103,13 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, eris.Wrap(err, "decode cancel")
 	}
-	if h := in.localHome(r.DataCentre); h != nil {
-		h.Cancel(r.Job, r.Submission)
+	h := in.localHome(r.DataCentre)
+	if h == nil {
+		in.log.Info().Stringer("job", r.Job).Str("home", r.DataCentre).Str("origin", r.Submission.Origin).
+			Int64("submission", r.Submission.Number).Msg("cancel for a home that is not here")
+		return struct{}{}, nil
 	}
+	h.Cancel(r.Job, r.Submission)
 	return struct{}{}, nil
 }
 
--- a/home/finish.go
+++ b/home/finish.go
@@ -17,7 +17,12 @@
 	if id.Number > 0 {
 		h.cancelled[id] = time.Now()
 	}
-	if j := h.jobs[k]; j != nil && j.lastSubmission == id {
+	j := h.jobs[k]
+	ends := j != nil && j.lastSubmission == id
+	l := h.options.Log.Info().Stringer("job", k).Str("home", h.options.DataCentre).Int64("token", h.options.Token).
+		Bool("unfinished", j != nil).Bool("ends", ends)
+	id.addTo(l).Msg("cancel received")
+	if ends {
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
@@ -74,10 +79,21 @@
 	}
 	j.outcome = o
 	close(j.ended)
-	h.options.Log.Info().
-		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Result)).Str("reason", o.Reason).
+	h.logEnd(j)
+}
+
+// logEnd logs the end of a job. All its durations count from the arrival of the job at its origin.
+func (h *Home) logEnd(j *job) {
+	l := h.options.Log.Info().
+		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(j.outcome.Result)).Str("reason", j.outcome.Reason).
 		Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
-		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
+		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).
+		Str("home", h.options.DataCentre).Int64("token", h.options.Token).Bool("resumed", j.resumed).
+		Int("submissions", j.submissions).Int64("acceptedMillis", j.ageAtEntry.Milliseconds())
+	if j.transit != UnknownTransit {
+		l.Int64("transitMillis", j.transit.Milliseconds())
+	}
+	j.lastSubmission.addTo(l).Msg("job ended")
 }
 
 // lastStart returns the time from the arrival of a job to the latest start of a task of its first
--- a/home/job.go
+++ b/home/job.go
@@ -17,6 +17,8 @@
 	arrivedAt      time.Time     // at its origin
 	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
 	enteredAt      time.Time     // here, when it was last submitted
+	ageAtEntry     time.Duration // when it was first submitted here
+	transit        time.Duration // of that submission, or UnknownTransit
 	deadline       time.Time
 	objective      time.Duration
 	resumed        bool
@@ -64,6 +66,8 @@
 		lastSubmission: s.ID(),
 		arrivedAt:      now.Add(-s.Age),
 		enteredAt:      now,
+		ageAtEntry:     s.Age,
+		transit:        s.Transit,
 		deadline:       now.Add(s.TimeLeft),
 		resumed:        s.Resumed,
 		startPath:      s.startPath(),
--- a/home/key.go
+++ b/home/key.go
@@ -1,6 +1,10 @@
 package home
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/phuslu/log"
+)
 
 // Key identifies a job, or a part of one, at a home: everything that the outcome depends on, since
 // submissions with the same key share one run and its outcome. The id alone does not tell jobs of
@@ -40,3 +44,8 @@
 func (s Submission) ID() SubmissionID {
 	return SubmissionID{Origin: s.Origin, Incarnation: s.Incarnation, Number: s.Number}
 }
+
+// addTo adds the identity to a log line.
+func (id SubmissionID) addTo(l *log.Entry) *log.Entry {
+	return l.Str("origin", id.Origin).Str("originIncarnation", id.Incarnation).Int64("submission", id.Number)
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -56,6 +56,7 @@
 	Content     uint64        `json:"content,omitempty"`     // digest of Batch, which may come without its specification
 	Age         time.Duration `json:"age"`
 	TimeLeft    time.Duration `json:"left"`
+	Transit     time.Duration `json:"-"` // part of Age that it was under way, UnknownTransit if the home can't tell
 
 	// Resumed reports that an earlier home may have started tasks of the job.
 	Resumed bool `json:"resumed,omitempty"`
@@ -78,6 +79,9 @@
 	OriginStarter *OriginStarter `json:"-"`
 }
 
+// UnknownTransit is the transit of a submission that may have been under way for any time.
+const UnknownTransit time.Duration = -1
+
 // startPath returns the way that the start requests of the job take.
 func (s Submission) startPath() startPath {
 	return startPath{starter: s.OriginStarter, specBytes: s.SpecBytes}
