home: count the time that a submission was under way against its origin

Callers saw a task run at two homes: its origin lost power, or was cut off, while the submission was under way, and the caller submitted the job again 1.3 s later.

Cause: the submission counted as a heartbeat of its origin when it arrived, up to 0.5 s (maxTransit) after it was sent. The home gave the origin up 1.05 s and up to one review of 0.1 s after that, so up to 1.65 s after the loss.

Evidence: TestLostOriginIsNotHeardBySubmissionsThatAreUnderWay, with two homes in virtual time, fails before: both tasks run on a worker of each data centre.

The submission counts now at the time when it was sent, which heartbeats tell (home.Submission.Transit). A submission whose transit is unknown, since no heartbeat of the incarnation was received, still counts at its arrival.

--- a/home/finish.go
+++ b/home/finish.go
@@ -39,7 +39,7 @@
 
 // CancelOrphaned cancels the jobs of origins whose last heartbeat is older than the timeout. An
 // incarnation that has a successor has none.
-// The arrival of a job counts as a heartbeat too: it may come before the next heartbeat of an
+// The submission of a job counts as a heartbeat too: it may come before the next heartbeat of an
 // instance that has just started or was paused.
 func (h *Home) CancelOrphaned(lastHeartbeat func(instance, incarnation string) time.Time, timeout time.Duration) {
 	h.mu.Lock()
@@ -47,8 +47,8 @@
 	now := time.Now()
 	for _, j := range h.jobs {
 		last := lastHeartbeat(j.lastSubmission.Origin, j.lastSubmission.Incarnation)
-		if j.enteredAt.After(last) {
-			last = j.enteredAt
+		if j.sentAt.After(last) {
+			last = j.sentAt
 		}
 		if now.Sub(last) > timeout {
 			h.abort(j, Outcome{Result: Cancelled, Reason: "the instance of its caller is not heard"})
--- a/home/job.go
+++ b/home/job.go
@@ -16,7 +16,7 @@
 	lastSubmission SubmissionID
 	arrivedAt      time.Time     // at its origin
 	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
-	enteredAt      time.Time     // here, when it was last submitted
+	sentAt         time.Time     // by its origin, when it was last submitted here
 	ageAtEntry     time.Duration // when it was first submitted here
 	transit        time.Duration // of that submission, or UnknownTransit
 	deadline       time.Time
@@ -65,7 +65,7 @@
 		route:          s.Route,
 		lastSubmission: s.ID(),
 		arrivedAt:      now.Add(-s.Age),
-		enteredAt:      now,
+		sentAt:         s.sentBefore(now),
 		ageAtEntry:     s.Age,
 		transit:        s.Transit,
 		deadline:       now.Add(s.TimeLeft),
--- /dev/null
+++ b/home/resubmit_test.go
@@ -0,0 +1,76 @@
+package home_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailmux/fakes"
+	"foxtailmux/home"
+)
+
+const (
+	resubmitDelay    = 1300 * time.Millisecond // after which a caller submits a job again
+	heartbeatTimeout = 1050 * time.Millisecond
+	reviewInterval   = 100 * time.Millisecond // between the calls of CancelOrphaned
+)
+
+// twoCentres are two data centres, each with a home, whose runs are recorded together.
+type twoCentres struct {
+	first, second         *testCentre
+	firstHome, secondHome *home.Home
+}
+
+// withTwoHomes runs a test in virtual time with the homes of two data centres, whose tasks last for runTime.
+func withTwoHomes(t *testing.T, runTime time.Duration, test func(t *testing.T, c *twoCentres)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &twoCentres{first: newTestCentre(t, 2), second: newTestCentre(t, 0)}
+		c.second.ledger = c.first.ledger
+		for _, id := range []string{"v0", "v1"} {
+			w := c.first.listed["w0"]
+			w.ID, w.Addr = id, id
+			c.second.listed[id] = w
+			c.second.workers[id] = fakes.NewLeasedWorker(id, w.Capacity, c.first.ledger)
+		}
+		for _, dc := range []*testCentre{c.first, c.second} {
+			for _, w := range dc.workers {
+				w.RunTime = func(string) time.Duration { return runTime }
+			}
+		}
+		c.firstHome, c.secondHome = c.first.readyHome(1), c.second.readyHome(2)
+		defer c.first.close(c.firstHome)
+		defer c.second.close(c.secondHome)
+		test(t, c)
+		c.first.checkLedger()
+	})
+}
+
+// submitAgain submits a job to the second home when its caller, which was lost at a time, does so. It
+// returns the outcome.
+func (c *twoCentres) submitAgain(s home.Submission, lost time.Time) home.Outcome {
+	time.Sleep(time.Until(lost.Add(resubmitDelay)))
+	s.Origin, s.Incarnation, s.Number = "again", "1", 1
+	return submit(c.secondHome, s)
+}
+
+// Guards against a task that runs at two homes: the submission of an origin that was lost counted as a
+// heartbeat when it arrived, and it had been under way for half a second.
+func TestLostOriginIsNotHeardBySubmissionsThatAreUnderWay(t *testing.T) {
+	withTwoHomes(t, 2*time.Second, func(_ *testing.T, c *twoCentres) {
+		lost := time.Now()
+		s := submission("a", 2)
+		s.Incarnation, s.Number, s.TimeLeft = "1", 1, 3*time.Second
+		transit := s
+		time.Sleep(500 * time.Millisecond)
+		transit.Transit, transit.Age, transit.TimeLeft = 500*time.Millisecond, 500*time.Millisecond, s.TimeLeft-500*time.Millisecond
+		go submit(c.firstHome, transit)
+		go func() {
+			for time.Since(lost) < 2*time.Second {
+				time.Sleep(reviewInterval)
+				c.firstHome.CancelOrphaned(func(string, string) time.Time { return lost }, heartbeatTimeout)
+			}
+		}()
+		c.submitAgain(s, lost)
+	})
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -82,6 +82,10 @@
 // UnknownTransit is the transit of a submission that may have been under way for any time.
 const UnknownTransit time.Duration = -1
 
+// sentBefore returns when a submission that arrives now was sent. One whose transit is unknown counts as
+// sent just now.
+func (s Submission) sentBefore(now time.Time) time.Time { return now.Add(-max(s.Transit, 0)) }
+
 // startPath returns the way that the start requests of the job take.
 func (s Submission) startPath() startPath {
 	return startPath{starter: s.OriginStarter, specBytes: s.SpecBytes}
@@ -132,8 +136,9 @@
 		return nil, Outcome{Result: Cancelled, Reason: callerLeft}
 	}
 	if j := h.jobs[s.Key()]; j != nil {
-		j.lastSubmission, j.enteredAt = s.ID(), time.Now()
-		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
+		now := time.Now()
+		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
+		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
 		return j, Outcome{}
 	}
