home, lease: let the lease expire while a stop is not answered

Callers could see a task run at two homes: their job was cancelled, its worker left the stop without an answer, and the caller submitted the job again 1.3 s later while the task ran on.

Cause: the renewals for other runs on the worker, and the starts of further ones, extend the lease of all its runs. A worker that answers those, but not the stop, or refuses it, kept the run for as long as the task lasted.

Evidence: TestRunWhoseStopIsNotAnsweredEndsWithItsLease (virtual time) fails before: the run, of 4 s, is there 1.3 s after the cancel.

As long as a stop got no answer, or was refused, the home extends no lease on that worker, starts no tasks there and sends no start again.

--- a/home/renew.go
+++ b/home/renew.go
@@ -123,7 +123,8 @@
 	return w.handleReport(request, report, sentAt, now)
 }
 
-// nextRenewal returns the renewal to be sent now.
+// nextRenewal returns the renewal to be sent now. The lease is left to expire where that is the only way to
+// end a run: callers submit a job again little more than a lease after they have left.
 func (w *worker) nextRenewal(wait bool, now time.Time) lease.Renewal {
 	w.home.mu.Lock()
 	defer w.home.mu.Unlock()
@@ -134,13 +135,13 @@
 	if !w.reported || w.health.IsUnresponsive(now) {
 		return request
 	}
-	onlyInherited := w.hasOnlyInheritedRuns()
-	if !onlyInherited {
+	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop()
+	if !expires {
 		request.Until = w.tracker.GrantLease(now)
 	}
 	switch {
 	case !wait || w.tracker.Len() == 0:
-	case onlyInherited:
+	case expires:
 		request.WaitMillis = minRenewalWait.Milliseconds()
 	default:
 		request.WaitMillis = w.renewalWait(now).Milliseconds()
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -1,12 +1,16 @@
 package home_test
 
 import (
+	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"foxtailmux/fakes"
 	"foxtailmux/home"
+	"foxtailmux/lease"
+	"foxtailmux/model"
 )
 
 const (
@@ -74,3 +78,46 @@
 		c.submitAgain(s, lost)
 	})
 }
+
+// deafEndpoint is a worker that answers no stop, while other requests reach it.
+type deafEndpoint struct {
+	*fakes.LeasedWorker
+	deaf *atomic.Bool
+}
+
+// Stop leaves a stop without a response.
+func (e deafEndpoint) Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error) {
+	if !e.deaf.Load() {
+		return e.LeasedWorker.Stop(s, timeout)
+	}
+	time.Sleep(timeout)
+	return lease.Reply{}, fakes.ErrNoResponse
+}
+
+// Guards against a task that runs at two homes: its worker answered no stop, and renewals for other runs
+// kept extending its lease.
+func TestRunWhoseStopIsNotAnsweredEndsWithItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 1)
+		var deaf atomic.Bool
+		dc.connect = func(w model.Worker, _ func(time.Duration)) home.Endpoint {
+			return deafEndpoint{dc.workers[w.ID], &deaf}
+		}
+		dc.workers["w0"].RunTime = func(string) time.Duration { return 4 * time.Second }
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		other := submission("other", 1)
+		other.TimeLeft = 10 * time.Second
+		go submit(h, other)
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Submit(ctx, submission("a", 1))
+		time.Sleep(500 * time.Millisecond)
+
+		deaf.Store(true)
+		cancel()
+		time.Sleep(resubmitDelay)
+		if id := dc.ledger.WorkerOf("a.0.0.0"); id != "" {
+			t.Errorf("the task still runs on %s when its caller submits it again", id)
+		}
+	})
+}
--- a/home/worker.go
+++ b/home/worker.go
@@ -113,9 +113,10 @@
 	}
 }
 
-// isUsable reports whether new tasks may start on the worker.
+// isUsable reports whether new tasks may start on the worker. Their starts would extend the lease of a run
+// whose stop was missed.
 func (w *worker) isUsable() bool {
-	return w.reported && !w.removed && w.info.State == model.Live && w.isDescribed()
+	return w.reported && !w.removed && w.info.State == model.Live && w.isDescribed() && !w.tracker.HasMissedStop()
 }
 
 // isDescribed reports whether the row of the worker describes the incarnation that responds. A worker
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -33,6 +33,7 @@
 	startedAt    time.Time
 	needsUnknown bool // its needs are unknown, so none are reserved
 	unwanted     bool // it has to be stopped, even if a report lists it
+	stopMissed   bool // it is unwanted, and its last stop got no response or was refused
 }
 
 // Tracker tracks the runs on one worker. A run keeps its resources reserved until it has
@@ -150,7 +151,7 @@
 	if e.state == startSent {
 		t.rememberLateStart(e.Run, now)
 	}
-	e.state = unconfirmed
+	e.state, e.stopMissed = unconfirmed, e.unwanted
 }
 
 // MarkUnwanted records that a run has to be stopped, even if a report lists it.
@@ -164,10 +165,21 @@
 // ends soon or never begins.
 func (t *Tracker) MarkStopping(task string, run int64, now time.Time) {
 	if e := t.find(task, run); e != nil {
-		e.state, e.stateSetAt = stopping, now
+		e.state, e.stateSetAt, e.stopMissed = stopping, now, false
 	}
 }
 
+// HasMissedStop reports whether the stop of an unwanted run got no response or was refused. The run ends
+// with the lease of the worker unless a later stop is confirmed.
+func (t *Tracker) HasMissedStop() bool {
+	for _, e := range t.runs {
+		if e.stopMissed {
+			return true
+		}
+	}
+	return false
+}
+
 // Remove removes a run that is certainly not on the worker.
 func (t *Tracker) Remove(task string, run int64) {
 	if e := t.find(task, run); e != nil {
