fleet, home: start nothing for a caller that has left

Callers could see a task run at two homes after a pause of the instance that held their connection: the job waited there for a home, the caller left and submitted it again, and on waking the job was forwarded and its tasks started.

Cause: the wait for a home looked at its condition before the context of the caller, and a home started the tasks of a submission before it looked at it. The cancel followed the start at once, but a worker takes up to 50 ms to stop a run. A caller's time-out was no problem, since a home starts no task of a job whose time is over.

Evidence: TestJobWhoseCallerHasLeftGoesToNoHome and TestSubmissionWhoseCallerHasLeftStartsNothing fail before.

Both look at the context first, by pause.Check, which sees a pause or a deadline before the timers have fired.

--- a/fleet/await.go
+++ b/fleet/await.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"foxtailmux/pause"
 )
 
 // forwardRetryDelay follows a failed attempt to reach a home. It leaves time for the rows
@@ -40,6 +42,9 @@
 	defer timeout.Stop()
 	for {
 		next := in.changed.wait()
+		if pause.Check(ctx) != nil {
+			return false
+		}
 		if condition() {
 			return true
 		}
--- a/fleet/forward_test.go
+++ b/fleet/forward_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -50,3 +51,18 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a task that is started although its caller has left: after a pause of the origin the home
+// that a job waits for is there, and its caller has left.
+func TestJobWhoseCallerHasLeftGoesToNoHome(t *testing.T) {
+	in := &Instance{changed: newNotifier()}
+	left, cancel := context.WithCancel(t.Context())
+	cancel()
+	got := map[string]bool{}
+	for name, ctx := range map[string]context.Context{"waits": t.Context(), "has left": left} {
+		got[name] = in.await(ctx, time.Second, func() bool { return true })
+	}
+	if diff := cmp.Diff(map[string]bool{"waits": true, "has left": false}, got); diff != "" {
+		t.Errorf("job goes to a home whose caller (-want +got):\n%s", diff)
+	}
+}
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/fakes"
 	"foxtailmux/home"
 	"foxtailmux/lease"
@@ -121,3 +123,38 @@
 		}
 	})
 }
+
+// countingEndpoint is a worker that counts the starts that are sent to it.
+type countingEndpoint struct {
+	*fakes.LeasedWorker
+	starts *atomic.Int32
+}
+
+// Start counts a start.
+func (e countingEndpoint) Start(s lease.Start, timeout time.Duration) (lease.Reply, error) {
+	e.starts.Add(1)
+	return e.LeasedWorker.Start(s, timeout)
+}
+
+// Guards against a task that is started although its caller has left.
+func TestSubmissionWhoseCallerHasLeftStartsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 1)
+		var starts atomic.Int32
+		dc.connect = func(w model.Worker, _ func(time.Duration)) home.Endpoint {
+			return countingEndpoint{dc.workers[w.ID], &starts}
+		}
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		got := resultOf(h.Submit(ctx, submission("a", 1)))
+		if diff := cmp.Diff(home.Cancelled, got); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Second)
+		if diff := cmp.Diff(int32(0), starts.Load()); diff != "" {
+			t.Errorf("starts (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -100,6 +101,9 @@
 // Submit runs a job and returns its outcome as soon as the job has ended. If ctx ends first, the
 // job is cancelled, unless it was submitted again since.
 func (h *Home) Submit(ctx context.Context, s Submission) Outcome {
+	if pause.Check(ctx) != nil {
+		return Outcome{Result: Cancelled, Reason: callerLeft}
+	}
 	j, submissions, outcome := h.accept(s)
 	if j == nil {
 		return outcome
