home: give the home up by itself after it stood still

Callers could see a task run at two homes: a home stood still while the caller of a waiting job left, and on waking it started the job's tasks beside those of the caller's next submission.

Cause: after a pause the events of a process come in any order. The homes were closed by the review of the instance, which runs each 100 ms. Before it, the end of a run, a tick, a new submission or a start without a response could start tasks of jobs whose cancel was unread in a socket, or whose origin had been lost. Only the job's time and the token of a later home, at the workers that had received it, bounded that.

Evidence: TestHomeThatStoodStillStartsNoTask (virtual time, the clock jumps between two ticks) fails without the check: the end of another job's runs starts the waiting task.

The home compares the clock that counts suspensions with its last tick before it starts anything, takes a job or extends a lease. After 0.9 s, as in the review, it counts as fenced. The instance closes it then, and claims it again with a later token unless another one has.

--- a/home/home.go
+++ b/home/home.go
@@ -22,6 +22,7 @@
 	"foxtailmux/learn"
 	"foxtailmux/lease"
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -49,8 +50,9 @@
 // at the worker. Link is the network link of this machine, shared by all homes of the process.
 // FreeDataCentre returns the other data centre with the most free capacity, if that is enough
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
-// that there is a later home, and besides whenever a goroutine of the home panics. RefreshWorkers
-// requests that SetWorkers be called soon, and must not block or call the home.
+// that there is a later home or the home has stood still, and besides whenever a goroutine of the
+// home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
+// the home. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -60,6 +62,7 @@
 	OnFenced       func()
 	RefreshWorkers func()
 	Link           *plan.Link
+	Clock          func() time.Duration
 	Observer       Observer
 	Log            *log.Logger
 }
@@ -69,6 +72,10 @@
 	// against the shortest objectives, which are about 150 ms.
 	tickInterval = 20 * time.Millisecond
 
+	// maxTickGap is the longest time between two ticks after which a home goes on. Another instance
+	// takes it over after beat.HeartbeatTimeout, which is slightly longer.
+	maxTickGap = 900 * time.Millisecond
+
 	// reviewInterval is the time between checks whether the waiting jobs can still end in time.
 	// It is a fraction of the shortest objectives.
 	reviewInterval = 60 * time.Millisecond
@@ -113,7 +120,8 @@
 	cancelled         map[SubmissionID]time.Time // when they were cancelled
 	unclaimedEnds     map[string]lease.EndedRun  // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
-	behind            bool // the last tick came too late
+	tickedAt          time.Duration // by Options.Clock
+	behind            bool          // the last tick came too late
 	lag               time.Duration
 	unclaimedEndsAt   time.Time // when the last of them was reported
 	lastRun           int64
@@ -135,6 +143,9 @@
 
 // New starts a home that has no workers yet; SetWorkers adds them.
 func New(o Options) *Home {
+	if o.Clock == nil {
+		o.Clock = pause.SinceBoot
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		options:       o,
@@ -142,6 +153,7 @@
 		cancel:        cancel,
 		done:          make(chan struct{}),
 		startedAt:     time.Now(),
+		tickedAt:      o.Clock(),
 		workers:       map[string]*worker{},
 		assigned:      map[string]struct{}{},
 		jobs:          map[Key]*job{},
@@ -258,6 +270,8 @@
 	if h.closed {
 		return
 	}
+	h.isGivenUp() // before the gap is over
+	h.tickedAt = h.options.Clock()
 	now := time.Now()
 	h.recordLag(now.Sub(due))
 	h.reportActivity(now)
@@ -334,6 +348,21 @@
 	go h.options.OnFenced()
 }
 
+// isGivenUp reports whether there may be a later home: a worker reported one, or this home has not ticked for
+// so long that others act in its place. On waking, its events come in any order: an end may free capacity
+// for a job whose cancel is still unread, or whose origin was lost meanwhile. The lock is held.
+func (h *Home) isGivenUp() bool {
+	gap := h.options.Clock() - h.tickedAt
+	if h.fenced || gap <= maxTickGap {
+		return h.fenced
+	}
+	h.fenced = true
+	h.options.Log.Warn().Str("home", h.options.DataCentre).Int64("token", h.options.Token).
+		Int64("gapMillis", gap.Milliseconds()).Msg("home stood still and is given up")
+	go h.options.OnFenced()
+	return true
+}
+
 func (h *Home) nextRunNumber() int64 {
 	h.lastRun++
 	return h.lastRun
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -49,6 +49,8 @@
 	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
 	logWriter      io.Writer
+	began          time.Time
+	stall          atomic.Int64 // nanoseconds for which the process has stood still
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
 }
 
@@ -57,6 +59,7 @@
 	dc.freeDataCentre = func(int) (string, bool) { return "", false }
 	dc.link = plan.NewLink(0)
 	dc.logWriter = io.Discard
+	dc.began = time.Now()
 	dc.connect = func(w model.Worker, _ func(took time.Duration)) home.Endpoint { return dc.workers[w.ID] }
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
@@ -77,6 +80,7 @@
 		MaxLease:       time.Second,
 		Connect:        dc.connect,
 		Link:           dc.link,
+		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
 		OnFenced:       func() { dc.fenced.Add(1) },
 		RefreshWorkers: func() { dc.refreshes.Add(1) },
--- a/home/paused_test.go
+++ b/home/paused_test.go
@@ -6,11 +6,16 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/home"
 	"foxtailmux/lease"
 	"foxtailmux/model"
 )
 
+// maxStall is the longest time that a home may stand still between two ticks and go on, less a tick.
+const maxStall = 880 * time.Millisecond
+
 // pausedEndpoint simulates a process that is paused between the decision to start a task and
 // the send.
 type pausedEndpoint struct {
@@ -60,3 +65,41 @@
 		})
 	}
 }
+
+// Guards against a task that runs at two homes: a home stood still while the caller of a waiting job left, and
+// on waking the end of another run started the job's task before the cancel was read.
+func TestHomeThatStoodStillStartsNoTask(t *testing.T) {
+	for name, c := range map[string]struct {
+		stall  time.Duration
+		starts int
+		fenced int32
+	}{
+		"short":              {maxStall, 1, 0},
+		"until others acted": {maxStall + 40*time.Millisecond, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+				dc.workers["w0"].RunTime = func(string) time.Duration { return 51 * time.Millisecond }
+				results := make(chan home.Result, 2)
+				go func() { results <- resultOf(submit(h, submission("before", 2))) }()
+				time.Sleep(5 * time.Millisecond)
+				s := submission("waits", 1)
+				s.Resumed, s.TasksReported = true, true // waits for capacity
+				go func() { results <- resultOf(submit(h, s)) }()
+				time.Sleep(45 * time.Millisecond)
+				dc.stall.Store(int64(c.stall)) // until the end of the runs, before the next tick
+				time.Sleep(30 * time.Millisecond)
+				if diff := cmp.Diff(c.starts, dc.ledger.Starts("waits.0.0.0")); diff != "" {
+					t.Errorf("starts on waking (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(c.fenced, dc.fenced.Load()); diff != "" {
+					t.Errorf("given up (-want +got):\n%s", diff)
+				}
+				h.Close()
+				for range 2 {
+					<-results
+				}
+			})
+		})
+	}
+}
--- a/home/renew.go
+++ b/home/renew.go
@@ -135,7 +135,7 @@
 	if !w.reported || w.health.IsUnresponsive(now) {
 		return request
 	}
-	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop()
+	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop() || w.home.isGivenUp()
 	if !expires {
 		request.Until = w.tracker.GrantLease(now)
 	}
--- a/home/submit.go
+++ b/home/submit.go
@@ -133,7 +133,7 @@
 // acceptLocked is accept for callers that hold the lock.
 func (h *Home) acceptLocked(s Submission) (*job, Outcome) {
 	h.activity.submissions++
-	if h.closed || h.fenced {
+	if h.closed || h.isGivenUp() {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
 	if _, ok := h.cancelled[s.ID()]; ok {
