fleet, beat, home: announce undelivered cancels in heartbeats

Callers could see a task run at two homes: a caller left, the cancel of its submission did not get through to the home, and the caller submitted the job again 1.3 s later while the first submission ran on until its time was over, 1.5 s after its arrival.

Cause: a cancel travelled over TCP only, on a connection that needs half a second to be noticed as silent and further tries to be replaced, or waits for retransmissions with growing intervals on a link that loses packets. The heartbeats of the origin, single packets each 250 ms, got through meanwhile, so the home went on: it heard the origin and took its callers to wait.

Evidence: TestHomeEndsTheSubmissionsThatHeartbeatsCancel and TestCancelThatIsNotDeliveredIsAnnounced fail without the change.

Heartbeats name the submissions whose cancel is not confirmed yet, 40 at most, and a home ends them, or refuses them if they arrive later. So what a home hears of an origin and what it knows of its callers come by one path: either a heartbeat tells it of the cancel, or none is heard and it gives the origin up.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -45,11 +45,12 @@
 	Instance       string                        `json:"instance"`
 	Incarnation    string                        `json:"incarnation"`
 	Leaving        bool                          `json:"leaving,omitempty"`
-	Slow           bool                          `json:"slow,omitempty"`  // the process is scheduled too late to be a home
-	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"` // free capacity of the sender's homes, by data centre
-	RoutingVersion int64                         `json:"routing"`         // version of the configuration in force
-	NextMillis     int64                         `json:"nextMillis"`      // time until the next heartbeat to the same peer
-	ClockMillis    int64                         `json:"clock,omitempty"` // sender's time since boot
+	Slow           bool                          `json:"slow,omitempty"`      // the process is scheduled too late to be a home
+	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"`     // free capacity of the sender's homes, by data centre
+	RoutingVersion int64                         `json:"routing"`             // version of the configuration in force
+	NextMillis     int64                         `json:"nextMillis"`          // time until the next heartbeat to the same peer
+	ClockMillis    int64                         `json:"clock,omitempty"`     // sender's time since boot
+	Cancelled      []int64                       `json:"cancelled,omitempty"` // submissions of the sender whose cancel is not delivered yet
 }
 
 // timeout is how long after this heartbeat its sender is suspected dead.
@@ -79,8 +80,8 @@
 
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
-// from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a
-// timeout; it must not block. Clock returns the time since boot, suspensions included; the default
+// from the one before in Incarnation, Leaving, Slow or RoutingVersion, follows a timeout or has
+// Cancelled; it must not block. Clock returns the time since boot, suspensions included; the default
 // is pause.SinceBoot.
 type Options struct {
 	Self         Peer
@@ -248,11 +249,11 @@
 	}
 }
 
-// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, or follows
-// a timeout. The homes of the sender and their free capacity don't count.
+// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, follows a
+// timeout or cancels submissions. The homes of the sender and their free capacity don't count.
 func (h Heartbeat) stateDiffersFrom(old Status, now time.Time) bool {
 	return old.Incarnation != h.Incarnation || old.Leaving != h.Leaving || old.Slow != h.Slow ||
-		old.RoutingVersion != h.RoutingVersion || now.Sub(old.LastHeartbeat) > old.timeout()
+		old.RoutingVersion != h.RoutingVersion || len(h.Cancelled) > 0 || now.Sub(old.LastHeartbeat) > old.timeout()
 }
 
 // RecordMessage records that a message other than a heartbeat was received from an
--- /dev/null
+++ b/fleet/cancel.go
@@ -0,0 +1,90 @@
+package fleet
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"foxtailmux/beat"
+	"foxtailmux/home"
+)
+
+const (
+	// cancelTimeout bounds one request to cancel a submission. A silent connection takes half a
+	// second to be noticed and replaced.
+	cancelTimeout = time.Second
+
+	// The time between two such requests grows from minCancelRetry to maxCancelRetry.
+	minCancelRetry = 50 * time.Millisecond
+	maxCancelRetry = 400 * time.Millisecond
+
+	// maxAnnouncedCancels bounds the cancels in a heartbeat, which has to fit into one packet.
+	maxAnnouncedCancels = 40
+)
+
+// cancelAt notifies a home that nobody waits for a submission any more. It repeats a request without
+// a response until the job's time is over, when the home ends the job by itself: the caller may submit
+// the job again elsewhere, where it must not run beside this submission. Until then heartbeats announce
+// the cancel, so that a home either receives it or hears no heartbeat and gives the origin up.
+func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission, cause error) {
+	until := time.Now().Add(s.TimeLeft)
+	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Submission: s.ID()}
+	in.log.Info().AnErr("cause", cause).Stringer("job", r.Job).Str("home", dataCentre).Str("to", instance).
+		Int64("submission", s.Number).Msg("submission is cancelled")
+	in.setCancelling(s.Number, true)
+	in.background.Go(func() {
+		defer in.setCancelling(s.Number, false)
+		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
+			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
+			err := in.peers.Call(ctx, instance, methodCancel, r, nil)
+			cancel()
+			if err == nil {
+				return
+			}
+			if time.Now().After(until) {
+				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Int64("submission", s.Number).Msg("cancel not delivered")
+				return
+			}
+			select {
+			case <-time.After(delay):
+			case <-in.ctx.Done():
+				return
+			}
+		}
+	})
+}
+
+// setCancelling records whether the cancel of a submission of this instance is not delivered yet.
+func (in *Instance) setCancelling(number int64, cancelling bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if cancelling {
+		in.cancelling[number] = struct{}{}
+		return
+	}
+	delete(in.cancelling, number)
+}
+
+// undeliveredCancels returns the numbers of the submissions that heartbeats announce as cancelled. Of too
+// many it returns the latest, since earlier heartbeats have announced the others.
+func (in *Instance) undeliveredCancels() []int64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	list := slices.Sorted(maps.Keys(in.cancelling))
+	return list[max(len(list)-maxAnnouncedCancels, 0):]
+}
+
+// cancelAnnounced cancels the submissions that a heartbeat names at the homes of this instance.
+func (in *Instance) cancelAnnounced(h beat.Heartbeat) {
+	if len(h.Cancelled) == 0 {
+		return
+	}
+	ids := make([]home.SubmissionID, len(h.Cancelled))
+	for i, n := range h.Cancelled {
+		ids[i] = home.SubmissionID{Origin: h.Instance, Incarnation: h.Incarnation, Number: n}
+	}
+	for _, local := range in.homesByCentre() {
+		local.CancelAnnounced(ids)
+	}
+}
--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -15,6 +15,7 @@
 	"foxtailmux/home"
 	"foxtailmux/logger"
 	"foxtailmux/model"
+	"foxtailmux/plan"
 )
 
 // Guards against a task that runs twice: the cancel of a submission gets no response, such as over a
@@ -99,3 +100,83 @@
 		t.Errorf("lines (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a task that runs at two homes: the cancel of its job does not get through, such as on a
+// link that loses packets, while heartbeats do, so that the home takes the origin's callers to wait.
+func TestCancelThatIsNotDeliveredIsAnnounced(t *testing.T) {
+	refuse := make(chan struct{})
+	other := startGroup(t, "other")
+	other.Handle(methodCancel, func(context.Context, json.RawMessage) (any, error) {
+		select {
+		case <-refuse:
+			return struct{}{}, nil
+		default:
+			return nil, errors.New("not now")
+		}
+	})
+	in := newListener(t)
+	in.peers.SetPeer("other", other.Addr())
+	in.cancelAt("other", "kochi", home.Submission{Origin: "entry", Number: 4, TimeLeft: 3 * time.Second}, context.Canceled)
+	var got [][]int64
+	got = append(got, in.ownHeartbeat().Cancelled)
+	close(refuse)
+	in.background.Wait()
+	got = append(got, in.ownHeartbeat().Cancelled)
+	if diff := cmp.Diff([][]int64{{4}, nil}, got); diff != "" {
+		t.Errorf("announced before and after the delivery (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a heartbeat that does not fit into its packet while many cancels are not delivered.
+func TestHeartbeatHasRoomForItsCancels(t *testing.T) {
+	in := newListener(t)
+	for n := range int64(200) {
+		in.setCancelling(1_000_000_000_000+n, true)
+	}
+	got := in.undeliveredCancels()
+	if diff := cmp.Diff([]int64{1_000_000_000_160, 1_000_000_000_199}, []int64{got[0], got[len(got)-1]}); diff != "" {
+		t.Errorf("first and last announced (-want +got):\n%s", diff)
+	}
+	text, err := json.Marshal(got)
+	if err != nil || len(text) > 700 {
+		t.Errorf("%d bytes of cancels, error %v", len(text), err)
+	}
+}
+
+// Guards against a submission that outlives the cancel that its origin's heartbeats announce, at its arrival
+// as well as later.
+func TestHomeEndsTheSubmissionsThatHeartbeatsCancel(t *testing.T) {
+	in := newListener(t)
+	h := home.New(home.Options{
+		DataCentre: "kochi", Token: 1, MaxLease: time.Second, Link: plan.NewLink(0), Observer: in.meter, Log: &in.log.Logger,
+		FreeDataCentre: func(int) (string, bool) { return "", false },
+	})
+	in.mu.Lock()
+	in.localHomes["kochi"] = h
+	in.mu.Unlock()
+	t.Cleanup(func() { h.Close(); <-h.Done() })
+	submit := func(id, origin string, number int64) <-chan home.Outcome {
+		s := home.Submission{Origin: origin, Incarnation: "1", Number: number, TimeLeft: 2 * time.Second}
+		s.Route = model.Route{Stretch: 2, Allowance: 2 * time.Second}
+		s.Batch = model.Batch{ID: id, Steps: []model.Step{{Replicas: 1, Needs: model.Resources{MilliCores: 1}, Estimate: time.Millisecond}}}
+		outcome := make(chan home.Outcome, 1)
+		go func() { outcome <- h.Submit(t.Context(), s) }()
+		return outcome
+	}
+	first, ofAnother := submit("a", "other", 4), submit("b", "third", 4)
+	time.Sleep(50 * time.Millisecond)
+	began := time.Now()
+	in.hear(`{"instance":"other","incarnation":"1","nextMillis":250,"cancelled":[4,5]}`)
+	got := []home.Result{(<-first).Result, (<-submit("c", "other", 5)).Result}
+	if diff := cmp.Diff([]home.Result{home.Cancelled, home.Cancelled}, got); diff != "" {
+		t.Errorf("results (-want +got):\n%s", diff)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the submissions ended after %v", took)
+	}
+	select {
+	case o := <-ofAnother:
+		t.Errorf("the submission of another origin ended: %+v", o)
+	default:
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,6 +75,7 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
+	cancelling        map[int64]struct{}       // numbers of submissions whose cancel is not delivered
 	homeSeenAt        time.Time                // when a home was last alive
 	homeChangedAt     map[string]time.Time     // when the home row changed last, by data centre
 	staleSince        map[string]time.Time     // since when a new home waits for a fresh workers' table, by data centre
@@ -129,6 +130,7 @@
 		localHomes:    map[string]*home.Home{},
 		fencedTokens:  map[string]int64{},
 		claiming:      map[string]bool{},
+		cancelling:    map[int64]struct{}{},
 		homeChangedAt: map[string]time.Time{},
 		staleSince:    map[string]time.Time{},
 		knownWorkers:  map[string]model.Worker{},
@@ -240,6 +242,7 @@
 	if r := in.routing.Load(); r != nil {
 		hb.RoutingVersion = r.Version
 	}
+	hb.Cancelled = in.undeliveredCancels()
 	for dc, h := range in.homesByCentre() {
 		if hb.Homes == nil {
 			hb.Homes = map[string]model.FreeCapacity{}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -18,14 +18,6 @@
 
 	// maxForwards bounds the attempts to hand one job to a home.
 	maxForwards = 6
-
-	// cancelTimeout bounds one request to cancel a submission. A silent connection takes half a
-	// second to be noticed and replaced.
-	cancelTimeout = time.Second
-
-	// The time between two such requests grows from minCancelRetry to maxCancelRetry.
-	minCancelRetry = 50 * time.Millisecond
-	maxCancelRetry = 400 * time.Millisecond
 )
 
 // errNotHome is returned by an instance that is not, or no longer, the home of the data
@@ -146,32 +138,3 @@
 	defer in.mu.Unlock()
 	return in.localHomes[dataCentre]
 }
-
-// cancelAt notifies a home that nobody waits for a submission any more. It repeats a request without
-// a response until the job's time is over, when the home ends the job by itself: the caller may submit
-// the job again elsewhere, where it must not run beside this submission.
-func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission, cause error) {
-	until := time.Now().Add(s.TimeLeft)
-	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Submission: s.ID()}
-	in.log.Info().AnErr("cause", cause).Stringer("job", r.Job).Str("home", dataCentre).Str("to", instance).
-		Int64("submission", s.Number).Msg("submission is cancelled")
-	in.background.Go(func() {
-		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
-			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
-			err := in.peers.Call(ctx, instance, methodCancel, r, nil)
-			cancel()
-			if err == nil {
-				return
-			}
-			if time.Now().After(until) {
-				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Int64("submission", s.Number).Msg("cancel not delivered")
-				return
-			}
-			select {
-			case <-time.After(delay):
-			case <-in.ctx.Done():
-				return
-			}
-		}
-	})
-}
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -215,7 +215,10 @@
 }
 
 // onPeerChange handles a heartbeat that reports a change.
-func (in *Instance) onPeerChange(beat.Heartbeat) { in.changed.notify() }
+func (in *Instance) onPeerChange(h beat.Heartbeat) {
+	in.cancelAnnounced(h)
+	in.changed.notify()
+}
 
 // cancelJobsOfDeadOrigins cancels the jobs of origins that are suspected dead, so that
 // none of their runs is left when the callers submit the jobs again.
--- a/fleet/routing_test.go
+++ b/fleet/routing_test.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 
 	"foxtailmux/beat"
+	"foxtailmux/home"
 	"foxtailmux/logger"
 	"foxtailmux/meter"
 	"foxtailmux/model"
@@ -54,6 +55,7 @@
 	in := &Instance{
 		ctx: ctx, log: &logger.Logger{Logger: quiet}, meter: meter.New("entry", "kochi"), changed: newNotifier(),
 		configured: make(chan struct{}), peers: startGroup(t, "entry"),
+		cancelling: map[int64]struct{}{}, localHomes: map[string]*home.Home{},
 	}
 	in.heartbeats = beat.New(beat.Options{
 		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange, Log: &quiet,
--- a/home/finish.go
+++ b/home/finish.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"foxtailmux/plan"
@@ -27,6 +28,27 @@
 	}
 }
 
+// CancelAnnounced cancels submissions that their origin's heartbeat names. Homes in other data centres get
+// the heartbeat, too.
+func (h *Home) CancelAnnounced(ids []SubmissionID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, id := range ids {
+		if _, ok := h.cancelled[id]; !ok {
+			h.cancelled[id] = now
+		}
+	}
+	for _, j := range h.jobs {
+		if !slices.Contains(ids, j.lastSubmission) {
+			continue
+		}
+		l := h.options.Log.Info().Stringer("job", j.key).Str("home", h.options.DataCentre).Int64("token", h.options.Token)
+		j.lastSubmission.addTo(l).Msg("cancel announced")
+		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
+	}
+}
+
 // cancelSubmission ends a job whose caller has left, unless it has been submitted again since it had
 // been submitted that many times.
 func (h *Home) cancelSubmission(j *job, submissions int) {
