home, lease: let the lease expire of an unclaimed run that is not stopped

Callers could see a task run at two homes: a new home stopped the run of an earlier home that no job had adopted, its worker left the stop without an answer, and the lease was extended by renewals for adopted runs on it. The caller had left, or its instance was lost, and submitted the job again.

Evidence: TestUnclaimedRunWhoseStopIsNotAnsweredEndsWithItsLease fails before: the run, of 5 s, is there 1.5 s after the new home began.

--- a/home/progress.go
+++ b/home/progress.go
@@ -17,6 +17,7 @@
 		for _, f := range w.tracker.Inherited() {
 			w.home.options.Log.Info().Str("task", f.Task).Int64("run", f.Number).Str("worker", w.info.ID).
 				Msg("run of an earlier home stopped")
+			w.tracker.MarkUnwanted(f.Task, f.Number)
 			w.tracker.MarkStopping(f.Task, f.Number, now)
 			w.home.spawn(func() { w.sendStop(f.Task, f.Number) })
 		}
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -19,6 +19,8 @@
 	resubmitDelay    = 1300 * time.Millisecond // after which a caller submits a job again
 	heartbeatTimeout = 1050 * time.Millisecond
 	reviewInterval   = 100 * time.Millisecond // between the calls of CancelOrphaned
+	adoptionWindow   = 300 * time.Millisecond
+	maxLease         = time.Second
 )
 
 // twoCentres are two data centres, each with a home, whose runs are recorded together.
@@ -158,3 +160,33 @@
 		}
 	})
 }
+
+// Guards against a task that runs at two homes: nobody adopted its run at a new home, the worker answered no
+// stop, and renewals for adopted runs kept extending its lease.
+func TestUnclaimedRunWhoseStopIsNotAnsweredEndsWithItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 1)
+		var deaf atomic.Bool
+		dc.connect = func(w model.Worker, _ func(time.Duration)) home.Endpoint {
+			return deafEndpoint{dc.workers[w.ID], &deaf}
+		}
+		dc.workers["w0"].RunTime = func(string) time.Duration { return 5 * time.Second }
+		earlier := dc.readyHome(1)
+		adopted := submission("adopted", 1)
+		adopted.TimeLeft = 10 * time.Second
+		go submit(earlier, submission("unclaimed", 1))
+		go submit(earlier, adopted)
+		time.Sleep(300 * time.Millisecond)
+		deaf.Store(true)
+		dc.close(earlier)
+
+		later := dc.newHome(2)
+		defer dc.close(later)
+		adopted.Resumed = true
+		go submit(later, adopted)
+		time.Sleep(adoptionWindow + maxLease + 200*time.Millisecond)
+		if id := dc.ledger.WorkerOf("unclaimed.0.0.0"); id != "" {
+			t.Errorf("the unclaimed run is still on %s", id)
+		}
+	})
+}
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -145,13 +145,17 @@
 // stopping stays so.
 func (t *Tracker) MarkUnconfirmed(task string, run int64, now time.Time) {
 	e := t.find(task, run)
-	if e == nil || e.state == stopping {
+	if e == nil {
+		return
+	}
+	e.stopMissed = e.unwanted
+	if e.state == stopping {
 		return
 	}
 	if e.state == startSent {
 		t.rememberLateStart(e.Run, now)
 	}
-	e.state, e.stopMissed = unconfirmed, e.unwanted
+	e.state = unconfirmed
 }
 
 // MarkUnwanted records that a run has to be stopped, even if a report lists it.
