--- a/beat/beat.go
+++ b/beat/beat.go
@@ -44,10 +44,11 @@
 	Instance       string                        `json:"instance"`
 	Incarnation    string                        `json:"incarnation"`
 	Leaving        bool                          `json:"leaving,omitempty"`
-	Slow           bool                          `json:"slow,omitempty"`  // the process is scheduled too late to be a home
-	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"` // free capacity of the sender's homes, by data centre
-	RoutingVersion int64                         `json:"routing"`         // version of the configuration in force
-	NextMillis     int64                         `json:"nextMillis"`      // time until the next heartbeat to the same peer
+	Slow           bool                          `json:"slow,omitempty"`      // the process is scheduled too late to be a home
+	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"`     // free capacity of the sender's homes, by data centre
+	RoutingVersion int64                         `json:"routing"`             // version of the configuration in force
+	NextMillis     int64                         `json:"nextMillis"`          // time until the next heartbeat to the same peer
+	Cancelled      []int64                       `json:"cancelled,omitempty"` // submissions of the sender whose cancel is not delivered yet
 }
 
 // timeout is how long after this heartbeat its sender is suspected dead.
@@ -77,8 +78,8 @@
 
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
-// from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a
-// timeout; it must not block.
+// from the one before in Incarnation, Leaving, Slow or RoutingVersion, follows a timeout or has
+// Cancelled; it must not block.
 type Options struct {
 	Self         Peer
 	Conn         net.PacketConn
@@ -235,11 +236,11 @@
 	}
 }
 
-// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, or follows
-// a timeout. The homes of the sender and their free capacity don't count.
+// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, follows a
+// timeout or cancels submissions. The homes of the sender and their free capacity don't count.
 func (h Heartbeat) stateDiffersFrom(old Status, now time.Time) bool {
 	return old.Incarnation != h.Incarnation || old.Leaving != h.Leaving || old.Slow != h.Slow ||
-		old.RoutingVersion != h.RoutingVersion || now.Sub(old.LastHeartbeat) > old.timeout()
+		old.RoutingVersion != h.RoutingVersion || len(h.Cancelled) > 0 || now.Sub(old.LastHeartbeat) > old.timeout()
 }
 
 // RecordMessage records that a message other than a heartbeat was received from an
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -17,14 +17,6 @@
 
 	// maxForwards bounds the attempts to hand one job to a home.
 	maxForwards = 6
-
-	// cancelTimeout bounds one request to cancel a submission. A silent connection takes half a
-	// second to be noticed and replaced.
-	cancelTimeout = time.Second
-
-	// The time between two such requests grows from minCancelRetry to maxCancelRetry.
-	minCancelRetry = 50 * time.Millisecond
-	maxCancelRetry = 400 * time.Millisecond
 )
 
 // errNotHome is returned by an instance that is not, or no longer, the home of the data
@@ -66,14 +58,14 @@
 			break
 		}
 		j.annotate(&s)
-		s.Age, s.TimeLeft = time.Since(began), time.Until(deadline)
+		s.Age, s.TimeLeft, s.Number = time.Since(began), time.Until(deadline), in.submissions.Add(1)
 		in.reserveUntilHeartbeat(dc, s)
 		outcome, err := in.submit(ctx, dc, s)
 		if ctx.Err() != nil {
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
-			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).
+			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
 				Bool("unsent", notAccepted(err)).Msg("home did not answer")
 		}
 		switch j.decide(dc, outcome, err) {
@@ -83,6 +75,9 @@
 			if !in.awaitLaterHome(ctx, dc, token) {
 				return j.failure()
 			}
+			_, later := in.homeOf(dc)
+			in.log.Info().Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
+				Int64("laterToken", later).Int64("ageMillis", time.Since(began).Milliseconds()).Msg("job goes to a later home")
 		case tryTarget:
 			in.delayRetryAfterError(ctx, err)
 		}
@@ -119,7 +114,6 @@
 	}
 
 	in.heartbeats.RecordForward(owner.Instance)
-	s.Number = in.submissions.Add(1)
 	if in.keepsSpec(owner.Instance, dataCentre, s) {
 		defer in.keepSpec(s)()
 		s.SpecBytes, s.Batch.Spec = len(s.Batch.Spec), ""
@@ -127,8 +121,11 @@
 	in.link.RecordSend(len(s.Batch.Spec)+jobOverheadBytes, time.Now())
 	var outcome home.Outcome
 	err := in.peers.Call(ctx, owner.Instance, methodRun, runRequest{DataCentre: dataCentre, Job: s}, &outcome)
-	if ctx.Err() != nil || err != nil && !notAccepted(err) {
-		in.cancelAt(owner.Instance, dataCentre, s)
+	switch {
+	case ctx.Err() != nil:
+		in.cancelAt(owner.Instance, dataCentre, s, context.Cause(ctx))
+	case err != nil && !notAccepted(err):
+		in.cancelAt(owner.Instance, dataCentre, s, err)
 	}
 	return outcome, err
 }
@@ -139,30 +136,3 @@
 	defer in.mu.Unlock()
 	return in.localHomes[dataCentre]
 }
-
-// cancelAt notifies a home that nobody waits for a submission any more. It repeats a request without
-// a response until the job's time is over, when the home ends the job by itself: the caller may submit
-// the job again elsewhere, where it must not run beside this submission.
-func (in *Instance) cancelAt(instance, dataCentre string, s home.Submission) {
-	until := time.Now().Add(s.TimeLeft)
-	r := cancelRequest{DataCentre: dataCentre, Job: s.Key(), Submission: s.ID()}
-	in.background.Go(func() {
-		for delay := minCancelRetry; ; delay = min(2*delay, maxCancelRetry) {
-			ctx, cancel := context.WithTimeout(in.ctx, cancelTimeout)
-			err := in.peers.Call(ctx, instance, methodCancel, r, nil)
-			cancel()
-			if err == nil {
-				return
-			}
-			if time.Now().After(until) {
-				in.log.Info().Err(err).Stringer("job", r.Job).Str("home", dataCentre).Msg("cancel not delivered")
-				return
-			}
-			select {
-			case <-time.After(delay):
-			case <-in.ctx.Done():
-				return
-			}
-		}
-	})
-}
--- a/home/finish.go
+++ b/home/finish.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"foxtailmux/plan"
@@ -17,7 +18,33 @@
 	if id.Number > 0 {
 		h.cancelled[id] = time.Now()
 	}
-	if j := h.jobs[k]; j != nil && j.lastSubmission == id {
+	j := h.jobs[k]
+	ends := j != nil && j.lastSubmission == id
+	l := h.options.Log.Info().Stringer("job", k).Str("home", h.options.DataCentre).Int64("token", h.options.Token).
+		Bool("unfinished", j != nil).Bool("ends", ends)
+	id.addTo(l).Msg("cancel received")
+	if ends {
+		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
+	}
+}
+
+// CancelAnnounced cancels submissions that their origin's heartbeat names. Homes in other data centres get
+// the heartbeat, too.
+func (h *Home) CancelAnnounced(ids []SubmissionID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, id := range ids {
+		if _, ok := h.cancelled[id]; !ok {
+			h.cancelled[id] = now
+		}
+	}
+	for _, j := range h.jobs {
+		if !slices.Contains(ids, j.lastSubmission) {
+			continue
+		}
+		l := h.options.Log.Info().Stringer("job", j.key).Str("home", h.options.DataCentre).Int64("token", h.options.Token)
+		j.lastSubmission.addTo(l).Msg("cancel announced")
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
@@ -34,7 +61,7 @@
 
 // CancelOrphaned cancels the jobs of origins whose last heartbeat is older than the timeout. An
 // incarnation that has a successor has none.
-// The arrival of a job counts as a heartbeat too: it may come before the next heartbeat of an
+// The submission of a job counts as a heartbeat too: it may come before the next heartbeat of an
 // instance that has just started or was paused.
 func (h *Home) CancelOrphaned(lastHeartbeat func(instance, incarnation string) time.Time, timeout time.Duration) {
 	h.mu.Lock()
@@ -42,8 +69,8 @@
 	now := time.Now()
 	for _, j := range h.jobs {
 		last := lastHeartbeat(j.lastSubmission.Origin, j.lastSubmission.Incarnation)
-		if j.enteredAt.After(last) {
-			last = j.enteredAt
+		if j.sentAt.After(last) {
+			last = j.sentAt
 		}
 		if now.Sub(last) > timeout {
 			h.abort(j, Outcome{Result: Cancelled, Reason: "the instance of its caller is not heard"})
@@ -74,10 +101,21 @@
 	}
 	j.outcome = o
 	close(j.ended)
-	h.options.Log.Info().
-		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(o.Result)).Str("reason", o.Reason).
+	h.logEnd(j)
+}
+
+// logEnd logs the end of a job. All its durations count from the arrival of the job at its origin.
+func (h *Home) logEnd(j *job) {
+	l := h.options.Log.Info().
+		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(j.outcome.Result)).Str("reason", j.outcome.Reason).
 		Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
-		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
+		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).
+		Str("home", h.options.DataCentre).Int64("token", h.options.Token).Bool("resumed", j.resumed).
+		Int("submissions", j.submissions).Int64("acceptedMillis", j.ageAtEntry.Milliseconds())
+	if j.transit != UnknownTransit {
+		l.Int64("transitMillis", j.transit.Milliseconds())
+	}
+	j.lastSubmission.addTo(l).Msg("job ended")
 }
 
 // lastStart returns the time from the arrival of a job to the latest start of a task of its first
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -33,6 +33,7 @@
 	startedAt    time.Time
 	needsUnknown bool // its needs are unknown, so none are reserved
 	unwanted     bool // it has to be stopped, even if a report lists it
+	stopMissed   bool // it is unwanted, and its last stop got no response or was refused
 }
 
 // Tracker tracks the runs on one worker. A run keeps its resources reserved until it has
@@ -144,7 +145,11 @@
 // stopping stays so.
 func (t *Tracker) MarkUnconfirmed(task string, run int64, now time.Time) {
 	e := t.find(task, run)
-	if e == nil || e.state == stopping {
+	if e == nil {
+		return
+	}
+	e.stopMissed = e.unwanted
+	if e.state == stopping {
 		return
 	}
 	if e.state == startSent {
@@ -164,8 +169,19 @@
 // ends soon or never begins.
 func (t *Tracker) MarkStopping(task string, run int64, now time.Time) {
 	if e := t.find(task, run); e != nil {
-		e.state, e.stateSetAt = stopping, now
+		e.state, e.stateSetAt, e.stopMissed = stopping, now, false
+	}
+}
+
+// HasMissedStop reports whether the stop of an unwanted run got no response or was refused. The run ends
+// with the lease of the worker unless a later stop is confirmed.
+func (t *Tracker) HasMissedStop() bool {
+	for _, e := range t.runs {
+		if e.stopMissed {
+			return true
+		}
 	}
+	return false
 }
 
 // Remove removes a run that is certainly not on the worker.
