home: tell the later home of runs that a task waits for

A task could run twice at a time in one data centre: a caller submitted its job again while a run of the first submission was still being stopped, so the task waited for its end. The home closed, and the next one, which had not heard from that worker yet, started the task elsewhere.

Cause: the outcome Moved lists the tasks that may have a run, so that the next home holds them back until all runs are known. It listed runs of this job only, not those of another submission, or of another part, that the task waits for.

Evidence: TestLaterHomeIsToldOfRunsThatAreBeingStopped fails before: the task is missing in the outcome.

--- a/home/finish.go
+++ b/home/finish.go
@@ -167,13 +167,13 @@
 	return false
 }
 
-// withTaskStates adds the states of the tasks to an outcome, for a later home.
-func (j *job) withTaskStates(o Outcome) Outcome {
+// withTaskStates adds the states of a job's tasks to an outcome, for a later home.
+func (h *Home) withTaskStates(j *job, p *pass, o Outcome) Outcome {
 	for i := range j.tasks {
 		switch t := &j.tasks[i]; {
 		case t.state == taskDone:
 			o.Done = append(o.Done, t.name)
-		case t.state == taskRunning, t.maybeRunning:
+		case t.state == taskRunning, t.maybeRunning, h.hasOtherRun(t.name, p):
 			o.MaybeRunning = append(o.MaybeRunning, t.name)
 		}
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -196,8 +196,9 @@
 		return false
 	}
 	h.closed = true
+	p := h.newPass(time.Now())
 	for _, j := range h.jobs {
-		h.finish(j, j.withTaskStates(Outcome{Result: Moved, Reason: "the workers have another home"}))
+		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: "the workers have another home"}))
 	}
 	return true
 }
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -190,3 +191,38 @@
 		}
 	})
 }
+
+// Guards against a task that runs twice: it waited for the stop of an earlier submission's run when its home
+// closed, and the next home, which had not heard of that run yet, was not told of it.
+func TestLaterHomeIsToldOfRunsThatAreBeingStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 2)
+		var deaf atomic.Bool
+		dc.connect = func(w model.Worker, _ func(time.Duration)) home.Endpoint {
+			return deafEndpoint{dc.workers[w.ID], &deaf}
+		}
+		for _, w := range dc.workers {
+			w.RunTime = func(string) time.Duration { return 5 * time.Second }
+		}
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		ctx, cancel := context.WithCancel(t.Context())
+		go h.Submit(ctx, submission("a", 1))
+		time.Sleep(100 * time.Millisecond)
+		deaf.Store(true)
+		cancel()
+		time.Sleep(100 * time.Millisecond)
+		outcome := make(chan home.Outcome, 1)
+		again := submission("a", 2)
+		again.Content = again.Batch.Digest()
+		go func() { outcome <- submit(h, again) }()
+		time.Sleep(100 * time.Millisecond)
+		h.Close()
+		got := <-outcome
+		slices.Sort(got.MaybeRunning)
+		want := home.Outcome{Result: home.Moved, Reason: got.Reason, MaybeRunning: []string{"a.0.0.0", "a.0.0.1"}}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("outcome (-want +got):\n%s", diff)
+		}
+	})
+}
