fleet: probe the connections of callers and instances after a second

Callers could see a task run at two homes: their connection was reset without a sign to the instance at its other end, which went on waiting for the job. The caller submitted it again 1.3 s later, and the first submission ran, and started tasks, until its time was over, 1.5 s after its arrival.

Cause: an instance that only waits sends nothing, so it learns of a reset that reached its client alone, such as behind a partition, by the next probe of the kernel, which came after 15 s, Go's default. The same holds for a home whose connection to an origin is gone at the origin's end.

A probe after one second without bytes is answered with a reset by a machine that has no such connection, and the job is cancelled. That is 1.0 s after the arrival of the request if its caller was lost before, and 1.3 s have not passed. A client that is cut off answers no probe; it sees no reset, waits for its own time-out, and the time of its job is over before it comes again.

--- a/fleet/listen.go
+++ b/fleet/listen.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"context"
 	"net"
+	"time"
 
 	"foxtailmux/setup"
 )
@@ -17,8 +19,22 @@
 	heartbeats net.PacketConn
 }
 
+const (
+	// keepAlivePeriod is the time without bytes after which the kernel probes a connection. A client whose
+	// end of the connection is gone, such as by a reset that reached it alone, answers with a reset. It is
+	// less than the time after which callers submit a job again.
+	keepAlivePeriod = time.Second
+
+	// keepAliveProbes is the number of probes without a response after which a connection is closed. A
+	// partition proves nothing, and the end of a request's time comes sooner.
+	keepAliveProbes = 120
+)
+
 func listen(s setup.Settings) (*listeners, error) {
 	l := &listeners{}
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAlivePeriod, Interval: keepAlivePeriod, Count: keepAliveProbes,
+	}}
 	targets := []struct {
 		into *net.Listener
 		addr string
@@ -33,7 +49,7 @@
 		if t.addr == "" {
 			continue
 		}
-		opened, err := net.Listen("tcp", t.addr)
+		opened, err := config.Listen(context.Background(), "tcp", t.addr)
 		if err != nil {
 			l.close()
 			return nil, &Error{Op: "listen", Kind: KindStart, Err: err}
