peer, beat, fleet: attribute responses to the incarnation that sent them

Callers could see a task run at two homes: the instance that held their connection lost power and was up again at once. The home went on with its jobs while the callers submitted them again.

Cause: bytes that arrive on a connection to an instance count as a sign of life, for links that lose heartbeats. They counted for the incarnation of the last heartbeat, also if a new process answered. Until its first heartbeat arrived, which needs the list of instances from the store, the jobs of the earlier process were not given up.

Evidence: TestResponsesOfARestartedOriginAreNotOfItsEarlierIncarnation fails before.

A connection knows the incarnation at its other end from the response to the first ping. Bytes count for that one only, and the detector ignores them unless it is the one of the latest heartbeat.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -257,12 +257,12 @@
 }
 
 // RecordMessage records that a message other than a heartbeat was received from an
-// instance. Used on congested links, which lose heartbeats while responses over TCP still
-// arrive.
-func (d *Detector) RecordMessage(instance string) {
+// incarnation of an instance. Used on congested links, which lose heartbeats while responses
+// over TCP still arrive. It tells nothing of another incarnation than that of the heartbeats.
+func (d *Detector) RecordMessage(instance, incarnation string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if s, ok := d.statuses[instance]; ok {
+	if s, ok := d.statuses[instance]; ok && s.Incarnation == incarnation {
 		s.LastMessage = time.Now()
 		d.statuses[instance] = s
 	}
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -339,10 +339,10 @@
 		w.setCut("10.0.0.2:7", "10.0.0.1:7", true)
 		for range 4 {
 			time.Sleep(900 * time.Millisecond)
-			a.RecordMessage("b")
+			a.RecordMessage("b", a.Status("b").Incarnation)
 		}
 		time.Sleep(900 * time.Millisecond)
-		a.RecordMessage("stranger")
+		a.RecordMessage("stranger", "")
 		got := []bool{a.IsAlive("b"), a.IsAlive("stranger"), a.Status("b").LastHeartbeat.Sub(heartbeat) < time.Second}
 		time.Sleep(200 * time.Millisecond)
 		got = append(got, a.IsAlive("b"))
--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -180,3 +180,37 @@
 	default:
 	}
 }
+
+// Guards against a task that runs at two homes: an origin lost power and was up again at once, without a
+// heartbeat yet, and the responses of the new process counted as signs of the one that had the job.
+func TestResponsesOfARestartedOriginAreNotOfItsEarlierIncarnation(t *testing.T) {
+	in := newListener(t)
+	in.hear(`{"instance":"other","incarnation":"0","nextMillis":250}`)
+	for range 50 {
+		if time.Sleep(20 * time.Millisecond); in.heartbeats.IsAlive("other") {
+			break
+		}
+	}
+	before := in.lastMessage("other", "0")
+	other := startGroup(t, "other") // its incarnation is 1
+	other.Handle(methodPending, func(context.Context, json.RawMessage) (any, error) { return 0, nil })
+	in.peers.SetPeer("other", other.Addr())
+	for range 3 {
+		if err := in.peers.Call(t.Context(), "other", methodPending, "quotes", nil); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(120 * time.Millisecond)
+	}
+	if diff := cmp.Diff(before, in.lastMessage("other", "0")); diff != "" {
+		t.Errorf("last message of the earlier incarnation (-want +got):\n%s", diff)
+	}
+	in.hear(`{"instance":"other","incarnation":"1","nextMillis":250}`)
+	time.Sleep(120 * time.Millisecond)
+	heard := in.lastMessage("other", "1")
+	if err := in.peers.Call(t.Context(), "other", methodPending, "quotes", nil); err != nil {
+		t.Fatal(err)
+	}
+	if !in.lastMessage("other", "1").After(heard) {
+		t.Error("a response of the present incarnation does not count")
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -179,7 +179,7 @@
 		Listen:        func(string) (net.Listener, error) { return in.listeners.peers, nil },
 		PauseDetector: in.pauses,
 		OnBytes:       in.meter.PeerBytes,
-		OnActivity:    func(peerID string) { in.heartbeats.RecordMessage(peerID) },
+		OnActivity:    func(peerID, incarnation string) { in.heartbeats.RecordMessage(peerID, incarnation) },
 		Log:           in.log,
 	})
 	in.heartbeats = beat.New(beat.Options{Self: in.self, Conn: in.listeners.heartbeats, OwnHeartbeat: in.ownHeartbeat, OnChange: in.onPeerChange, Log: l})
--- a/fleet/routing_test.go
+++ b/fleet/routing_test.go
@@ -24,7 +24,13 @@
 // startGroup returns a started group of peers on a port of its own.
 func startGroup(t *testing.T, id string) *peer.Group {
 	t.Helper()
-	g := peer.New(peer.Options{Self: model.Entry{ID: id, Incarnation: "1"}, ListenAddr: "127.0.0.1:0"})
+	return startGroupWith(t, peer.Options{Self: model.Entry{ID: id, Incarnation: "1"}})
+}
+
+func startGroupWith(t *testing.T, o peer.Options) *peer.Group {
+	t.Helper()
+	o.ListenAddr = "127.0.0.1:0"
+	g := peer.New(o)
 	if err := g.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -54,12 +60,16 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	in := &Instance{
 		ctx: ctx, log: &logger.Logger{Logger: quiet}, meter: meter.New("entry", "kochi"), changed: newNotifier(),
-		configured: make(chan struct{}), peers: startGroup(t, "entry"),
+		configured: make(chan struct{}),
 		cancelling: map[int64]struct{}{}, localHomes: map[string]*home.Home{},
 	}
 	in.heartbeats = beat.New(beat.Options{
 		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange, Log: &quiet,
 	})
+	in.peers = startGroupWith(t, peer.Options{
+		Self:       model.Entry{ID: "entry", Incarnation: "1"},
+		OnActivity: func(id, incarnation string) { in.heartbeats.RecordMessage(id, incarnation) },
+	})
 	go in.heartbeats.Run(ctx)
 	sender, err := net.Dial("udp", udp.LocalAddr().String())
 	if err != nil {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -30,9 +30,8 @@
 	open   atomic.Int64 // calls that wait for a response
 }
 
-func newConn(ctx context.Context, c net.Conn, o *Options, peerID string) *conn {
+func newConn(ctx context.Context, c net.Conn, o *Options) *conn {
 	s := newStream(c, o, o.IdleTimeout)
-	s.remoteID = peerID
 	rpc := jsonrpc2.NewConn(ctx, s, refuseAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.SetLogger(rpcLogger{o.Log}))
 	return &conn{stream: s, rpc: rpc}
 }
--- a/peer/link.go
+++ b/peer/link.go
@@ -196,7 +196,7 @@
 		return nil, eris.Wrapf(err, "dial %s", l.addr)
 	}
 
-	c := newConn(ctx, raw, l.options, l.id)
+	c := newConn(ctx, raw, l.options)
 	remote, err := c.ping(ctx)
 	if err != nil {
 		c.close()
@@ -206,6 +206,9 @@
 		c.close()
 		return nil, eris.Errorf("the instance at %s has the id %q, want %q", l.addr, remote.ID, l.id)
 	}
+	remote.ID = l.id // may be an address
+	c.stream.remote.Store(&remote)
+	c.stream.reportActivity(c.stream.lastReadAt.Load())
 	return c, nil
 }
 
--- a/peer/options.go
+++ b/peer/options.go
@@ -38,9 +38,9 @@
 	// OnBytes is called with the number of bytes of every read and write.
 	OnBytes func(direction string, n int)
 
-	// OnActivity is called when bytes from a peer arrive on a connection to it, at
-	// most every 100 ms for each connection. It must not block.
-	OnActivity func(peerID string)
+	// OnActivity is called when bytes from an incarnation of a peer arrive on a connection to
+	// it, at most every 100 ms for each connection. It must not block.
+	OnActivity func(peerID, incarnation string)
 
 	// OnConnectResult is called with true when a connection to a peer was opened
 	// and the peer responded on it, and with false when that failed. It must not
@@ -101,7 +101,7 @@
 		o.PauseDetector = pause.NewDetector()
 	}
 	if o.OnActivity == nil {
-		o.OnActivity = func(string) {}
+		o.OnActivity = func(string, string) {}
 	}
 	if o.OnConnectResult == nil {
 		o.OnConnectResult = func(string, bool) {}
--- a/peer/reachability_test.go
+++ b/peer/reachability_test.go
@@ -97,7 +97,7 @@
 func TestResponsesAreReportedAsActivity(t *testing.T) {
 	active := make(chan string, 100)
 	o := optionsFor("a")
-	o.OnActivity = func(id string) { active <- id }
+	o.OnActivity = func(id, _ string) { active <- id }
 	a, b := startGroup(t, o), startGroup(t, optionsFor("b"))
 	b.Handle("echo", echo)
 	a.SetPeer("b", b.Addr())
--- a/peer/stream.go
+++ b/peer/stream.go
@@ -31,10 +31,10 @@
 	codec   boundedCodec
 	options *Options
 
-	readTimeout    time.Duration // an idle connection is closed after it
-	remoteID       string        // of the other end of an outgoing connection, else ""
-	lastActivityAt atomic.Int64  // last call of OnActivity, in nanoseconds since openedAt
-	lastReadAt     atomic.Int64  // last received bytes, in nanoseconds since openedAt
+	readTimeout    time.Duration            // an idle connection is closed after it
+	remote         atomic.Pointer[identity] // other end of an outgoing connection, once it has identified itself
+	lastActivityAt atomic.Int64             // last call of OnActivity, in nanoseconds since openedAt
+	lastReadAt     atomic.Int64             // last received bytes, in nanoseconds since openedAt
 	openedAt       time.Time
 	idleTimedOut   atomic.Bool // the connection was closed because it was idle
 
@@ -85,11 +85,12 @@
 
 // reportActivity calls OnActivity, at most once in activityInterval.
 func (s *stream) reportActivity(now int64) {
-	if s.remoteID == "" || now-s.lastActivityAt.Load() < int64(activityInterval) {
+	remote := s.remote.Load()
+	if remote == nil || now-s.lastActivityAt.Load() < int64(activityInterval) {
 		return
 	}
 	s.lastActivityAt.Store(now)
-	s.options.OnActivity(s.remoteID)
+	s.options.OnActivity(remote.ID, remote.Incarnation)
 }
 
 // idleTime returns the time since bytes were last received.
