home, fleet: look for lost origins at each tick

The runs of a lost origin must have ended when its callers submit their jobs again, 1.3 s later. A home noticed the loss 1.05 s after the last message, plus up to 0.1 s until the next review of the instance, which also waits for the claims and tables that it handles, plus up to 50 ms for the stops.

The home now asks at each tick, every 20 ms, for the last message of the origins of its jobs. That leaves 80 ms more. A home that was given up cancels nothing: its jobs go to the next one.

TestJobOfADeadOriginIsCancelled and TestJobOfAnEarlierIncarnationOfItsOriginIsCancelled called the check themselves, each 0.1 s or once, and allowed up to 0.2 s; they now let the home do it and allow 25 ms, so they are stricter. Before, nothing cancelled the jobs in them.

--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -62,7 +62,6 @@
 func (in *Instance) review() {
 	in.removeMissing(time.Now())
 	in.fetchNewerRouting()
-	in.cancelJobsOfDeadOrigins()
 	in.updateWorkerPolling()
 	in.closeIdleClients()
 	in.reviewHomes()
@@ -176,6 +175,8 @@
 		FreeDataCentre: func(milliCores int) (string, bool) { return in.capacityElsewhere(dataCentre, milliCores) },
 		OnFenced:       func() { in.onFenced(dataCentre, token) },
 		RefreshWorkers: in.workerTable.Refresh,
+		LastMessage:    in.lastMessage,
+		OriginTimeout:  beat.HeartbeatTimeout,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
@@ -220,14 +221,6 @@
 	in.changed.notify()
 }
 
-// cancelJobsOfDeadOrigins cancels the jobs of origins that are suspected dead, so that
-// none of their runs is left when the callers submit the jobs again.
-func (in *Instance) cancelJobsOfDeadOrigins() {
-	for _, h := range in.homesByCentre() {
-		h.CancelOrphaned(in.lastMessage, beat.HeartbeatTimeout)
-	}
-}
-
 // lastMessage returns when the last message of an incarnation of an instance was received. It returns
 // the zero time for one that has a successor.
 func (in *Instance) lastMessage(instance, incarnation string) time.Time {
--- a/home/finish.go
+++ b/home/finish.go
@@ -59,20 +59,17 @@
 	}
 }
 
-// CancelOrphaned cancels the jobs of origins whose last heartbeat is older than the timeout. An
-// incarnation that has a successor has none.
-// The submission of a job counts as a heartbeat too: it may come before the next heartbeat of an
-// instance that has just started or was paused.
-func (h *Home) CancelOrphaned(lastHeartbeat func(instance, incarnation string) time.Time, timeout time.Duration) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
+// cancelOrphaned cancels the jobs of origins that were not heard for OriginTimeout, so that none of their
+// runs is left when the callers submit the jobs again. The submission of a job counts as a message: it may
+// come before the next heartbeat of an instance that has just started or was paused. A home that is given up
+// leaves the jobs to the next one.
+func (h *Home) cancelOrphaned(now time.Time) {
+	if h.options.LastMessage == nil || h.fenced {
+		return
+	}
 	for _, j := range h.jobs {
-		last := lastHeartbeat(j.lastSubmission.Origin, j.lastSubmission.Incarnation)
-		if j.sentAt.After(last) {
-			last = j.sentAt
-		}
-		if now.Sub(last) > timeout {
+		last := later(h.options.LastMessage(j.lastSubmission.Origin, j.lastSubmission.Incarnation), j.sentAt)
+		if now.Sub(last) > h.options.OriginTimeout {
 			h.abort(j, Outcome{Result: Cancelled, Reason: "the instance of its caller is not heard"})
 		}
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -52,7 +52,9 @@
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
 // that there is a later home or the home has stood still, and besides whenever a goroutine of the
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
-// the home. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
+// the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
+// for one that has a successor; after OriginTimeout without a message the jobs of an origin are
+// cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -61,6 +63,8 @@
 	FreeDataCentre func(milliCores int) (dataCentre string, ok bool)
 	OnFenced       func()
 	RefreshWorkers func()
+	LastMessage    func(instance, incarnation string) time.Time
+	OriginTimeout  time.Duration
 	Link           *plan.Link
 	Clock          func() time.Duration
 	Observer       Observer
@@ -286,6 +290,7 @@
 			h.sortedWorkers = nil
 		}
 	}
+	h.cancelOrphaned(now)
 	for _, j := range h.jobs {
 		h.endIfExpired(j, now)
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -49,6 +49,7 @@
 	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
 	logWriter      io.Writer
+	lastMessage    func(instance, incarnation string) time.Time // set before the home
 	began          time.Time
 	stall          atomic.Int64 // nanoseconds for which the process has stood still
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
@@ -60,6 +61,7 @@
 	dc.link = plan.NewLink(0)
 	dc.logWriter = io.Discard
 	dc.began = time.Now()
+	dc.lastMessage = func(string, string) time.Time { return time.Now() }
 	dc.connect = func(w model.Worker, _ func(took time.Duration)) home.Endpoint { return dc.workers[w.ID] }
 	for i := range workers {
 		id := fmt.Sprintf("w%d", i)
@@ -79,6 +81,8 @@
 		Token:          token,
 		MaxLease:       time.Second,
 		Connect:        dc.connect,
+		LastMessage:    func(instance, incarnation string) time.Time { return dc.lastMessage(instance, incarnation) },
+		OriginTimeout:  heartbeatTimeout,
 		Link:           dc.link,
 		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
@@ -417,19 +421,15 @@
 		for _, w := range dc.workers {
 			w.RunTime = func(string) time.Duration { return 3 * time.Second }
 		}
+		lastHeartbeat := time.Now().Add(-time.Hour)
+		dc.lastMessage = func(string, string) time.Time { return lastHeartbeat }
 		h := dc.readyHome(1)
 		defer dc.close(h)
 
-		lastHeartbeat := time.Now().Add(-time.Hour)
-		outcome := make(chan home.Result, 1)
 		began := time.Now()
-		go func() { outcome <- resultOf(submit(h, submission("a", 2))) }()
-		for len(outcome) == 0 {
-			time.Sleep(100 * time.Millisecond)
-			h.CancelOrphaned(func(string, string) time.Time { return lastHeartbeat }, time.Second)
-		}
+		got := resultOf(submit(h, submission("a", 2)))
 		// The job arrived after the last heartbeat, which counts as a heartbeat too.
-		if got, took := <-outcome, time.Since(began); got != home.Cancelled || took < time.Second || took > 1200*time.Millisecond {
+		if took := time.Since(began); got != home.Cancelled || took < heartbeatTimeout || took > heartbeatTimeout+25*time.Millisecond {
 			t.Errorf("result %q after %v", got, took)
 		}
 	})
--- a/home/lost_caller_test.go
+++ b/home/lost_caller_test.go
@@ -71,6 +71,8 @@
 			dc.workers[id].RunTime = func(task string) time.Duration { return runTimes[task[0]] }
 		}
 	}
+	origins := &lostOrigins{at: map[string]time.Time{}}
+	first.lastMessage = origins.lastMessage
 	homes := []*home.Home{first.readyHome(1), second.readyHome(2)}
 	defer first.close(homes[0])
 	defer second.close(homes[1])
@@ -78,18 +80,6 @@
 		first.workers[fmt.Sprintf("w%d", i)].SetFaults(faults)
 	}
 
-	origins := &lostOrigins{at: map[string]time.Time{}}
-	done := make(chan struct{})
-	go func() {
-		for {
-			select {
-			case <-done:
-				return
-			case <-time.After(reviewInterval):
-				homes[0].CancelOrphaned(origins.lastHeartbeat, heartbeatTimeout)
-			}
-		}
-	}()
 	var callers sync.WaitGroup
 	for n := range 60 {
 		time.Sleep(time.Duration(draw.IntN(100)) * time.Millisecond)
@@ -103,7 +93,6 @@
 		callers.Go(func() { origins.play(homes, s, l, lost, transit, phase) })
 	}
 	callers.Wait()
-	close(done)
 	if diff := cmp.Diff([]string(nil), first.ledger.Violations()); diff != "" {
 		t.Errorf("seed %d: violations (-want +got):\n%s", seed, diff)
 	}
@@ -118,7 +107,7 @@
 	at map[string]time.Time
 }
 
-func (o *lostOrigins) lastHeartbeat(instance, _ string) time.Time {
+func (o *lostOrigins) lastMessage(instance, _ string) time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if at, ok := o.at[instance]; ok {
--- a/home/part_test.go
+++ b/home/part_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -259,23 +260,27 @@
 // Guards against a task that runs twice: the origin of its job has lost power and is up again before
 // its heartbeats are missed.
 func TestJobOfAnEarlierIncarnationOfItsOriginIsCancelled(t *testing.T) {
-	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
-		s := submission("a", 2)
-		s.Incarnation = "1"
-		dc.workers["w0"].RunTime = func(string) time.Duration { return 5 * time.Second }
-		dc.workers["w1"].RunTime = dc.workers["w0"].RunTime
-		results := make(chan home.Result, 1)
-		go func() { results <- resultOf(submit(h, s)) }()
-		time.Sleep(1100 * time.Millisecond)
-		h.CancelOrphaned(func(_, incarnation string) time.Time {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 2)
+		dc.lastMessage = func(_, incarnation string) time.Time {
 			if incarnation == "2" {
 				return time.Now()
 			}
 			return time.Time{}
-		}, time.Second)
-		if diff := cmp.Diff(home.Cancelled, <-results); diff != "" {
+		}
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		s := submission("a", 2)
+		s.Incarnation = "1"
+		dc.workers["w0"].RunTime = func(string) time.Duration { return 5 * time.Second }
+		dc.workers["w1"].RunTime = dc.workers["w0"].RunTime
+		began := time.Now()
+		if diff := cmp.Diff(home.Cancelled, resultOf(submit(h, s))); diff != "" {
 			t.Errorf("result (-want +got):\n%s", diff)
 		}
+		if took := time.Since(began); took > heartbeatTimeout+25*time.Millisecond {
+			t.Errorf("cancelled after %v", took)
+		}
 	})
 }
 
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -19,7 +19,6 @@
 const (
 	resubmitDelay    = 1300 * time.Millisecond // after which a caller submits a job again
 	heartbeatTimeout = 1050 * time.Millisecond
-	reviewInterval   = 100 * time.Millisecond // between the calls of CancelOrphaned
 	adoptionWindow   = 300 * time.Millisecond
 	maxLease         = time.Second
 )
@@ -28,6 +27,14 @@
 type twoCentres struct {
 	first, second         *testCentre
 	firstHome, secondHome *home.Home
+	lostAt                atomic.Pointer[time.Time] // when the origins were lost, nil if they are heard
+}
+
+func (c *twoCentres) lastMessage(string, string) time.Time {
+	if at := c.lostAt.Load(); at != nil {
+		return *at
+	}
+	return time.Now()
 }
 
 // withTwoHomes runs a test in virtual time with the homes of two data centres, whose tasks last for runTime.
@@ -35,7 +42,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &twoCentres{first: newTestCentre(t, 2), second: newTestCentre(t, 0)}
-		c.second.ledger = c.first.ledger
+		c.second.ledger, c.first.lastMessage = c.first.ledger, c.lastMessage
 		for _, id := range []string{"v0", "v1"} {
 			w := c.first.listed["w0"]
 			w.ID, w.Addr = id, id
@@ -68,18 +75,13 @@
 func TestLostOriginIsNotHeardBySubmissionsThatAreUnderWay(t *testing.T) {
 	withTwoHomes(t, 2*time.Second, func(_ *testing.T, c *twoCentres) {
 		lost := time.Now()
+		c.lostAt.Store(&lost)
 		s := submission("a", 2)
 		s.Incarnation, s.Number, s.TimeLeft = "1", 1, 3*time.Second
 		transit := s
 		time.Sleep(500 * time.Millisecond)
 		transit.Transit, transit.Age, transit.TimeLeft = 500*time.Millisecond, 500*time.Millisecond, s.TimeLeft-500*time.Millisecond
 		go submit(c.firstHome, transit)
-		go func() {
-			for time.Since(lost) < 2*time.Second {
-				time.Sleep(reviewInterval)
-				c.firstHome.CancelOrphaned(func(string, string) time.Time { return lost }, heartbeatTimeout)
-			}
-		}()
 		c.submitAgain(s, lost)
 	})
 }
