--- a/proof/unread_test.go
+++ b/proof/unread_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"context"
 	"fmt"
 	"net/http"
 	"syscall"
@@ -9,8 +8,6 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
-
-	"foxtailmux/platform/stand"
 )
 
 // Guards against a second run of a task: a paused instance, after it has resumed, reads the request
@@ -50,16 +47,6 @@
 
 // submitOnce submits a job of two tasks and returns the HTTP status, or 0 if the caller gave up.
 func (s *soak) submitOnce(i *soakInstance, id string, runTime, timeout time.Duration) int {
-	ctx, cancel := context.WithTimeout(s.t.Context(), timeout)
-	defer cancel()
-	req, err := stand.NewJobRequest(i.callersAddr, id, 2, taskMilliCores, runTime, timeout, s.spec)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	resp, err := http.DefaultClient.Do(req.WithContext(ctx))
-	if err != nil {
-		return 0
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode
+	job := soakJob{id: id, tasks: 2, milliCores: taskMilliCores, estimate: runTime, timeout: timeout}
+	return s.post(http.DefaultClient, job, i, timeout)
 }
