home: keep what an earlier home began when a submission joins a job

After a change of home a caller's second submission may reach the later home before the first origin resubmits the first one, if that origin does not know that its caller has left. Both share one job. The later home ignored what the first origin said of the earlier home's runs: it started a task beside its earlier run on a worker that had not reported yet (TWICE), and when there was no room it refused both submissions as not run, although the earlier home had begun the job.

A submission that joins now marks the job as resumed and its waiting tasks as done or maybe running, as a new job's are. Before: TestTaskOfAnEarlierHomeIsNotStartedForAJobThatItsOriginJoins 'a.0.0.0 runs on w1 and w0', TestJobThatAnEarlierHomeBeganIsNotRefusedAfterAJoin 'refused refused'; after: lost, no violation.

go test ./home -race

--- a/home/job.go
+++ b/home/job.go
@@ -87,11 +87,12 @@
 	return j
 }
 
-// restoreTaskStates sets the states of the tasks that an earlier home reported.
+// restoreTaskStates sets the states of the waiting tasks that an earlier home reported.
 func (j *job) restoreTaskStates(s Submission) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		switch {
+		case t.state != taskWaiting:
 		case slices.Contains(s.Done, t.name):
 			j.setDone(t)
 			j.started = true
@@ -101,6 +102,19 @@
 	}
 }
 
+// joinTaskStates adds what an earlier home has begun of a submission to the job that it joins, which may
+// have come from an origin that knows of no earlier home.
+func (h *Home) joinTaskStates(j *job, s Submission) {
+	if !s.Resumed {
+		return
+	}
+	j.resumed = true
+	j.restoreTaskStates(s)
+	if h.complete(j) {
+		h.finish(j, Outcome{Result: Succeeded})
+	}
+}
+
 func (j *job) setDone(t *task) {
 	t.state = taskDone
 	j.unfinished[t.step]--
--- a/home/record_test.go
+++ b/home/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -225,3 +226,81 @@
 		}
 	}
 }
+
+// joinAfterTakeover has a home start a job on a worker that then responds to nobody, replaces the home,
+// and submits the job to the later one: first as its caller did once more, then as the first origin does.
+// Tasks of other jobs take the other worker for a time.
+func joinAfterTakeover(t *testing.T, busy time.Duration, left time.Duration) (dc *testCentre, results []home.Result) {
+	dc = newTestCentre(t, 2)
+	runTimes := func(task string) time.Duration {
+		if strings.HasPrefix(task, "a.") {
+			return 700 * time.Millisecond
+		}
+		return busy
+	}
+	for _, w := range dc.workers {
+		w.RunTime = runTimes
+	}
+	first := dc.readyHome(1)
+	for _, w := range dc.workers {
+		w.SetFaults(fakes.LeasedWorkerFaults{Unhealthy: w.ID == "w0"})
+	}
+	moved := make(chan home.Outcome, 1)
+	s := submission("a", 1)
+	go func() { moved <- submit(first, s) }()
+	time.Sleep(50 * time.Millisecond)
+	if diff := cmp.Diff("w1", dc.ledger.WorkerOf("a.0.0.0")); diff != "" {
+		t.Fatalf("worker of the task (-want +got):\n%s", diff)
+	}
+	dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{})
+	dc.workers["w1"].SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+	dc.close(first)
+	o := <-moved
+
+	later := dc.newHome(2)
+	defer dc.close(later)
+	time.Sleep(100 * time.Millisecond)
+	others := make(chan home.Result, 2)
+	for i := range 2 {
+		other := submission(fmt.Sprintf("other%d", i), 1)
+		go func() { others <- resultOf(submit(later, other)) }()
+	}
+	time.Sleep(20 * time.Millisecond)
+
+	again, resumed := s, s
+	again.Origin = "other"
+	resumed.Resumed, resumed.TasksReported, resumed.Done, resumed.MaybeRunning = true, true, o.Done, o.MaybeRunning
+	answers := make(chan home.Result, 2)
+	for _, s := range []home.Submission{again, resumed} {
+		s.TimeLeft = left
+		go func() { answers <- resultOf(submit(later, s)) }()
+		time.Sleep(5 * time.Millisecond)
+	}
+	for range 2 {
+		results = append(results, <-answers)
+		<-others
+	}
+	return dc, results
+}
+
+// Guards against a task that runs twice: a submission that an earlier home may have begun joins a waiting
+// job that is new to the later home, which then started the task beside the earlier run.
+func TestTaskOfAnEarlierHomeIsNotStartedForAJobThatItsOriginJoins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc, results := joinAfterTakeover(t, 100*time.Millisecond, 2*time.Second)
+		t.Log(results)
+		dc.checkLedger()
+	})
+}
+
+// Guards against a job that is answered as not run although an earlier home has begun it, by the same join.
+func TestJobThatAnEarlierHomeBeganIsNotRefusedAfterAJoin(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, results := joinAfterTakeover(t, 5*time.Second, 600*time.Millisecond)
+		for _, r := range results {
+			if r == home.Refused {
+				t.Errorf("results %v", results)
+			}
+		}
+	})
+}
--- a/home/submit.go
+++ b/home/submit.go
@@ -131,6 +131,7 @@
 		j.lastSubmission, j.enteredAt = s.ID(), time.Now()
 		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
+		h.joinTaskStates(j, s)
 		return j, Outcome{}
 	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Result == Succeeded {
