fleet, home: tell the later home that a caller has left

A task could run at two homes. Origin and home are cut from each other both ways, while both reach the store and the workers, and the caller leaves at the cut. 1.05 s later the home gives the origin's jobs up and sends stops, and in the same moment another instance claims the data centre. Workers that know of the later home refuse the stops; it finds the runs and keeps them for 0.3 s for their origins. So they ended 1.37 s after the caller left, which submits its job again after 1.3 s. The origin knew, but sent its cancel to the instance only that was the home at the submission.

The origin now also tells the next home of the data centre, if there is one soon, and a young home stops the runs that it finds of a cancelled job at once, unless a later submission of the job has adopted them. TestCancelAtALaterHomeStopsTheRunsOfTheEarlierOne fails before in 3 of 4 cases (4, 4 and 2 runs go on); TestLaterHomeIsToldThatACallerHasLeft is new with the function that it calls.

go test ./home ./fleet -race

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -71,6 +71,7 @@
 		in.reserveUntilHeartbeat(dc, s)
 		outcome, err := in.submit(ctx, dc, s)
 		if ctx.Err() != nil {
+			in.cancelAtLaterHome(dc, token, s)
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
@@ -82,6 +83,7 @@
 			return outcome
 		case retryAtLaterHome:
 			if !in.awaitLaterHome(ctx, dc, token) {
+				in.cancelAtLaterHome(dc, token, s)
 				return j.failure()
 			}
 		case tryTarget:
@@ -167,3 +169,20 @@
 		}
 	})
 }
+
+// cancelAtLaterHome notifies the next home of a data centre, if there is one soon, that nobody waits for a
+// submission to the one before any more. The next home may take over runs whose stops came too late: its
+// workers refuse them as soon as they know of it.
+func (in *Instance) cancelAtLaterHome(dataCentre string, token int64, s home.Submission) {
+	in.background.Go(func() {
+		if !in.awaitLaterHome(in.ctx, dataCentre, token) {
+			return
+		}
+		if h := in.localHome(dataCentre); h != nil {
+			h.Cancel(s.Key(), s.ID())
+			return
+		}
+		owner, _ := in.homeOf(dataCentre)
+		in.cancelAt(owner.Instance, dataCentre, s)
+	})
+}
--- a/fleet/record_test.go
+++ b/fleet/record_test.go
@@ -1,13 +1,18 @@
 package fleet
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
 	"foxtailmux/home"
 	"foxtailmux/model"
+	"foxtailmux/table"
+	"foxtailmux/watch"
 )
 
 // Guards against a job that is answered as succeeded without all of its tasks (MIXED): the parts of a
@@ -59,3 +64,39 @@
 		}
 	}
 }
+
+// Guards against a task that runs at two homes: a home is replaced before its stops arrive, and the origin,
+// whose caller has left, does not tell the next home.
+func TestLaterHomeIsToldThatACallerHasLeft(t *testing.T) {
+	got := make(chan cancelRequest, 2)
+	later := startGroup(t, "later")
+	later.Handle(methodCancel, func(_ context.Context, params json.RawMessage) (any, error) {
+		var r cancelRequest
+		err := json.Unmarshal(params, &r)
+		got <- r
+		return struct{}{}, err
+	})
+	in := newListener(t)
+	in.peers.SetPeer("later", later.Addr())
+	in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &in.log.Logger)
+	setHome := func(value string, version int64) {
+		in.homeTable.ApplyWrite(table.Row{Key: homeKey("kochi"), Value: []byte(value), Version: version})
+		in.changed.notify()
+	}
+	setHome(`{"instance":"earlier","incarnation":"1"}`, 9)
+
+	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: time.Second}
+	in.cancelAtLaterHome("kochi", 9, s)
+	time.Sleep(50 * time.Millisecond)
+	in.hear(`{"instance":"later","incarnation":"1","nextMillis":250}`)
+	setHome(`{"instance":"later","incarnation":"1"}`, 11)
+	want := cancelRequest{DataCentre: "kochi", Job: s.Key(), Submission: s.ID()}
+	select {
+	case r := <-got:
+		if diff := cmp.Diff(want, r); diff != "" {
+			t.Errorf("cancel at the later home (-want +got):\n%s", diff)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the later home was not told")
+	}
+}
--- a/home/finish.go
+++ b/home/finish.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"slices"
 	"time"
 
 	"foxtailmux/plan"
@@ -10,18 +11,28 @@
 
 // Cancel ends the job with a key whose caller has left and stops its runs, if the job is unfinished
 // and the submission is its last one. A submission that has not arrived yet, since requests of one
-// connection are handled at the same time, is refused when it does.
+// connection are handled at the same time, is refused when it does. Of a job that is not here, runs of an
+// earlier home are stopped as soon as their workers report them.
 func (h *Home) Cancel(k Key, id SubmissionID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if id.Number > 0 {
 		h.cancelled[id] = time.Now()
 	}
-	if j := h.jobs[k]; j != nil && j.lastSubmission == id {
+	j := h.jobs[k]
+	if j == nil && time.Since(h.startedAt) < inheritanceWindow {
+		h.unwanted = append(h.unwanted, k)
+	}
+	if j != nil && j.lastSubmission == id {
 		h.abort(j, Outcome{Result: Cancelled, Reason: callerLeft})
 	}
 }
 
+// isUnwanted reports whether a task belongs to a job that was cancelled before it arrived at this home.
+func (h *Home) isUnwanted(task string) bool {
+	return slices.ContainsFunc(h.unwanted, func(k Key) bool { return k.hasTask(task) })
+}
+
 // cancelSubmission ends a job whose caller has left, unless it has been submitted again since it had
 // been submitted that many times.
 func (h *Home) cancelSubmission(j *job, submissions int) {
--- a/home/home.go
+++ b/home/home.go
@@ -84,6 +84,10 @@
 	// submission is under way for less, or refused for its age.
 	cancelRetention = 4 * time.Second
 
+	// inheritanceWindow is the time after its start in which a home finds runs of an earlier home that
+	// are not adopted: a worker that reports later has ended them with their lease.
+	inheritanceWindow = 2 * time.Second
+
 	// runNumberBits is the number of low bits of a run number that count the runs under one
 	// fencing token; the token fills the bits above. They hold 16.7 million runs, such as 1000
 	// a minute for 11 days; a home that starts more gets into the numbers of the next token.
@@ -111,6 +115,7 @@
 	waiting           map[*job]struct{} // jobs with tasks to start
 	finished          map[Key]finishedJob
 	cancelled         map[SubmissionID]time.Time // when they were cancelled
+	unwanted          []Key                      // jobs of earlier homes that were cancelled before they arrived here
 	unclaimedEnds     map[string]lease.EndedRun  // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
 	behind            bool // the last tick came too late
@@ -291,6 +296,9 @@
 	if now.Sub(h.unclaimedEndsAt) > outcomeRetention {
 		clear(h.unclaimedEnds)
 	}
+	if now.Sub(h.startedAt) > inheritanceWindow {
+		h.unwanted = nil
+	}
 	if len(h.waiting) > 0 {
 		h.dispatch(now)
 	}
--- a/home/key.go
+++ b/home/key.go
@@ -1,6 +1,10 @@
 package home
 
-import "fmt"
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
 
 // Key identifies a job, or a part of one, at a home: everything that the outcome depends on, since
 // submissions with the same key share one run and its outcome. The id alone does not tell jobs of
@@ -20,6 +24,16 @@
 	return fmt.Sprintf("%s#%d+%d", k.ID, k.Part.First, k.Part.Count)
 }
 
+// hasTask reports whether a task of that name belongs to the job or part.
+func (k Key) hasTask(name string) bool {
+	rest, ok := strings.CutPrefix(name, k.ID+".")
+	if !ok || k.Part.Count == 0 {
+		return ok
+	}
+	index, err := strconv.Atoi(rest[strings.LastIndexByte(rest, '.')+1:])
+	return err == nil && index >= k.Part.First && index < k.Part.First+k.Part.Count
+}
+
 // Key returns the key of the submitted job or part.
 func (s Submission) Key() Key {
 	k := Key{ID: s.Batch.ID, Queue: s.Batch.Queue, Content: s.Content}
--- a/home/progress.go
+++ b/home/progress.go
@@ -7,14 +7,17 @@
 	"foxtailmux/plan"
 )
 
-// checkProgress stops runs of an earlier home that were not adopted in time, and moves runs
+// checkProgress stops runs of an earlier home that are unwanted or were not adopted in time, and moves runs
 // that last too long. The lock is held.
 func (w *worker) checkProgress(now time.Time) {
 	if !w.reported {
 		return
 	}
-	if now.Sub(w.reportedAt) > adoptionWindow {
+	if expired := now.Sub(w.reportedAt) > adoptionWindow; expired || len(w.home.unwanted) > 0 {
 		for _, f := range w.tracker.Inherited() {
+			if !expired && !w.home.isUnwanted(f.Task) {
+				continue
+			}
 			w.home.options.Log.Info().Str("task", f.Task).Int64("run", f.Number).Str("worker", w.info.ID).
 				Msg("run of an earlier home stopped")
 			w.tracker.MarkStopping(f.Task, f.Number, now)
--- a/home/record_test.go
+++ b/home/record_test.go
@@ -304,3 +304,48 @@
 		}
 	})
 }
+
+// Guards against a task that runs at two homes: a home that ends a job is replaced before its stops arrive,
+// and the next one keeps the runs for the job's origin, although the caller has left.
+func TestCancelAtALaterHomeStopsTheRunsOfTheEarlierOne(t *testing.T) {
+	const settle = 100 * time.Millisecond // reports, the next tick and the end of a run that is stopped
+	part := func(first, count int) home.Submission {
+		s := submission("a", 4)
+		s.Part, s.NoRedirect = &home.Part{First: first, Count: count}, true
+		return s
+	}
+	cases := map[string]struct {
+		running, cancelled home.Submission
+		late               bool // the cancel arrives after the reports of the workers
+		want               int  // runs that go on
+	}{
+		"before the reports": {submission("a", 4), submission("a", 4), false, 0},
+		"after the reports":  {submission("a", 4), submission("a", 4), true, 0},
+		"of another job":     {submission("a", 4), submission("a1", 4), false, 4},
+		"of a part":          {submission("a", 4), part(1, 2), false, 2},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dc := newTestCentre(t, 2)
+				for _, w := range dc.workers {
+					w.RunTime = func(string) time.Duration { return 2 * time.Second }
+				}
+				first := dc.readyHome(1)
+				go submit(first, c.running)
+				time.Sleep(50 * time.Millisecond)
+				dc.close(first)
+				later := dc.newHome(2)
+				defer dc.close(later)
+				if c.late {
+					time.Sleep(settle)
+				}
+				later.Cancel(c.cancelled.Key(), c.cancelled.ID())
+				time.Sleep(settle)
+				if diff := cmp.Diff(c.want, dc.ledger.RunningTasks()); diff != "" {
+					t.Errorf("running tasks (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+}
