--- a/fleet/cancel.go
+++ b/fleet/cancel.go
@@ -6,6 +6,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"foxtailmux/beat"
 	"foxtailmux/home"
 )
@@ -55,6 +57,26 @@
 	})
 }
 
+// errHomeChanged is the cause of a cancel at a later home than that of the submission.
+var errHomeChanged = eris.New("the home has changed")
+
+// cancelAtLaterHome notifies the next home of a data centre, if there is one soon, that nobody waits for a
+// submission to the one before any more. The next home may take over runs whose stops came too late: its
+// workers refuse them as soon as they know of it.
+func (in *Instance) cancelAtLaterHome(dataCentre string, token int64, s home.Submission) {
+	in.background.Go(func() {
+		if !in.awaitLaterHome(in.ctx, dataCentre, token) {
+			return
+		}
+		if h := in.localHome(dataCentre); h != nil {
+			h.Cancel(s.Key(), s.ID())
+			return
+		}
+		owner, _ := in.homeOf(dataCentre)
+		in.cancelAt(owner.Instance, dataCentre, s, errHomeChanged)
+	})
+}
+
 // setCancelling records whether the cancel of a submission of this instance is not delivered yet.
 func (in *Instance) setCancelling(number int64, cancelling bool) {
 	in.mu.Lock()
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -62,6 +62,7 @@
 		in.reserveUntilHeartbeat(dc, s)
 		outcome, err := in.submit(ctx, dc, s)
 		if ctx.Err() != nil {
+			in.cancelAtLaterHome(dc, token, s)
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
@@ -73,6 +74,7 @@
 			return outcome
 		case retryAtLaterHome:
 			if !in.awaitLaterHome(ctx, dc, token) {
+				in.cancelAtLaterHome(dc, token, s)
 				return j.failure()
 			}
 			_, later := in.homeOf(dc)
--- a/home/submit.go
+++ b/home/submit.go
@@ -143,6 +143,7 @@
 		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
 		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
+		h.joinTaskStates(j, s)
 		return j, Outcome{}
 	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Result == Succeeded {
