socket: take the end of the stream for a hang-up, too

Callers that leave must be noticed on kernels that report no POLLRDHUP as well. TestHangUp holds with both.

--- a/socket/socket.go
+++ b/socket/socket.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	hungUp := true
-	if err := raw.Control(func(fd uintptr) { hungUp = pollHangUp(fd) }); err != nil {
+	if err := raw.Control(func(fd uintptr) { hungUp = isHungUp(fd) }); err != nil {
 		return true
 	}
 	return hungUp
@@ -62,9 +62,12 @@
 // AwaitHangUp waits until HungUp holds. It returns os.ErrDeadlineExceeded at the read deadline of the
 // connection.
 func AwaitHangUp(raw syscall.RawConn) error {
-	return raw.Read(pollHangUp)
+	return raw.Read(isHungUp)
 }
 
+// isHungUp looks for the end of the stream, too: not every kernel reports a hang-up.
+func isHungUp(fd uintptr) bool { return peek(fd) == Closed || pollHangUp(fd) }
+
 func pollHangUp(fd uintptr) bool {
 	const hangUp = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
 	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
