--- /dev/null
+++ b/fleet/record_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"foxtailmux/home"
+	"foxtailmux/model"
+	"foxtailmux/table"
+	"foxtailmux/watch"
+)
+
+// Guards against a job that is answered as succeeded without all of its tasks (MIXED): the parts of a
+// division leave a task out, or have it twice.
+func TestDivisionHasEachTaskOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		step := model.Step{Replicas: rapid.IntRange(1, 40).Draw(t, "tasks")}
+		var capacities []centreCapacity
+		for _, dc := range []string{"osr-a", "osr-b", "osr-c"} {
+			capacities = append(capacities, centreCapacity{dc, rapid.IntRange(-2, 40).Draw(t, dc)})
+		}
+		parts := splitTasks(step, capacities)
+		if parts == nil {
+			return
+		}
+		counts := make([]int, step.Replicas)
+		want := make([]int, step.Replicas)
+		for _, p := range parts {
+			for i := range p.part.Count {
+				counts[p.part.First+i]++
+			}
+		}
+		for i := range want {
+			want[i] = 1
+		}
+		if diff := cmp.Diff(want, counts); diff != "" {
+			t.Errorf("parts %v (-want +got):\n%s", parts, diff)
+		}
+	})
+}
+
+// Guards against a job that is answered as succeeded (MIXED) or as not run (TWICE, since its caller may
+// submit it elsewhere at once) while that holds for some of its parts only.
+func TestOutcomeOfADivisionIsThatOfAllParts(t *testing.T) {
+	results := []home.Result{
+		home.Succeeded, home.Failed, home.Refused, home.Moved, home.Redirected, home.Busy, home.NoCapacity, home.Cancelled, home.Lost,
+	}
+	for _, a := range results {
+		for _, b := range results {
+			for _, c := range results {
+				parts := []home.Outcome{{Result: a}, {Result: b}, {Result: c}}
+				got := combineOutcomes(parts).Result
+				for _, r := range []home.Result{home.Succeeded, home.Refused} {
+					if want := a == r && b == r && c == r; want != (got == r) {
+						t.Errorf("%q, %q, %q: %q", a, b, c, got)
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against a task that runs at two homes: a home is replaced before its stops arrive, and the origin,
+// whose caller has left, does not tell the next home.
+func TestLaterHomeIsToldThatACallerHasLeft(t *testing.T) {
+	got := make(chan cancelRequest, 2)
+	later := startGroup(t, "later")
+	later.Handle(methodCancel, func(_ context.Context, params json.RawMessage) (any, error) {
+		var r cancelRequest
+		err := json.Unmarshal(params, &r)
+		got <- r
+		return struct{}{}, err
+	})
+	in := newListener(t)
+	in.peers.SetPeer("later", later.Addr())
+	in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &in.log.Logger)
+	setHome := func(value string, version int64) {
+		in.homeTable.ApplyWrite(table.Row{Key: homeKey("kochi"), Value: []byte(value), Version: version})
+		in.changed.notify()
+	}
+	setHome(`{"instance":"earlier","incarnation":"1"}`, 9)
+
+	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: time.Second}
+	in.cancelAtLaterHome("kochi", 9, s)
+	time.Sleep(50 * time.Millisecond)
+	in.hear(`{"instance":"later","incarnation":"1","nextMillis":250}`)
+	setHome(`{"instance":"later","incarnation":"1"}`, 11)
+	want := cancelRequest{DataCentre: "kochi", Job: s.Key(), Submission: s.ID()}
+	select {
+	case r := <-got:
+		if diff := cmp.Diff(want, r); diff != "" {
+			t.Errorf("cancel at the later home (-want +got):\n%s", diff)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the later home was not told")
+	}
+}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -78,14 +78,15 @@
 func (in *Instance) addTransit(ctx context.Context, s *home.Submission) error {
 	transit, ok := peer.Transit(ctx)
 	if !ok {
-		return nil // an origin of an earlier version
+		s.Transit = home.UnknownTransit // an origin of an earlier version
+		return nil
 	}
 	if transit > maxTransit || transit >= s.TimeLeft {
 		in.log.Warn().Stringer("job", s.Key()).Str("origin", s.Origin).Int64("transitMillis", transit.Milliseconds()).
 			Int64("leftMillis", s.TimeLeft.Milliseconds()).Msg("job arrived late")
 		return errLate
 	}
-	s.Age, s.TimeLeft = s.Age+transit, s.TimeLeft-transit
+	s.Transit, s.Age, s.TimeLeft = transit, s.Age+transit, s.TimeLeft-transit
 	return nil
 }
 
@@ -103,9 +104,13 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, eris.Wrap(err, "decode cancel")
 	}
-	if h := in.localHome(r.DataCentre); h != nil {
-		h.Cancel(r.Job, r.Submission)
+	h := in.localHome(r.DataCentre)
+	if h == nil {
+		in.log.Info().Stringer("job", r.Job).Str("home", r.DataCentre).Str("origin", r.Submission.Origin).
+			Int64("submission", r.Submission.Number).Msg("cancel for a home that is not here")
+		return struct{}{}, nil
 	}
+	h.Cancel(r.Job, r.Submission)
 	return struct{}{}, nil
 }
 
--- a/home/home.go
+++ b/home/home.go
@@ -22,6 +22,7 @@
 	"foxtailmux/learn"
 	"foxtailmux/lease"
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -49,8 +50,11 @@
 // at the worker. Link is the network link of this machine, shared by all homes of the process.
 // FreeDataCentre returns the other data centre with the most free capacity, if that is enough
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
-// that there is a later home, and besides whenever a goroutine of the home panics. RefreshWorkers
-// requests that SetWorkers be called soon, and must not block or call the home.
+// that there is a later home or the home has stood still, and besides whenever a goroutine of the
+// home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
+// the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
+// for one that has a successor; after OriginTimeout without a message the jobs of an origin are
+// cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -59,7 +63,10 @@
 	FreeDataCentre func(milliCores int) (dataCentre string, ok bool)
 	OnFenced       func()
 	RefreshWorkers func()
+	LastMessage    func(instance, incarnation string) time.Time
+	OriginTimeout  time.Duration
 	Link           *plan.Link
+	Clock          func() time.Duration
 	Observer       Observer
 	Log            *log.Logger
 }
@@ -69,6 +76,10 @@
 	// against the shortest objectives, which are about 150 ms.
 	tickInterval = 20 * time.Millisecond
 
+	// maxTickGap is the longest time between two ticks after which a home goes on. Another instance
+	// takes it over after beat.HeartbeatTimeout, which is slightly longer.
+	maxTickGap = 900 * time.Millisecond
+
 	// reviewInterval is the time between checks whether the waiting jobs can still end in time.
 	// It is a fraction of the shortest objectives.
 	reviewInterval = 60 * time.Millisecond
@@ -84,6 +95,10 @@
 	// submission is under way for less, or refused for its age.
 	cancelRetention = 4 * time.Second
 
+	// inheritanceWindow is the time after its start in which a home finds runs of an earlier home that
+	// are not adopted: a worker that reports later has ended them with their lease.
+	inheritanceWindow = 2 * time.Second
+
 	// runNumberBits is the number of low bits of a run number that count the runs under one
 	// fencing token; the token fills the bits above. They hold 16.7 million runs, such as 1000
 	// a minute for 11 days; a home that starts more gets into the numbers of the next token.
@@ -111,9 +126,11 @@
 	waiting           map[*job]struct{} // jobs with tasks to start
 	finished          map[Key]finishedJob
 	cancelled         map[SubmissionID]time.Time // when they were cancelled
+	unwanted          []Key                      // jobs of earlier homes that were cancelled before they arrived here
 	unclaimedEnds     map[string]lease.EndedRun  // ended runs of earlier homes, by task
 	dispatchedAt      time.Time
-	behind            bool // the last tick came too late
+	tickedAt          time.Duration // by Options.Clock
+	behind            bool          // the last tick came too late
 	lag               time.Duration
 	unclaimedEndsAt   time.Time // when the last of them was reported
 	lastRun           int64
@@ -135,6 +152,9 @@
 
 // New starts a home that has no workers yet; SetWorkers adds them.
 func New(o Options) *Home {
+	if o.Clock == nil {
+		o.Clock = pause.SinceBoot
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		options:       o,
@@ -142,6 +162,7 @@
 		cancel:        cancel,
 		done:          make(chan struct{}),
 		startedAt:     time.Now(),
+		tickedAt:      o.Clock(),
 		workers:       map[string]*worker{},
 		assigned:      map[string]struct{}{},
 		jobs:          map[Key]*job{},
@@ -184,8 +205,9 @@
 		return false
 	}
 	h.closed = true
+	p := h.newPass(time.Now())
 	for _, j := range h.jobs {
-		h.finish(j, j.withTaskStates(Outcome{Result: Moved, Reason: "the workers have another home"}))
+		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: "the workers have another home"}))
 	}
 	return true
 }
@@ -258,6 +280,8 @@
 	if h.closed {
 		return
 	}
+	h.isGivenUp() // before the gap is over
+	h.tickedAt = h.options.Clock()
 	now := time.Now()
 	h.recordLag(now.Sub(due))
 	h.reportActivity(now)
@@ -271,6 +295,7 @@
 			h.sortedWorkers = nil
 		}
 	}
+	h.cancelOrphaned(now)
 	for _, j := range h.jobs {
 		h.endIfExpired(j, now)
 	}
@@ -291,6 +316,9 @@
 	if now.Sub(h.unclaimedEndsAt) > outcomeRetention {
 		clear(h.unclaimedEnds)
 	}
+	if now.Sub(h.startedAt) > inheritanceWindow {
+		h.unwanted = nil
+	}
 	if len(h.waiting) > 0 {
 		h.dispatch(now)
 	}
@@ -334,6 +362,21 @@
 	go h.options.OnFenced()
 }
 
+// isGivenUp reports whether there may be a later home: a worker reported one, or this home has not ticked for
+// so long that others act in its place. On waking, its events come in any order: an end may free capacity
+// for a job whose cancel is still unread, or whose origin was lost meanwhile. The lock is held.
+func (h *Home) isGivenUp() bool {
+	gap := h.options.Clock() - h.tickedAt
+	if h.fenced || gap <= maxTickGap {
+		return h.fenced
+	}
+	h.fenced = true
+	h.options.Log.Warn().Str("home", h.options.DataCentre).Int64("token", h.options.Token).
+		Int64("gapMillis", gap.Milliseconds()).Msg("home stood still and is given up")
+	go h.options.OnFenced()
+	return true
+}
+
 func (h *Home) nextRunNumber() int64 {
 	h.lastRun++
 	return h.lastRun
--- a/home/job.go
+++ b/home/job.go
@@ -16,7 +16,9 @@
 	lastSubmission SubmissionID
 	arrivedAt      time.Time     // at its origin
 	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
-	enteredAt      time.Time     // here, when it was last submitted
+	sentAt         time.Time     // by its origin, when it was last submitted here
+	ageAtEntry     time.Duration // when it was first submitted here
+	transit        time.Duration // of that submission, or UnknownTransit
 	deadline       time.Time
 	objective      time.Duration
 	resumed        bool
@@ -63,7 +65,9 @@
 		route:          s.Route,
 		lastSubmission: s.ID(),
 		arrivedAt:      now.Add(-s.Age),
-		enteredAt:      now,
+		sentAt:         s.sentBefore(now),
+		ageAtEntry:     s.Age,
+		transit:        s.Transit,
 		deadline:       now.Add(s.TimeLeft),
 		resumed:        s.Resumed,
 		startPath:      s.startPath(),
@@ -87,11 +91,12 @@
 	return j
 }
 
-// restoreTaskStates sets the states of the tasks that an earlier home reported.
+// restoreTaskStates sets the states of the waiting tasks that an earlier home reported.
 func (j *job) restoreTaskStates(s Submission) {
 	for i := range j.tasks {
 		t := &j.tasks[i]
 		switch {
+		case t.state != taskWaiting:
 		case slices.Contains(s.Done, t.name):
 			j.setDone(t)
 			j.started = true
@@ -101,6 +106,19 @@
 	}
 }
 
+// joinTaskStates adds what an earlier home has begun of a submission to the job that it joins, which may
+// have come from an origin that knows of no earlier home.
+func (h *Home) joinTaskStates(j *job, s Submission) {
+	if !s.Resumed {
+		return
+	}
+	j.resumed = true
+	j.restoreTaskStates(s)
+	if h.complete(j) {
+		h.finish(j, Outcome{Result: Succeeded})
+	}
+}
+
 func (j *job) setDone(t *task) {
 	t.state = taskDone
 	j.unfinished[t.step]--
--- a/home/submit.go
+++ b/home/submit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/pause"
 	"foxtailmux/plan"
 )
 
@@ -55,6 +56,7 @@
 	Content     uint64        `json:"content,omitempty"`     // digest of Batch, which may come without its specification
 	Age         time.Duration `json:"age"`
 	TimeLeft    time.Duration `json:"left"`
+	Transit     time.Duration `json:"-"` // part of Age that it was under way, UnknownTransit if the home can't tell
 
 	// Resumed reports that an earlier home may have started tasks of the job.
 	Resumed bool `json:"resumed,omitempty"`
@@ -77,6 +79,13 @@
 	OriginStarter *OriginStarter `json:"-"`
 }
 
+// UnknownTransit is the transit of a submission that may have been under way for any time.
+const UnknownTransit time.Duration = -1
+
+// sentBefore returns when a submission that arrives now was sent. One whose transit is unknown counts as
+// sent just now.
+func (s Submission) sentBefore(now time.Time) time.Time { return now.Add(-max(s.Transit, 0)) }
+
 // startPath returns the way that the start requests of the job take.
 func (s Submission) startPath() startPath {
 	return startPath{starter: s.OriginStarter, specBytes: s.SpecBytes}
@@ -91,6 +100,9 @@
 // Submit runs a job and returns its outcome as soon as the job has ended. If ctx ends first, the
 // job is cancelled, unless it was submitted again since.
 func (h *Home) Submit(ctx context.Context, s Submission) Outcome {
+	if pause.Check(ctx) != nil {
+		return Outcome{Result: Cancelled, Reason: callerLeft}
+	}
 	j, submissions, outcome := h.accept(s)
 	if j == nil {
 		return outcome
@@ -120,16 +132,18 @@
 // acceptLocked is accept for callers that hold the lock.
 func (h *Home) acceptLocked(s Submission) (*job, Outcome) {
 	h.activity.submissions++
-	if h.closed || h.fenced {
+	if h.closed || h.isGivenUp() {
 		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
 	}
 	if _, ok := h.cancelled[s.ID()]; ok {
 		return nil, Outcome{Result: Cancelled, Reason: callerLeft}
 	}
 	if j := h.jobs[s.Key()]; j != nil {
-		j.lastSubmission, j.enteredAt = s.ID(), time.Now()
-		j.deadline = later(j.deadline, j.enteredAt.Add(s.TimeLeft))
+		now := time.Now()
+		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
+		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
+		h.joinTaskStates(j, s)
 		return j, Outcome{}
 	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Result == Succeeded {
--- a/peer/conn.go
+++ b/peer/conn.go
@@ -33,9 +33,8 @@
 	offset atomic.Pointer[clockOffset]
 }
 
-func newConn(ctx context.Context, c net.Conn, o *Options, peerID string) *conn {
+func newConn(ctx context.Context, c net.Conn, o *Options) *conn {
 	s := newStream(c, o, o.IdleTimeout)
-	s.remoteID = peerID
 	rpc := jsonrpc2.NewConn(ctx, s, refuseAll{}, jsonrpc2.OnSend(s.onSend), jsonrpc2.SetLogger(rpcLogger{o.Log}))
 	return &conn{stream: s, rpc: rpc}
 }
@@ -112,10 +111,12 @@
 func classify(op string, w *requestWrite, err error) *Error {
 	var response *jsonrpc2.Error
 	if errors.As(err, &response) {
-		if response.Code == CodeHandlerPanicked {
-			return &Error{Op: op, Kind: Unconfirmed, Code: response.Code, Err: eris.New(response.Message)}
+		kind := Refused
+		switch response.Code {
+		case CodeHandlerPanicked, CodeResponseTooLarge, CodeResultInvalid:
+			kind = Unconfirmed
 		}
-		return &Error{Op: op, Kind: Refused, Code: response.Code, Err: eris.New(response.Message)}
+		return &Error{Op: op, Kind: kind, Code: response.Code, Err: eris.New(response.Message)}
 	}
 	if !w.mayBeSent.Load() {
 		return &Error{Op: op, Kind: NotSent, Err: err}
