lease: lose no run whose start may be under way

Callers could see a task run twice on one worker: workers that answer twice, under load.

Cause: a second response that was made in the millisecond in which the next request was sent can't be told from the response to that one by the worker's clock. A start counted as confirmed by it, 8 and 11 ms before it was carried out; the next report, made in between, did not list the run, which counted as lost and was started again.

TestRunIsNotLostWhileItsStartMayBeUnderWay fails before.

A run that no report has listed counts as lost 250 ms after the response to its start. A restart of the worker and a confirmed stop are not affected.

--- a/lease/late.go
+++ b/lease/late.go
@@ -38,7 +38,7 @@
 	t.lastEndSeen, t.lastEndAcked, t.lastReportClock = 0, 0, 0
 	t.Clock, t.outdatedResponses = Clock{}, 0
 	for _, e := range t.runs {
-		e.seenClock = 0
+		e.seenClock, e.unlisted = 0, false
 	}
 	// Requests that the new incarnation has carried out already granted at most this lease.
 	t.lastLeaseEnd = clock + t.maxLease.Milliseconds()
--- a/lease/report.go
+++ b/lease/report.go
@@ -84,7 +84,7 @@
 // recordProgress records that a run was on the worker at a time of the worker's clock, and the share of
 // its work that is done. It confirms a run whose start got no response.
 func (e *trackedRun) recordProgress(percent int, clock int64, now time.Time) {
-	e.seenClock = max(e.seenClock, clock)
+	e.seenClock, e.unlisted = max(e.seenClock, clock), false
 	if e.state == unconfirmed {
 		e.state, e.stateSetAt = running, now
 	}
@@ -93,6 +93,11 @@
 	}
 }
 
+// unlistedTime is how long after the response to its start, on the worker's clock in milliseconds, a run
+// that no report has listed counts as lost. The response may be a second one to an earlier request, which
+// was made in the same millisecond, while the start is still under way.
+const unlistedTime = 250
+
 // removeMissing removes and returns the runs that the worker should have and does not list:
 // those that were confirmed before the renewal was sent and the report was made, and unconfirmed
 // ones whose start would arrive after the end of its lease.
@@ -103,7 +108,11 @@
 		if listed {
 			continue
 		}
-		confirmed := e.state != startSent && e.state != unconfirmed && e.stateSetAt.Before(sentAt) && r.Clock > e.seenClock
+		expectedAt := e.seenClock
+		if e.unlisted {
+			expectedAt += unlistedTime
+		}
+		confirmed := e.state != startSent && e.state != unconfirmed && e.stateSetAt.Before(sentAt) && r.Clock > expectedAt
 		expired := e.state == unconfirmed && r.Clock > e.leaseEnd
 		if confirmed || expired {
 			ended = append(ended, EndedRun{Task: e.Task, Run: e.Number, Reason: Lost})
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -28,6 +28,7 @@
 	leaseEnd     int64     // end of the lease given with the start, on the worker's clock
 	stateSetAt   time.Time // when state was last set to running, stopping or inherited
 	seenClock    int64     // worker's clock until which the worker certainly has the run
+	unlisted     bool      // its start has a response, and no report of the incarnation has listed it yet
 	percent      int
 	percentAt    time.Time
 	startedAt    time.Time
@@ -124,7 +125,7 @@
 	if e == nil {
 		return false
 	}
-	e.state, e.stateSetAt, e.seenClock = running, now, t.Clock.At(now)
+	e.state, e.stateSetAt, e.seenClock, e.unlisted = running, now, t.Clock.At(now), true
 	return true
 }
 
@@ -169,7 +170,7 @@
 // ends soon or never begins.
 func (t *Tracker) MarkStopping(task string, run int64, now time.Time) {
 	if e := t.find(task, run); e != nil {
-		e.state, e.stateSetAt, e.stopMissed = stopping, now, false
+		e.state, e.stateSetAt, e.stopMissed, e.unlisted = stopping, now, false, false
 	}
 }
 
