--- a/fleet/cancel.go
+++ b/fleet/cancel.go
@@ -82,10 +82,12 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if cancelling {
-		in.cancelling[number] = struct{}{}
+		in.cancelling[number]++
 		return
 	}
-	delete(in.cancelling, number)
+	if in.cancelling[number]--; in.cancelling[number] == 0 {
+		delete(in.cancelling, number)
+	}
 }
 
 // undeliveredCancels returns the numbers of the submissions that heartbeats announce as cancelled. Of too
