--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -75,7 +75,7 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
-	cancelling        map[int64]struct{}       // numbers of submissions whose cancel is not delivered
+	cancelling        map[int64]int            // requests that are not delivered yet, by number of the submission that they cancel
 	homeSeenAt        time.Time                // when a home was last alive
 	homeChangedAt     map[string]time.Time     // when the home row changed last, by data centre
 	staleSince        map[string]time.Time     // since when a new home waits for a fresh workers' table, by data centre
@@ -130,7 +130,7 @@
 		localHomes:    map[string]*home.Home{},
 		fencedTokens:  map[string]int64{},
 		claiming:      map[string]bool{},
-		cancelling:    map[int64]struct{}{},
+		cancelling:    map[int64]int{},
 		homeChangedAt: map[string]time.Time{},
 		staleSince:    map[string]time.Time{},
 		knownWorkers:  map[string]model.Worker{},
--- a/fleet/routing_test.go
+++ b/fleet/routing_test.go
@@ -61,7 +61,7 @@
 	in := &Instance{
 		ctx: ctx, log: &logger.Logger{Logger: quiet}, meter: meter.New("entry", "kochi"), changed: newNotifier(),
 		configured: make(chan struct{}),
-		cancelling: map[int64]struct{}{}, localHomes: map[string]*home.Home{},
+		cancelling: map[int64]int{}, localHomes: map[string]*home.Home{},
 	}
 	in.heartbeats = beat.New(beat.Options{
 		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange, Log: &quiet,
