--- a/fakes/leased_test.go
+++ b/fakes/leased_test.go
@@ -1,6 +1,7 @@
 package fakes_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,30 @@
 		}
 	})
 }
+
+// Guards against a ledger that misses two runs of a task at once, or compares a run with one that has
+// ended.
+func TestLedgerRecordsRunsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ledger := fakes.NewLedger()
+		for n, pause := range []time.Duration{0, 20 * time.Millisecond, time.Second} {
+			time.Sleep(pause)
+			w := fakes.NewLeasedWorker(fmt.Sprintf("w%d", n), model.Resources{MilliCores: 1000}, ledger)
+			start := lease.Start{Task: "a", Run: int64(n + 1), Until: 1 << 40, Token: int64(n + 11)}
+			if _, err := w.Start(start, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		var got [][2]int64
+		for _, runs := range ledger.Overlaps() {
+			got = append(got, [2]int64{runs[0].Token, runs[1].Token})
+		}
+		if diff := cmp.Diff([][2]int64{{11, 12}}, got); diff != "" {
+			t.Errorf("tokens of runs at once (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff([]int{3, 3}, []int{ledger.Starts("a"), ledger.Done("a")}); diff != "" {
+			t.Errorf("starts and done runs (-want +got):\n%s", diff)
+		}
+	})
+}
