home: don't take the refusal of another start for that of a first send

Callers could see a task run twice: workers that answer twice, under load. A start that was sent twice is refused as outdated if its run has ended meanwhile; a second one of these responses, made in the millisecond in which the next start was sent, was taken for the response to that one. The home took the run for not started and started the task again.

No run number is outdated at its first send, so such a refusal leaves the start unconfirmed: the home looks for the run in the worker's report, and stops it if it is not there.

Evidence: TestRefusalOfAnotherStartBeginsNoSecondRun fails before.

--- a/home/start.go
+++ b/home/start.go
@@ -155,15 +155,16 @@
 		w.health.RecordUnavailable(now)
 	}
 	switch {
-	case !resent:
+	case !resent && refusal != lease.Outdated:
 		w.requeueNotStarted(s, string(refusal), now)
-	case refusal == lease.Outdated:
+	case resent && refusal == lease.Outdated:
 		// An earlier send was carried out and the run has ended: the next report lists the
 		// reason.
 		w.tracker.ConfirmStart(s.Task, s.Run, now)
 		w.signal()
 	default:
-		// An earlier send was or may still be carried out.
+		// An earlier send was or may still be carried out. No run is outdated at its first send: such a
+		// refusal is a second response to another start, and the run may begin.
 		w.tracker.MarkUnconfirmed(s.Task, s.Run, now)
 		w.startResolving()
 	}
