lease, home: count missed stops, and only those

The tracker keeps a count, and only an unanswered or refused stop adds to it. TestStartWithoutAResponseIsNoMissedStop needs the new method.

--- a/home/resolve.go
+++ b/home/resolve.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	if err != nil {
 		w.recordNoResponse("stop", err, now)
-		w.tracker.MarkUnconfirmed(task, run, now)
+		w.markStopMissed(task, run, now)
 		w.startResolving()
 		return false
 	}
@@ -50,12 +50,18 @@
 		h.fence(w.info.ID)
 		return false
 	default: // the worker refuses the stop, and the run may go on
-		w.tracker.MarkUnconfirmed(task, run, now)
+		w.markStopMissed(task, run, now)
 	}
 	w.startResolving()
 	return true
 }
 
+// markStopMissed records that a stop got no response or was refused. The lock is held.
+func (w *worker) markStopMissed(task string, run int64, now time.Time) {
+	w.tracker.MarkUnconfirmed(task, run, now)
+	w.tracker.MarkStopMissed(task, run)
+}
+
 // startResolving starts a goroutine that resolves unconfirmed and stopping runs, unless there
 // is one. The lock is held.
 func (w *worker) startResolving() {
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -48,6 +48,7 @@
 	lateStarts  map[string]lateStart   // starts without a response, by task
 	used        model.Resources
 	unsizedRuns int // runs whose needs are unknown
+	missedStops int // runs with stopMissed
 
 	lastEndSeen  int64 // sequence number of the last ended run that was processed
 	lastEndAcked int64 // sequence number up to which ended runs are acknowledged
@@ -149,7 +150,6 @@
 	if e == nil {
 		return
 	}
-	e.stopMissed = e.unwanted
 	if e.state == stopping {
 		return
 	}
@@ -170,21 +170,35 @@
 // ends soon or never begins.
 func (t *Tracker) MarkStopping(task string, run int64, now time.Time) {
 	if e := t.find(task, run); e != nil {
-		e.state, e.stateSetAt, e.stopMissed, e.unlisted = stopping, now, false, false
+		e.state, e.stateSetAt, e.unlisted = stopping, now, false
+		t.setStopMissed(e, false)
 	}
 }
 
-// HasMissedStop reports whether the stop of an unwanted run got no response or was refused. The run ends
-// with the lease of the worker unless a later stop is confirmed.
-func (t *Tracker) HasMissedStop() bool {
-	for _, e := range t.runs {
-		if e.stopMissed {
-			return true
-		}
+// MarkStopMissed records that the stop of a run got no response or was refused. It has no effect on a run
+// whose task is still wanted, such as one that is moved.
+func (t *Tracker) MarkStopMissed(task string, run int64) {
+	if e := t.find(task, run); e != nil && e.unwanted {
+		t.setStopMissed(e, true)
+	}
+}
+
+func (t *Tracker) setStopMissed(e *trackedRun, missed bool) {
+	if e.stopMissed == missed {
+		return
+	}
+	e.stopMissed = missed
+	if missed {
+		t.missedStops++
+	} else {
+		t.missedStops--
 	}
-	return false
 }
 
+// HasMissedStop reports whether the stop of an unwanted run got no response or was refused. The run ends
+// with the lease of the worker unless a later stop is confirmed.
+func (t *Tracker) HasMissedStop() bool { return t.missedStops > 0 }
+
 // Remove removes a run that is certainly not on the worker.
 func (t *Tracker) Remove(task string, run int64) {
 	if e := t.find(task, run); e != nil {
@@ -239,6 +253,7 @@
 
 func (t *Tracker) remove(e *trackedRun) {
 	delete(t.runs, e.Task)
+	t.setStopMissed(e, false)
 	if e.needsUnknown {
 		t.unsizedRuns--
 		return
--- a/lease/tracker_test.go
+++ b/lease/tracker_test.go
@@ -375,3 +375,25 @@
 	// 483113
 	// 1.02s
 }
+
+// Guards against a worker that is unused since the start of a cancelled run got no response: its stop was
+// confirmed.
+func TestStartWithoutAResponseIsNoMissedStop(t *testing.T) {
+	tr := newTracker()
+	recordStart(tr, "a", 1, at(0))
+	tr.MarkUnwanted("a", 1)
+	var got []bool
+	record := func(change func()) {
+		change()
+		got = append(got, tr.HasMissedStop())
+	}
+	record(func() { tr.MarkStopping("a", 1, at(1)) })
+	record(func() { tr.MarkUnconfirmed("a", 1, at(30)) })
+	record(func() { tr.MarkStopMissed("a", 1) })
+	record(func() { tr.MarkStopping("a", 1, at(40)) })
+	record(func() { tr.MarkStopMissed("a", 1) })
+	record(func() { tr.Remove("a", 1) })
+	if diff := cmp.Diff([]bool{false, false, true, false, true, false}, got); diff != "" {
+		t.Errorf("missed stop (-want +got):\n%s", diff)
+	}
+}
