fleet, beat, home: announce each of many cancels, and handle a new one once

Callers could see a task run at two homes, if more than 40 left within a heartbeat period while TCP to the home was cut: heartbeats named the 40 latest undelivered cancels, so the others were never announced (found by a review). They are announced in turn now. A heartbeat that is too large with its cancels goes without them: before, none was sent, and the instance counted as dead.

Besides, each heartbeat with cancels woke a review of the instance, and went through all jobs of the homes, though it names the same submissions again. It has a callback of its own now, which does not hold up the reading of heartbeats, and homes look for submissions that are new to them.

TestHeartbeatsAnnounceManyCancelsInTurn replaces TestHeartbeatHasRoomForItsCancels, which asserted the choice of the latest 40; it keeps the bound of the size, and fails before (60 of 100 are not announced). TestLargeHeartbeatGoesWithoutCancels fails before (nothing is sent).

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -78,13 +78,14 @@
 
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
-// from the one before in Incarnation, Leaving, Slow or RoutingVersion, follows a timeout or has
-// Cancelled; it must not block.
+// from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a timeout;
+// OnCancelled, which may be nil, with each that has Cancelled. Neither may block.
 type Options struct {
 	Self         Peer
 	Conn         net.PacketConn
 	OwnHeartbeat func() Heartbeat
 	OnChange     func(h Heartbeat)
+	OnCancelled  func(h Heartbeat)
 	Log          *log.Logger
 }
 
@@ -194,9 +195,15 @@
 	}
 }
 
-// encode returns nil if the heartbeat can't be sent.
+// encode returns nil if the heartbeat can't be sent. One that is too large goes without Cancelled: it is
+// needed as a sign of life.
 func (d *Detector) encode(h Heartbeat) []byte {
 	body, err := json.Marshal(h)
+	if len(body) > maxHeartbeatBytes && len(h.Cancelled) > 0 {
+		d.options.Log.Warn().Int("bytes", len(body)).Int("cancels", len(h.Cancelled)).Msg("heartbeat sent without cancels")
+		h.Cancelled = nil
+		body, err = json.Marshal(h)
+	}
 	if err != nil || len(body) > maxHeartbeatBytes {
 		d.options.Log.Error().Err(err).Int("bytes", len(body)).Msg("heartbeat not encoded")
 		return nil
@@ -231,16 +238,19 @@
 		delete(d.sent, h.Instance) // a restarted instance has received no heartbeat yet
 	}
 	d.mu.Unlock()
+	if len(h.Cancelled) > 0 && d.options.OnCancelled != nil {
+		d.options.OnCancelled(h)
+	}
 	if h.stateDiffersFrom(old, now) {
 		d.options.OnChange(h)
 	}
 }
 
-// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, follows a
-// timeout or cancels submissions. The homes of the sender and their free capacity don't count.
+// stateDiffersFrom reports whether a heartbeat differs from the last one in its state, or follows
+// a timeout. The homes of the sender and their free capacity don't count.
 func (h Heartbeat) stateDiffersFrom(old Status, now time.Time) bool {
 	return old.Incarnation != h.Incarnation || old.Leaving != h.Leaving || old.Slow != h.Slow ||
-		old.RoutingVersion != h.RoutingVersion || len(h.Cancelled) > 0 || now.Sub(old.LastHeartbeat) > old.timeout()
+		old.RoutingVersion != h.RoutingVersion || now.Sub(old.LastHeartbeat) > old.timeout()
 }
 
 // RecordMessage records that a message other than a heartbeat was received from an
--- a/fleet/cancel.go
+++ b/fleet/cancel.go
@@ -90,20 +90,28 @@
 	}
 }
 
-// undeliveredCancels returns the numbers of the submissions that heartbeats announce as cancelled. Of too
-// many it returns the latest, since earlier heartbeats have announced the others.
+// undeliveredCancels returns the numbers of the submissions that the next heartbeat announces as cancelled. Too
+// many for one are announced in turn.
 func (in *Instance) undeliveredCancels() []int64 {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	list := slices.Sorted(maps.Keys(in.cancelling))
-	return list[max(len(list)-maxAnnouncedCancels, 0):]
+	if len(list) <= maxAnnouncedCancels {
+		return list
+	}
+	next, _ := slices.BinarySearch(list, in.lastAnnounced+1)
+	list = append(list[next:], list[:next]...)[:maxAnnouncedCancels]
+	in.lastAnnounced = list[maxAnnouncedCancels-1]
+	return list
+}
+
+// onCancelled handles a heartbeat that announces cancels. The homes may be busy, and heartbeats have to be read.
+func (in *Instance) onCancelled(h beat.Heartbeat) {
+	in.background.Go(func() { in.cancelAnnounced(h) })
 }
 
 // cancelAnnounced cancels the submissions that a heartbeat names at the homes of this instance.
 func (in *Instance) cancelAnnounced(h beat.Heartbeat) {
-	if len(h.Cancelled) == 0 {
-		return
-	}
 	ids := make([]home.SubmissionID, len(h.Cancelled))
 	for i, n := range h.Cancelled {
 		ids[i] = home.SubmissionID{Origin: h.Instance, Incarnation: h.Incarnation, Number: n}
--- a/fleet/cancel_test.go
+++ b/fleet/cancel_test.go
@@ -127,19 +127,28 @@
 	}
 }
 
-// Guards against a heartbeat that does not fit into its packet while many cancels are not delivered.
-func TestHeartbeatHasRoomForItsCancels(t *testing.T) {
+// Guards against a heartbeat that does not fit into its packet while many cancels are not delivered, and
+// against cancels that are never announced since there are later ones.
+func TestHeartbeatsAnnounceManyCancelsInTurn(t *testing.T) {
+	const first, cancels = 1_000_000_000_000, 100
 	in := newListener(t)
-	for n := range int64(200) {
-		in.setCancelling(1_000_000_000_000+n, true)
+	for n := range int64(cancels) {
+		in.setCancelling(first+n, true)
 	}
-	got := in.undeliveredCancels()
-	if diff := cmp.Diff([]int64{1_000_000_000_160, 1_000_000_000_199}, []int64{got[0], got[len(got)-1]}); diff != "" {
-		t.Errorf("first and last announced (-want +got):\n%s", diff)
+	announced := map[int64]bool{}
+	for range 3 {
+		list := in.undeliveredCancels()
+		if text, err := json.Marshal(list); err != nil || len(text) > 700 {
+			t.Errorf("%d bytes of cancels, error %v", len(text), err)
+		}
+		for _, n := range list {
+			announced[n] = true
+		}
 	}
-	text, err := json.Marshal(got)
-	if err != nil || len(text) > 700 {
-		t.Errorf("%d bytes of cancels, error %v", len(text), err)
+	for n := range int64(cancels) {
+		if !announced[first+n] {
+			t.Errorf("the cancel of submission %d is not announced", n)
+		}
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -76,6 +76,7 @@
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
 	cancelling        map[int64]int            // requests that are not delivered yet, by number of the submission that they cancel
+	lastAnnounced     int64                    // number of the last of them in the latest heartbeat
 	homeSeenAt        time.Time                // when a home was last alive
 	homeChangedAt     map[string]time.Time     // when the home row changed last, by data centre
 	staleSince        map[string]time.Time     // since when a new home waits for a fresh workers' table, by data centre
@@ -182,7 +183,7 @@
 		OnActivity:    func(peerID, incarnation string) { in.heartbeats.RecordMessage(peerID, incarnation) },
 		Log:           in.log,
 	})
-	in.heartbeats = beat.New(beat.Options{Self: in.self, Conn: in.listeners.heartbeats, OwnHeartbeat: in.ownHeartbeat, OnChange: in.onPeerChange, Log: l})
+	in.heartbeats = beat.New(beat.Options{Self: in.self, Conn: in.listeners.heartbeats, OwnHeartbeat: in.ownHeartbeat, OnChange: in.onPeerChange, OnCancelled: in.onCancelled, Log: l})
 	in.callerServer = entry.NewQueueServer(entry.QueueOptions{
 		CallerListener:   in.listeners.callers,
 		BalancerListener: in.listeners.balancer,
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -216,10 +216,7 @@
 }
 
 // onPeerChange handles a heartbeat that reports a change.
-func (in *Instance) onPeerChange(h beat.Heartbeat) {
-	in.cancelAnnounced(h)
-	in.changed.notify()
-}
+func (in *Instance) onPeerChange(beat.Heartbeat) { in.changed.notify() }
 
 // lastMessage returns when the last message of an incarnation of an instance was received. It returns
 // the zero time for one that has a successor.
--- a/fleet/routing_test.go
+++ b/fleet/routing_test.go
@@ -64,7 +64,8 @@
 		cancelling: map[int64]int{}, localHomes: map[string]*home.Home{},
 	}
 	in.heartbeats = beat.New(beat.Options{
-		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange, Log: &quiet,
+		Conn: udp, OwnHeartbeat: func() beat.Heartbeat { return beat.Heartbeat{} }, OnChange: in.onPeerChange,
+		OnCancelled: in.onCancelled, Log: &quiet,
 	})
 	in.peers = startGroupWith(t, peer.Options{
 		Self:       model.Entry{ID: "entry", Incarnation: "1"},
--- a/home/finish.go
+++ b/home/finish.go
@@ -38,13 +38,18 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
+	var unknown []SubmissionID
 	for _, id := range ids {
 		if _, ok := h.cancelled[id]; !ok {
 			h.cancelled[id] = now
+			unknown = append(unknown, id)
 		}
 	}
+	if len(unknown) == 0 {
+		return
+	}
 	for _, j := range h.jobs {
-		if !slices.Contains(ids, j.lastSubmission) {
+		if !slices.Contains(unknown, j.lastSubmission) {
 			continue
 		}
 		l := h.options.Log.Info().Stringer("job", j.key).Str("home", h.options.DataCentre).Int64("token", h.options.Token)
