fleet: tell a later home of submissions that may have begun, and of all of them

The last attempt that may have begun the job is remembered, and told on each of these ways out. TestLaterHomeIsToldThatACallerHasLeft goes through forward now: removing the call, which no test noticed, fails it.

--- a/fleet/cancel.go
+++ b/fleet/cancel.go
@@ -61,19 +61,22 @@
 var errHomeChanged = eris.New("the home has changed")
 
 // cancelAtLaterHome notifies the next home of a data centre, if there is one soon, that nobody waits for a
-// submission to the one before any more. The next home may take over runs whose stops came too late: its
-// workers refuse them as soon as they know of it.
-func (in *Instance) cancelAtLaterHome(dataCentre string, token int64, s home.Submission) {
+// submission to the one before, which may have begun it. The stops of a home that is replaced can come too late, and
+// the next one takes its runs over. Without an attempt it does nothing.
+func (in *Instance) cancelAtLaterHome(a attempt) {
+	if a.dataCentre == "" {
+		return
+	}
 	in.background.Go(func() {
-		if !in.awaitLaterHome(in.ctx, dataCentre, token) {
+		if !in.awaitLaterHome(in.ctx, a.dataCentre, a.token) {
 			return
 		}
-		if h := in.localHome(dataCentre); h != nil {
-			h.Cancel(s.Key(), s.ID())
+		if h := in.localHome(a.dataCentre); h != nil {
+			h.Cancel(a.submission.Key(), a.submission.ID())
 			return
 		}
-		owner, _ := in.homeOf(dataCentre)
-		in.cancelAt(owner.Instance, dataCentre, s, errHomeChanged)
+		owner, _ := in.homeOf(a.dataCentre)
+		in.cancelAt(owner.Instance, a.dataCentre, a.submission, errHomeChanged)
 	})
 }
 
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -52,6 +52,7 @@
 // outcome, at most maxForwards times.
 func (in *Instance) forward(ctx context.Context, s home.Submission, j *forwarding, began time.Time) home.Outcome {
 	deadline := began.Add(s.TimeLeft)
+	var begun attempt
 	for range maxForwards {
 		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed, time.Since(began), in.homeMissingFor()))
 		if !ok {
@@ -61,8 +62,11 @@
 		s.Age, s.TimeLeft, s.Number = time.Since(began), time.Until(deadline), in.submissions.Add(1)
 		in.reserveUntilHeartbeat(dc, s)
 		outcome, err := in.submit(ctx, dc, s)
+		if mayHaveBegun(outcome, err) {
+			begun = attempt{dataCentre: dc, token: token, submission: s}
+		}
 		if ctx.Err() != nil {
-			in.cancelAtLaterHome(dc, token, s)
+			in.cancelAtLaterHome(begun)
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
@@ -74,7 +78,7 @@
 			return outcome
 		case retryAtLaterHome:
 			if !in.awaitLaterHome(ctx, dc, token) {
-				in.cancelAtLaterHome(dc, token, s)
+				in.cancelAtLaterHome(begun)
 				return j.failure()
 			}
 			_, later := in.homeOf(dc)
@@ -84,9 +88,25 @@
 			in.delayRetryAfterError(ctx, err)
 		}
 	}
+	in.cancelAtLaterHome(begun)
 	return j.failure()
 }
 
+// attempt is a submission to the home of a data centre with a fencing token.
+type attempt struct {
+	dataCentre string
+	token      int64
+	submission home.Submission
+}
+
+// mayHaveBegun reports whether a home may have begun a submission that has not ended by itself there.
+func mayHaveBegun(o home.Outcome, err error) bool {
+	if err != nil {
+		return !notAccepted(err)
+	}
+	return o.Result == home.Moved || o.Result == home.Cancelled
+}
+
 // homeWaitLimit returns how long a job of the given age waits for a home, when no home has been
 // alive for the time missing: as long as it can still meet its objective and a takeover may be
 // under way, which takes homeTimeout at most. Used in data centres that are cut off without their
--- a/fleet/record_test.go
+++ b/fleet/record_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"testing"
 	"time"
 
@@ -11,6 +12,8 @@
 
 	"foxtailmux/home"
 	"foxtailmux/model"
+	"foxtailmux/peer"
+	"foxtailmux/plan"
 	"foxtailmux/table"
 	"foxtailmux/watch"
 )
@@ -68,35 +71,68 @@
 // Guards against a task that runs at two homes: a home is replaced before its stops arrive, and the origin,
 // whose caller has left, does not tell the next home.
 func TestLaterHomeIsToldThatACallerHasLeft(t *testing.T) {
-	got := make(chan cancelRequest, 2)
-	later := startGroup(t, "later")
-	later.Handle(methodCancel, func(_ context.Context, params json.RawMessage) (any, error) {
-		var r cancelRequest
-		err := json.Unmarshal(params, &r)
-		got <- r
-		return struct{}{}, err
-	})
+	cancels := map[string]chan cancelRequest{}
 	in := newListener(t)
-	in.peers.SetPeer("later", later.Addr())
+	in.self.Instance, in.self.Incarnation = "entry", "1"
+	in.reservations, in.link = map[string]reservation{}, plan.NewLink(0)
+	for _, id := range []string{"earlier", "later"} {
+		got := make(chan cancelRequest, 2)
+		cancels[id] = got
+		other := startGroup(t, id)
+		other.Handle(methodRun, func(ctx context.Context, _ json.RawMessage) (any, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		})
+		other.Handle(methodCancel, func(_ context.Context, params json.RawMessage) (any, error) {
+			var r cancelRequest
+			err := json.Unmarshal(params, &r)
+			got <- r
+			return struct{}{}, err
+		})
+		in.peers.SetPeer(id, other.Addr())
+		in.hear(`{"instance":"` + id + `","incarnation":"1","nextMillis":60000}`)
+	}
 	in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &in.log.Logger)
 	setHome := func(value string, version int64) {
 		in.homeTable.ApplyWrite(table.Row{Key: homeKey("kochi"), Value: []byte(value), Version: version})
 		in.changed.notify()
 	}
 	setHome(`{"instance":"earlier","incarnation":"1"}`, 9)
+	time.Sleep(50 * time.Millisecond) // until the heartbeats have arrived
 
-	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: time.Second}
-	in.cancelAtLaterHome("kochi", 9, s)
-	time.Sleep(50 * time.Millisecond)
-	in.hear(`{"instance":"later","incarnation":"1","nextMillis":250}`)
+	ctx, leave := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer leave()
+	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", TimeLeft: time.Second}
+	s.Route = model.Route{Stretch: 2, Allowance: time.Second}
+	if diff := cmp.Diff(home.Cancelled, in.forward(ctx, s, newForwarding("kochi"), time.Now()).Result); diff != "" {
+		t.Errorf("result (-want +got):\n%s", diff)
+	}
 	setHome(`{"instance":"later","incarnation":"1"}`, 11)
+	s.Number = 1
 	want := cancelRequest{DataCentre: "kochi", Job: s.Key(), Submission: s.ID()}
-	select {
-	case r := <-got:
-		if diff := cmp.Diff(want, r); diff != "" {
-			t.Errorf("cancel at the later home (-want +got):\n%s", diff)
+	for id, got := range cancels {
+		select {
+		case r := <-got:
+			if diff := cmp.Diff(want, r); diff != "" {
+				t.Errorf("cancel at the %s home (-want +got):\n%s", id, diff)
+			}
+		case <-time.After(2 * time.Second):
+			t.Errorf("the %s home was not told", id)
 		}
-	case <-time.After(5 * time.Second):
-		t.Error("the later home was not told")
+	}
+}
+
+// Guards against waits for a later home for callers of which no home has begun anything.
+func TestWhichAttemptsMayHaveBegun(t *testing.T) {
+	unsent := &peer.Error{Kind: peer.NotSent, Err: io.EOF}
+	unconfirmed := &peer.Error{Kind: peer.Unconfirmed, Err: io.EOF}
+	got := []bool{
+		mayHaveBegun(home.Outcome{Result: home.Busy}, nil), mayHaveBegun(home.Outcome{Result: home.Succeeded}, nil),
+		mayHaveBegun(home.Outcome{}, unsent), mayHaveBegun(home.Outcome{}, errNotHome),
+		mayHaveBegun(home.Outcome{Result: home.Moved}, nil), mayHaveBegun(home.Outcome{Result: home.Cancelled}, nil),
+		mayHaveBegun(home.Outcome{}, unconfirmed),
+	}
+	if diff := cmp.Diff([]bool{false, false, false, false, true, true, true}, got); diff != "" {
+		t.Errorf("may have begun (-want +got):\n%s", diff)
 	}
 }
