--- a/home/paused_test.go
+++ b/home/paused_test.go
@@ -103,3 +103,44 @@
 		})
 	}
 }
+
+// Guards against a task that runs at two homes: on waking, a home first took a job, extended a lease or
+// handled a tick, each before anything else had shown that it stood still.
+func TestFirstEventAfterAPauseGivesTheHomeUp(t *testing.T) {
+	cases := map[string]struct {
+		within time.Duration // of the pause's end, shorter than until the next tick but for the tick itself
+		event  func(h *home.Home) home.Result
+	}{
+		"submission": {5 * time.Millisecond, func(h *home.Home) home.Result { return resultOf(submit(h, submission("new", 1))) }},
+		"tick":       {25 * time.Millisecond, func(*home.Home) home.Result { return home.Moved }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+				dc.stall.Store(int64(maxStall + 40*time.Millisecond))
+				got := c.event(h)
+				time.Sleep(c.within)
+				if diff := cmp.Diff(home.Moved, got); diff != "" {
+					t.Errorf("result (-want +got):\n%s", diff)
+				}
+				if diff := cmp.Diff(int32(1), dc.fenced.Load()); diff != "" {
+					t.Errorf("given up (-want +got):\n%s", diff)
+				}
+			})
+		})
+	}
+	t.Run("renewal", func(t *testing.T) {
+		withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+			dc.workers["w0"].RunTime = func(string) time.Duration { return 4 * time.Second }
+			s := submission("a", 1)
+			s.TimeLeft = 6 * time.Second
+			go submit(h, s)
+			time.Sleep(500 * time.Millisecond)
+			dc.stall.Store(int64(maxStall + 40*time.Millisecond))
+			time.Sleep(1100 * time.Millisecond)
+			if id := dc.ledger.WorkerOf("a.0.0.0"); id != "" {
+				t.Errorf("the task runs on %s after its lease", id)
+			}
+		})
+	})
+}
