--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,9 @@
 export CGO_ENABLED = 1
 export GOFLAGS = -buildvcs=false
 
+# The checks test the programs of this tree.
+unexport FOXTAILMUX_BIN
+
 # Site files that regress plays: the large one in place of the oldest two.
 SITES = large/mfat-quotes-large further-grown/kiskadee-pos-grown further/kiskadee-pos \
 	grown/mfat-quotes-grown grown/tihizvok-lj-grown
--- a/peer/link.go
+++ b/peer/link.go
@@ -122,9 +122,10 @@
 }
 
 // check replaces a connection that the peer closed, and a connection with open calls
-// that does not respond to a probe. It reads the peer's clock again while the connection is used. If no new connection can be opened, OnConnectResult
+// that does not respond to a probe. If no new connection can be opened, OnConnectResult
 // reports the peer as unreachable. A connection that timed out because it was idle is
-// not replaced before the next call.
+// not replaced before the next call. While the connection is used, check reads the peer's
+// clock again.
 func (l *link) check(ctx context.Context) {
 	c := l.current.Load()
 	if c == nil {
@@ -221,7 +222,7 @@
 		c.close()
 		return nil, eris.Errorf("the instance at %s has the id %q, want %q", l.addr, remote.ID, l.id)
 	}
-	remote.ID = l.id // may be an address
+	remote.ID = l.id // OnActivity names the peer as SetPeer did, which may be by its address
 	c.stream.remote.Store(&remote)
 	c.stream.reportActivity(c.stream.lastReadAt.Load())
 	return c, nil
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -35,6 +35,7 @@
 func runTests(m *testing.M) int {
 	if dir := os.Getenv("FOXTAILMUX_BIN"); dir != "" {
 		binDir = dir
+		fmt.Fprintln(os.Stderr, "programs under test:", dir)
 		return m.Run()
 	}
 	dir, err := os.MkdirTemp("", "foxtailmux-proof")
