--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -23,11 +23,6 @@
 	// claims a home; two heartbeats of those that send one every 250 ms arrive in this
 	// time.
 	startupListenTime = 600 * time.Millisecond
-
-	// maxReviewGap is the longest gap between two reviews after which this instance
-	// still keeps its homes. Other instances take them over after
-	// beat.HeartbeatTimeout, which is slightly longer.
-	maxReviewGap = 900 * time.Millisecond
 )
 
 // maintain reviews the homes periodically and on changes, and closes those of this
@@ -39,7 +34,7 @@
 	for {
 		next := in.changed.wait()
 		now := pause.SinceBoot()
-		if gap := now - last; gap > maxReviewGap {
+		if gap := now - last; gap > home.MaxTickGap {
 			in.log.Warn().Int64("gapMillis", gap.Milliseconds()).Msg("process was paused, closing its homes")
 			in.closeHomes()
 		}
--- a/home/home.go
+++ b/home/home.go
@@ -71,15 +71,15 @@
 	Log            *log.Logger
 }
 
+// MaxTickGap is the longest time between two ticks after which a home goes on. Another instance
+// takes it over after beat.HeartbeatTimeout, which is slightly longer.
+const MaxTickGap = 900 * time.Millisecond
+
 const (
 	// tickInterval is the time between checks of deadlines, leases and progress. It is small
 	// against the shortest objectives, which are about 150 ms.
 	tickInterval = 20 * time.Millisecond
 
-	// maxTickGap is the longest time between two ticks after which a home goes on. Another instance
-	// takes it over after beat.HeartbeatTimeout, which is slightly longer.
-	maxTickGap = 900 * time.Millisecond
-
 	// reviewInterval is the time between checks whether the waiting jobs can still end in time.
 	// It is a fraction of the shortest objectives.
 	reviewInterval = 60 * time.Millisecond
@@ -367,7 +367,7 @@
 // for a job whose cancel is still unread, or whose origin was lost meanwhile. The lock is held.
 func (h *Home) isGivenUp() bool {
 	gap := h.options.Clock() - h.tickedAt
-	if h.fenced || gap <= maxTickGap {
+	if h.fenced || gap <= MaxTickGap {
 		return h.fenced
 	}
 	h.fenced = true
