--- a/fleet/record_test.go
+++ b/fleet/record_test.go
@@ -24,7 +24,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		step := model.Step{Replicas: rapid.IntRange(1, 40).Draw(t, "tasks")}
 		var capacities []centreCapacity
-		for _, dc := range []string{"osr-a", "osr-b", "osr-c"} {
+		for _, dc := range []string{"kochi", "tvm", "kozhikode"} {
 			capacities = append(capacities, centreCapacity{dc, rapid.IntRange(-2, 40).Draw(t, dc)})
 		}
 		parts := splitTasks(step, capacities)
