--- a/proof/lost_caller_test.go
+++ b/proof/lost_caller_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // Guards against a task that runs twice: a caller's connection breaks without a sign to the instance, its
@@ -29,3 +31,43 @@
 	s.submitAgain()
 	fillers.Wait()
 }
+
+// Guards against a task that runs twice: the origin of a job and, within a second, its home or its workers lose
+// power or are cut off, so that leases outlast the time after which the caller submits the job again elsewhere.
+func TestJobOfALostOriginDoesNotRunBesideItsResubmission(t *testing.T) {
+	const (
+		runTime       = 1600 * time.Millisecond
+		originLostAt  = 100 * time.Millisecond
+		nextLostAt    = 1050 * time.Millisecond
+		lostFor       = 4 * time.Second
+		callerTimeout = 4 * time.Second
+		nextTimeout   = 6 * time.Second // of its second submission, which may wait for a later home of the first
+	)
+	for name, loseNext := range map[string]func(*soak){
+		"home": func(s *soak) { s.losePower(s.homeOf("kochi"), lostFor) },
+		"workers": func(s *soak) {
+			for _, link := range s.workerProxies[:2] {
+				s.raise(lostFor, &link.holdAll)
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, origin, _ := newHeldFleet(t)
+			s.setRunTime(runTime)
+			time.AfterFunc(originLostAt, func() {
+				s.callersLink(origin).resetClients()
+				s.losePower(origin, lostFor)
+			})
+			time.AfterFunc(nextLostAt, func() { loseNext(s) })
+			if diff := cmp.Diff(0, s.submitOnce(origin, heldJob, runTime, callerTimeout)); diff != "" {
+				t.Errorf("status of the first submission (-want +got):\n%s", diff)
+			}
+			time.Sleep(resendDelay)
+			if diff := cmp.Diff(http.StatusOK, s.submitOnce(s.instances[2], heldJob, runTime, nextTimeout)); diff != "" {
+				t.Errorf("status of the second submission (-want +got):\n%s", diff)
+			}
+			s.restarts.Wait()
+			s.check()
+		})
+	}
+}
