fleet, home, beat: end earlier submissions of a job before it runs at another home

What callers saw: a job whose caller had lost its connection ran beside its second submission (TWICE), at two homes of two data centres, neither run late, both done.

Cause: only times kept two submissions of a job apart (1.3 s until it is sent again, against timeouts, heartbeats, leases and probes of connections). An origin that has no sign that its caller's connection broke, an origin and its home lost one after the other, or an origin and then the workers, each take longer.

Fix: homes announce in their heartbeats which jobs have been open for 0.7 s or longer, and a home that receives another request of such a job has the earlier one ended first. It starts nothing until the other home has confirmed that no run is left, or a later home of that data centre has, or time makes it certain. A job that is new everywhere costs nothing more, and one that was never announced asks nobody.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -49,6 +49,7 @@
 	RoutingVersion int64                         `json:"routing"`             // version of the configuration in force
 	NextMillis     int64                         `json:"nextMillis"`          // time until the next heartbeat to the same peer
 	Cancelled      []int64                       `json:"cancelled,omitempty"` // submissions of the sender whose cancel is not delivered yet
+	Open           OpenJobs                      `json:"open,omitempty"`      // long open jobs of the sender's homes, sent to other homes only
 }
 
 // timeout is how long after this heartbeat its sender is suspected dead.
@@ -79,13 +80,15 @@
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
 // from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a timeout;
-// OnCancelled, which may be nil, with each that has Cancelled. Neither may block.
+// OnCancelled, which may be nil, with each that has Cancelled; OnOpen, which may be nil, with each that has
+// Open. None may block.
 type Options struct {
 	Self         Peer
 	Conn         net.PacketConn
 	OwnHeartbeat func() Heartbeat
 	OnChange     func(h Heartbeat)
 	OnCancelled  func(h Heartbeat)
+	OnOpen       func(h Heartbeat)
 	Log          *log.Logger
 }
 
@@ -166,6 +169,11 @@
 	d.mu.Lock()
 	clear(d.sent)
 	d.mu.Unlock()
+	d.requestRound()
+}
+
+// requestRound makes Run send the heartbeats that are due.
+func (d *Detector) requestRound() {
 	select {
 	case d.sendNow <- struct{}{}:
 	default:
@@ -174,13 +182,22 @@
 
 func (d *Detector) send(now time.Time) {
 	own := d.options.OwnHeartbeat()
-	bodies := map[time.Duration][]byte{}
+	type variant struct {
+		period time.Duration
+		toHome bool
+	}
+	bodies := map[variant][]byte{}
 	for _, hb := range d.due(now, len(own.Homes) > 0) {
-		body, ok := bodies[hb.period]
+		v := variant{hb.period, hb.toHome}
+		body, ok := bodies[v]
 		if !ok {
-			own.NextMillis = hb.period.Milliseconds()
-			body = d.encode(own)
-			bodies[hb.period] = body
+			h := own
+			h.NextMillis = hb.period.Milliseconds()
+			if !hb.toHome {
+				h.Open = nil
+			}
+			body = d.encode(h)
+			bodies[v] = body
 		}
 		if body == nil {
 			continue
@@ -195,10 +212,15 @@
 	}
 }
 
-// encode returns nil if the heartbeat can't be sent. One that is too large goes without Cancelled: it is
-// needed as a sign of life.
+// encode returns nil if the heartbeat can't be sent. One that is too large goes without Open, or without
+// Cancelled, too: it is needed as a sign of life.
 func (d *Detector) encode(h Heartbeat) []byte {
 	body, err := json.Marshal(h)
+	if len(body) > maxHeartbeatBytes && len(h.Open) > 0 {
+		d.options.Log.Warn().Int("bytes", len(body)).Int("openJobs", len(h.Open)).Msg("heartbeat sent without open jobs")
+		h.Open = nil
+		body, err = json.Marshal(h)
+	}
 	if len(body) > maxHeartbeatBytes && len(h.Cancelled) > 0 {
 		d.options.Log.Warn().Int("bytes", len(body)).Int("cancels", len(h.Cancelled)).Msg("heartbeat sent without cancels")
 		h.Cancelled = nil
@@ -237,10 +259,20 @@
 	if old.Incarnation != h.Incarnation {
 		delete(d.sent, h.Instance) // a restarted instance has received no heartbeat yet
 	}
+	newHome := len(old.Homes) == 0 && len(h.Homes) > 0
+	if newHome {
+		delete(d.sent, h.Instance) // it has received no open jobs yet
+	}
 	d.mu.Unlock()
+	if newHome {
+		d.requestRound()
+	}
 	if len(h.Cancelled) > 0 && d.options.OnCancelled != nil {
 		d.options.OnCancelled(h)
 	}
+	if len(h.Open) > 0 && d.options.OnOpen != nil {
+		d.options.OnOpen(h)
+	}
 	if h.stateDiffersFrom(old, now) {
 		d.options.OnChange(h)
 	}
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -79,20 +79,24 @@
 
 // startWith starts an instance whose detector calls onChange.
 func (w *wire) startWith(t *testing.T, p beat.Peer, homes map[string]model.FreeCapacity, onChange func(beat.Heartbeat)) *beat.Detector {
-	c := &packetConn{wire: w, addr: p.Addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
-	w.mu.Lock()
-	w.conns[p.Addr] = c
-	w.mu.Unlock()
-	ctx, cancel := context.WithCancel(context.Background())
-	d := beat.New(beat.Options{
+	return w.startOptions(t, beat.Options{
 		Self: p,
-		Conn: c,
 		OwnHeartbeat: func() beat.Heartbeat {
 			return beat.Heartbeat{Instance: p.Instance, Incarnation: p.Incarnation, Homes: homes}
 		},
 		OnChange: onChange,
-		Log:      &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
 	})
+}
+
+// startOptions starts an instance with options but for the connection and the log.
+func (w *wire) startOptions(t *testing.T, o beat.Options) *beat.Detector {
+	c := &packetConn{wire: w, addr: o.Self.Addr, queue: make(chan packet, 1000), closed: make(chan struct{})}
+	w.mu.Lock()
+	w.conns[o.Self.Addr] = c
+	w.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	o.Conn, o.Log = c, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+	d := beat.New(o)
 	go d.Run(ctx)
 	t.Cleanup(func() { cancel(); <-d.Done() })
 	return d
@@ -351,3 +355,45 @@
 		}
 	})
 }
+
+// Guards against homes that are not told of the open jobs of others, such as one that has just become a home, and
+// against open jobs in the heartbeats to all other instances.
+func TestOpenJobsGoToHomesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		home := map[string]model.FreeCapacity{"kochi": {}}
+		open := beat.OpenJobs{{Job: beat.HashJob("a"), Left: time.Second}}
+		received := map[string]*atomic.Int32{}
+		start := func(p beat.Peer, homes func() map[string]model.FreeCapacity) *beat.Detector {
+			received[p.Instance] = &atomic.Int32{}
+			return w.startOptions(t, beat.Options{
+				Self: p,
+				OwnHeartbeat: func() beat.Heartbeat {
+					return beat.Heartbeat{Instance: p.Instance, Incarnation: "1", Homes: homes(), Open: open}
+				},
+				OnChange: func(beat.Heartbeat) {},
+				OnOpen:   func(beat.Heartbeat) { received[p.Instance].Add(1) },
+			})
+		}
+		var isHome atomic.Bool
+		a, b := beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"}, beat.Peer{Instance: "b", DataCentre: "tvm", Addr: "10.0.0.2:7"}
+		first := start(a, func() map[string]model.FreeCapacity { return home })
+		second := start(b, func() map[string]model.FreeCapacity {
+			if isHome.Load() {
+				return map[string]model.FreeCapacity{"tvm": {}}
+			}
+			return nil
+		})
+		first.SetPeer(b)
+		second.SetPeer(a)
+		time.Sleep(3 * time.Second)
+		got := []int32{received["b"].Load()}
+		isHome.Store(true)
+		second.Announce()
+		time.Sleep(time.Millisecond)
+		got = append(got, received["b"].Load())
+		if diff := cmp.Diff([]int32{0, 1}, got); diff != "" {
+			t.Errorf("heartbeats with open jobs before and at once after it became a home (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/beat/period.go
+++ b/beat/period.go
@@ -46,6 +46,7 @@
 type dueHeartbeat struct {
 	peer   Peer
 	period time.Duration
+	toHome bool
 }
 
 // RecordForward records that a job was forwarded to or from an instance.
@@ -62,7 +63,7 @@
 	t := d.topology(now)
 	var list []dueHeartbeat
 	for id, p := range d.peers {
-		hb := dueHeartbeat{peer: p, period: d.period(p, isHome, t, now)}
+		hb := dueHeartbeat{peer: p, period: d.period(p, isHome, t, now), toHome: len(d.statuses[id].Homes) > 0}
 		wait := hb.period
 		last, ok := d.sent[id]
 		if ok {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -58,7 +58,9 @@
 	fetchingRouting atomic.Bool // from a peer
 	stopSettings    atomic.Pointer[setup.Stop]
 
+	requests    atomic.Int64 // number of requests of callers
 	submissions atomic.Int64 // number of submissions to homes
+	openJobs    openJobs
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -75,6 +77,7 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
+	homeClosedAt      time.Time                // when a home of this instance was closed last
 	cancelling        map[int64]int            // requests that are not delivered yet, by number of the submission that they cancel
 	lastAnnounced     int64                    // number of the last of them in the latest heartbeat
 	homeSeenAt        time.Time                // when a home was last alive
@@ -183,7 +186,7 @@
 		OnActivity:    func(peerID, incarnation string) { in.heartbeats.RecordMessage(peerID, incarnation) },
 		Log:           in.log,
 	})
-	in.heartbeats = beat.New(beat.Options{Self: in.self, Conn: in.listeners.heartbeats, OwnHeartbeat: in.ownHeartbeat, OnChange: in.onPeerChange, OnCancelled: in.onCancelled, Log: l})
+	in.heartbeats = beat.New(beat.Options{Self: in.self, Conn: in.listeners.heartbeats, OwnHeartbeat: in.ownHeartbeat, OnChange: in.onPeerChange, OnCancelled: in.onCancelled, OnOpen: in.onOpenJobs, Log: l})
 	in.callerServer = entry.NewQueueServer(entry.QueueOptions{
 		CallerListener:   in.listeners.callers,
 		BalancerListener: in.listeners.balancer,
@@ -203,6 +206,7 @@
 	in.peers.Handle(methodRun, in.serveRun)
 	in.peers.Handle(methodStartable, in.serveStartable)
 	in.peers.Handle(methodCancel, in.serveCancel)
+	in.peers.Handle(methodSupersede, in.serveSupersede)
 	in.peers.Handle(methodStart, in.serveStart)
 	in.peers.Handle(methodPending, in.servePending)
 	in.peers.Handle(methodRouting, in.serveRouting)
@@ -243,7 +247,7 @@
 	if r := in.routing.Load(); r != nil {
 		hb.RoutingVersion = r.Version
 	}
-	hb.Cancelled = in.undeliveredCancels()
+	hb.Cancelled, hb.Open = in.undeliveredCancels(), in.announcedJobs()
 	for dc, h := range in.homesByCentre() {
 		if hb.Homes == nil {
 			hb.Homes = map[string]model.FreeCapacity{}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -30,6 +30,7 @@
 	began := time.Now().Add(-s.Age)
 	s.TimeLeft += s.Age
 	s.Origin, s.Incarnation = in.self.Instance, in.self.Incarnation
+	s.Request = in.requests.Add(1)
 	s.Whole, s.Content = in.askingPaused(), s.Batch.Digest()
 	outcome := in.forward(ctx, s, newForwarding(in.self.DataCentre), began)
 	if outcome.Result != home.NoCapacity {
@@ -132,7 +133,7 @@
 		if h == nil {
 			return home.Outcome{}, errNotHome
 		}
-		return h.Submit(ctx, s), nil
+		return in.submitHere(ctx, dataCentre, h, s), nil
 	}
 
 	in.heartbeats.RecordForward(owner.Instance)
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -59,6 +59,7 @@
 	in.fetchNewerRouting()
 	in.updateWorkerPolling()
 	in.closeIdleClients()
+	in.openJobs.RemoveExpired(time.Now())
 	in.reviewHomes()
 	in.recordHome()
 }
@@ -94,6 +95,7 @@
 func (in *Instance) closeHome(dataCentre string, h *home.Home) {
 	in.mu.Lock()
 	in.fencedTokens[dataCentre] = max(in.fencedTokens[dataCentre], h.Token())
+	in.homeClosedAt = time.Now()
 	if in.localHomes[dataCentre] == h {
 		delete(in.localHomes, dataCentre)
 	}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -16,6 +16,7 @@
 const (
 	methodRun       = "home.run"
 	methodCancel    = "home.cancel"
+	methodSupersede = "home.supersede"
 	methodStart     = "task.start"
 	methodStartable = "home.startable"
 	methodPending   = "home.pending"
@@ -62,7 +63,7 @@
 	if r.Job.SpecBytes > 0 {
 		r.Job.OriginStarter = in.originStarter(r)
 	}
-	return h.Submit(ctx, r.Job), nil
+	return in.submitHere(ctx, r.DataCentre, h, r.Job), nil
 }
 
 // maxTransit is the longest time that a forwarded job may be under way. It is a fraction of the time
--- a/home/job.go
+++ b/home/job.go
@@ -14,6 +14,8 @@
 	batch          model.Batch
 	route          model.Route
 	lastSubmission SubmissionID
+	request        RequestID     // its last one
+	requestedAt    time.Time     // when that arrived at its origin
 	arrivedAt      time.Time     // at its origin
 	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
 	sentAt         time.Time     // by its origin, when it was last submitted here
@@ -64,6 +66,8 @@
 		batch:          s.Batch,
 		route:          s.Route,
 		lastSubmission: s.ID(),
+		request:        s.RequestID(),
+		requestedAt:    now.Add(-s.Age),
 		arrivedAt:      now.Add(-s.Age),
 		sentAt:         s.sentBefore(now),
 		ageAtEntry:     s.Age,
--- a/home/submit.go
+++ b/home/submit.go
@@ -53,6 +53,7 @@
 	Origin      string        `json:"origin"`                // id of the instance
 	Incarnation string        `json:"incarnation,omitempty"` // of the origin
 	Number      int64         `json:"number,omitempty"`      // of the origin's submissions
+	Request     int64         `json:"request,omitempty"`     // number of the caller's request at the origin
 	Content     uint64        `json:"content,omitempty"`     // digest of Batch, which may come without its specification
 	Age         time.Duration `json:"age"`
 	TimeLeft    time.Duration `json:"left"`
@@ -141,6 +142,7 @@
 	if j := h.jobs[s.Key()]; j != nil {
 		now := time.Now()
 		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
+		j.recordRequest(s, now)
 		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
 		h.joinTaskStates(j, s)
