fleet: write the row of a live instance again when it is lost

An instance wrote its row in the list of instances once after its start. A row that was removed later, or replaced by the late write of an earlier incarnation at another address, stayed so until the next restart: the others sent the instance no heartbeats and could not call it ("is unknown"), while it sent them heartbeats and stayed alive to them. By reading: such a home is passed over for all jobs of other instances, and it suspects all others dead and claims their homes.

The instance now compares its row with each change of the list and writes it again, at most every 200 ms. An unchanged row is still not written, and an instance that has lost nothing writes once.

--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -86,18 +86,13 @@
 	in.changed.notify()
 }
 
-const (
-	// registerRetryInterval is the time between two attempts to register.
-	registerRetryInterval = 200 * time.Millisecond
-
-	// registerPollInterval is the time between checks whether the instances table was
-	// read; the store responds within a few milliseconds.
-	registerPollInterval = 5 * time.Millisecond
-)
+// registerRetryInterval is the time between two attempts to register.
+const registerRetryInterval = 200 * time.Millisecond
 
-// register makes sure that the instances table has a row for this instance. An unchanged
-// row is not written again: the store writes one row after the other, so after a restart
-// of a large fleet the claims of homes would wait behind the rows of all instances.
+// register keeps a row for this instance in the instances table until the context ends: instances
+// without a row receive no heartbeats and no calls. An unchanged row is not written again: the store
+// writes one row after the other, so after a restart of a large fleet the claims of homes would wait
+// behind the rows of all instances.
 func (in *Instance) register(ctx context.Context) {
 	value, err := json.Marshal(in.self)
 	if err != nil {
@@ -105,20 +100,25 @@
 		return
 	}
 	key := instancesTableName + "/" + in.self.Instance
-	for pause := registerPollInterval; ctx.Err() == nil; {
-		if in.instanceTable.IsLoaded() {
-			if bytes.Equal(in.instanceTable.Get(key).Value, value) {
-				return
-			}
-			pause = registerRetryInterval
-			if _, err := in.store.Commit(ctx, table.Transaction{Puts: []table.Put{{Key: key, Value: value}}}); err == nil {
-				return
-			} else {
-				in.log.Warn().Err(err).Msg("instance not registered, will retry")
+	put := table.Transaction{Puts: []table.Put{{Key: key, Value: value}}}
+	for ctx.Err() == nil {
+		next := in.changed.wait()
+		if !in.instanceTable.IsLoaded() || bytes.Equal(in.instanceTable.Get(key).Value, value) {
+			select {
+			case <-next:
+			case <-ctx.Done():
 			}
+			continue
+		}
+		commit, err := in.store.Commit(ctx, put)
+		if err != nil {
+			in.log.Warn().Err(err).Msg("instance not registered, will retry")
+		} else {
+			in.log.Info().Int64("version", commit.Version).Msg("instance registered")
+			in.instanceTable.ApplyWrite(table.Row{Key: key, Value: value, Version: commit.Version})
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(registerRetryInterval):
 		case <-ctx.Done():
 		}
 	}
