fleet: claim homes only while the own row is in the list of instances

An instance that had read the homes and the workers' table claimed a home even if it had not read the list of instances, or its row was not in it yet. It sends no heartbeats then, or receives neither heartbeats nor calls: others find no live home for the data centre until they replace it, 1.05 s later, or fail each call to it as to an unknown peer. Cause: the claim did not depend on the registration, whose write can be late, refused or lost by itself.

TestInstanceThatIsNotListedClaimsNoHome failed before: it claimed without a row. TestRestartedInstancesWriteOnlyTheirHomeClaims, TestWorkersThatRegisterLateGetAHome and TestInstancesServeOnWhenOneIsKilled pass.

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -9,9 +9,10 @@
 )
 
 // shouldClaim reports whether the home of a data centre needs a successor and this
-// instance is the one.
+// instance is the one. An instance that is not registered would be a home without
+// heartbeats and calls of others.
 func (in *Instance) shouldClaim(dataCentre string, owner homeRow) bool {
-	if in.leaving.Load() || !in.homeTable.StoreReachable() {
+	if in.leaving.Load() || !in.homeTable.StoreReachable() || !in.isRegistered() {
 		return false
 	}
 	if in.slow() && owner.Instance != in.self.Instance {
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -86,6 +86,18 @@
 	in.changed.notify()
 }
 
+// ownRow returns the row of this instance in the instances table.
+func (in *Instance) ownRow() (table.Row, error) {
+	value, err := json.Marshal(in.self)
+	return table.Row{Key: instancesTableName + "/" + in.self.Instance, Value: value}, eris.Wrap(err, "encode")
+}
+
+// isRegistered reports whether the instances table names this instance with its present address.
+func (in *Instance) isRegistered() bool {
+	row, err := in.ownRow()
+	return err == nil && bytes.Equal(in.instanceTable.Get(row.Key).Value, row.Value)
+}
+
 // registerRetryInterval is the time between two attempts to register.
 const registerRetryInterval = 200 * time.Millisecond
 
@@ -94,16 +106,15 @@
 // writes one row after the other, so after a restart of a large fleet the claims of homes would wait
 // behind the rows of all instances.
 func (in *Instance) register(ctx context.Context) {
-	value, err := json.Marshal(in.self)
+	row, err := in.ownRow()
 	if err != nil {
-		in.log.Error().Err(eris.Wrap(err, "encode")).Msg("instance not registered")
+		in.log.Error().Err(err).Msg("instance not registered")
 		return
 	}
-	key := instancesTableName + "/" + in.self.Instance
-	put := table.Transaction{Puts: []table.Put{{Key: key, Value: value}}}
+	put := table.Transaction{Puts: []table.Put{{Key: row.Key, Value: row.Value}}}
 	for ctx.Err() == nil {
 		next := in.changed.wait()
-		if !in.instanceTable.IsLoaded() || bytes.Equal(in.instanceTable.Get(key).Value, value) {
+		if !in.instanceTable.IsLoaded() || in.isRegistered() {
 			select {
 			case <-next:
 			case <-ctx.Done():
@@ -115,7 +126,8 @@
 			in.log.Warn().Err(err).Msg("instance not registered, will retry")
 		} else {
 			in.log.Info().Int64("version", commit.Version).Msg("instance registered")
-			in.instanceTable.ApplyWrite(table.Row{Key: key, Value: value, Version: commit.Version})
+			row.Version = commit.Version
+			in.instanceTable.ApplyWrite(row)
 		}
 		select {
 		case <-time.After(registerRetryInterval):
--- a/fleet/rows_test.go
+++ b/fleet/rows_test.go
@@ -152,3 +152,27 @@
 		t.Errorf("commits (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a home that no other instance sends heartbeats or calls to: it claimed before its row was in the
+// list of instances, or without having read the list.
+func TestInstanceThatIsNotListedClaimsNoHome(t *testing.T) {
+	s := newRowStore()
+	in := newRegistered(t, s)
+	for range 100 {
+		if in.homeTable.StoreReachable() && in.instanceTable.IsLoaded() {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if in.shouldClaim("kochi", homeRow{}) {
+		t.Error("it claims before it is listed")
+	}
+	s.add(ownRow(t, in))
+	for range 100 {
+		if in.shouldClaim("kochi", homeRow{}) {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Error("it does not claim once it is listed")
+}
