fleet, peer: take a home as alive only if its address is known

Callers got 503 ("no home is in reach"), or 504 ("the home of the job is out of reach"), though the home of their job lived. The rows of homes and of instances come by two change feeds, in any order; after a restart, a replaced machine or a home's move, an instance can hear a home and read its row before it has read the home's address. A call then failed as to an unknown peer and counted as not sent: a new job passed that data centre over for good, even once the address was there, and a resumed one used up its six attempts.

A home without a known address is not alive now, so the job waits for it as for any takeover, and goes to another data centre meanwhile where it may.

TestJobWaitsUntilItsHomeCanBeCalled, whose address arrives after 0.3 s, failed before in both cases: refused after 1.5 s, lost after 0.18 s. 3 of 3 pass now with -race.

--- a/fleet/await.go
+++ b/fleet/await.go
@@ -83,7 +83,7 @@
 }
 
 // aliveHome returns the fencing token of the home of a data centre and whether that home
-// is alive.
+// is alive and can be called: the rows of homes and instances arrive in any order.
 func (in *Instance) aliveHome(dataCentre string) (token int64, ok bool) {
 	owner, token := in.homeOf(dataCentre)
 	if owner.Instance == "" {
@@ -94,7 +94,7 @@
 		defer in.mu.Unlock()
 		return token, in.localHomes[dataCentre] != nil
 	}
-	return token, in.heartbeats.IsAlive(owner.Instance) && in.heartbeats.Status(owner.Instance).Incarnation == owner.Incarnation
+	return token, in.peers.HasPeer(owner.Instance) && in.heartbeats.IsAlive(owner.Instance) && in.heartbeats.Status(owner.Instance).Incarnation == owner.Incarnation
 }
 
 // recordHome records whether any home is alive.
--- a/fleet/rows_test.go
+++ b/fleet/rows_test.go
@@ -10,6 +10,9 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"foxtailmux/home"
+	"foxtailmux/model"
+	"foxtailmux/plan"
 	"foxtailmux/table"
 	"foxtailmux/watch"
 )
@@ -176,3 +179,34 @@
 	}
 	t.Error("it does not claim once it is listed")
 }
+
+// Guards against a job that is refused, or answered as lost, though its home lives: the row of the home arrived before
+// that of the instance, whose address was not known yet.
+func TestJobWaitsUntilItsHomeCanBeCalled(t *testing.T) {
+	for name, resumed := range map[string]bool{"new": false, "resumed": true} {
+		t.Run(name, func(t *testing.T) {
+			in := newListener(t)
+			in.self.Instance, in.self.Incarnation, in.startedAt = "entry", "1", time.Now()
+			in.reservations, in.link = map[string]reservation{}, plan.NewLink(0)
+			other := startGroup(t, "other")
+			other.Handle(methodRun, func(context.Context, json.RawMessage) (any, error) {
+				return home.Outcome{Result: home.Succeeded}, nil
+			})
+			in.hear(`{"instance":"other","incarnation":"1","nextMillis":60000}`)
+			in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &in.log.Logger)
+			in.homeTable.ApplyWrite(table.Row{Key: homeKey("kochi"), Value: []byte(`{"instance":"other","incarnation":"1"}`), Version: 9})
+			time.Sleep(50 * time.Millisecond) // until the heartbeat has arrived
+			row := table.Row{Key: instancesTableName + "/other", Value: []byte(`{"instance":"other","dataCentre":"kochi","addr":"` + other.Addr() + `"}`), Version: 10}
+			time.AfterFunc(300*time.Millisecond, func() { in.onInstances([]table.Row{row}) })
+
+			j := newForwarding("kochi")
+			j.resumed = resumed
+			s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", TimeLeft: 2 * time.Second}
+			s.Route = model.Route{Stretch: 2, Allowance: time.Second}
+			got := in.forward(t.Context(), s, j, time.Now())
+			if diff := cmp.Diff(home.Succeeded, got.Result); diff != "" {
+				t.Errorf("result, %q (-want +got):\n%s", got.Reason, diff)
+			}
+		})
+	}
+}
--- a/peer/group.go
+++ b/peer/group.go
@@ -126,6 +126,9 @@
 	g.tasks.Go(func() { l.run(ctx) })
 }
 
+// HasPeer reports whether the address of a peer is known.
+func (g *Group) HasPeer(id string) bool { return g.link(id) != nil }
+
 // RemovePeer removes a peer and closes the connection to it.
 func (g *Group) RemovePeer(id string) {
 	g.mu.Lock()
