beat: judge an instance by its messages when its row is lost

When the row of an instance left the list, the others forgot its last heartbeat and that they had forwarded jobs to each other. Until its next heartbeat it counted as dead: its home was claimed at once (a home whose row is older than 1.05 s needs no further sign), and homes cancelled its jobs that were older than 1.05 s. After it was listed again, heartbeats to it were remote ones for up to 1 s, while homes give origins up after 1.05 s.

TestInstanceThatLeavesTheListLivesWhileItIsHeard failed before in all parts but the last.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -131,14 +131,12 @@
 	}
 }
 
-// RemovePeer removes an instance.
+// RemovePeer ends the heartbeats to an instance. Whether it is alive depends on its messages only.
 func (d *Detector) RemovePeer(instance string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.peers, instance)
-	delete(d.statuses, instance)
 	delete(d.sent, instance)
-	delete(d.lastForward, instance)
 }
 
 // Run sends and receives heartbeats until the context ends.
--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -351,3 +351,39 @@
 		}
 	})
 }
+
+// Guards against jobs that are cancelled, and homes that are replaced, though the instance lives: its row was lost for a
+// moment, which counted as if it had never been heard.
+func TestInstanceThatLeavesTheListLivesWhileItIsHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWire()
+		a := w.start(t, "a", "kochi", "10.0.0.1:7", nil)
+		b := w.start(t, "b", "tvm", "10.0.0.2:7", nil)
+		rowOfB := beat.Peer{Instance: "b", DataCentre: "tvm", Addr: "10.0.0.2:7"}
+		a.SetPeer(rowOfB)
+		b.SetPeer(beat.Peer{Instance: "a", DataCentre: "kochi", Addr: "10.0.0.1:7"})
+		a.RecordForward("b")
+		b.RecordForward("a")
+		time.Sleep(600 * time.Millisecond)
+
+		a.RemovePeer("b")
+		got := []bool{a.IsAlive("b"), time.Since(a.Status("b").LastMessage) < 300*time.Millisecond}
+		time.Sleep(10 * time.Millisecond)
+		a.SetPeer(rowOfB)
+		for range 20 { // the forward still counts for the period
+			time.Sleep(100 * time.Millisecond)
+			got = append(got, time.Since(b.Status("a").LastMessage) < 300*time.Millisecond)
+		}
+		a.RemovePeer("b")
+		w.setCut("10.0.0.2:7", "10.0.0.1:7", true)
+		time.Sleep(1100 * time.Millisecond)
+		got = append(got, !a.IsAlive("b"))
+		want := make([]bool, len(got))
+		for i := range want {
+			want[i] = true
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("alive and heard, heard often, dead in the end (-want +got):\n%s", diff)
+		}
+	})
+}
