fleet: test what instances that are not listed get

An instance whose row others do not have is heard by them, so that homes keep its jobs, and its calls are served; a cancel for a home without a row is repeated and announced until the row is there.

--- a/fleet/rows_test.go
+++ b/fleet/rows_test.go
@@ -210,3 +210,41 @@
 		})
 	}
 }
+
+// Guards against jobs of a live origin that are cancelled, and a task that runs twice: an origin whose row the home does not
+// have is heard and served, and a cancel for a home without a row is delivered once the row is there.
+func TestInstanceThatIsNotListedIsHeardServedAndTold(t *testing.T) {
+	in := newListener(t)
+	told := make(chan struct{}, 1)
+	other := startGroup(t, "other")
+	other.Handle(methodCancel, func(context.Context, json.RawMessage) (any, error) {
+		told <- struct{}{}
+		return struct{}{}, nil
+	})
+	in.peers.Handle(methodRouting, in.serveRouting)
+	in.applyRouting(&model.Routing{Version: 5}, "test")
+	in.hear(`{"instance":"other","incarnation":"1","nextMillis":250}`)
+	other.SetPeer("entry", in.peers.Addr())
+	var served model.Routing
+	if err := other.Call(t.Context(), "entry", methodRouting, struct{}{}, &served); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(50 * time.Millisecond) // until the heartbeat has arrived
+	heard := time.Since(in.lastMessage("other", "1")) < time.Second
+	if diff := cmp.Diff([]any{true, int64(5)}, []any{heard, served.Version}); diff != "" {
+		t.Errorf("heard, served version (-want +got):\n%s", diff)
+	}
+
+	s := home.Submission{Batch: model.Batch{ID: "a"}, Origin: "entry", Incarnation: "1", Number: 4, TimeLeft: 3 * time.Second}
+	in.cancelAt("other", "kochi", s, context.Canceled)
+	if diff := cmp.Diff([]int64{4}, in.undeliveredCancels()); diff != "" {
+		t.Errorf("announced (-want +got):\n%s", diff)
+	}
+	time.Sleep(300 * time.Millisecond)
+	in.onInstances([]table.Row{{Key: instancesTableName + "/other", Value: []byte(`{"instance":"other","addr":"` + other.Addr() + `"}`), Version: 1}})
+	select {
+	case <-told:
+	case <-time.After(2 * time.Second):
+		t.Error("the cancel was not delivered")
+	}
+}
