--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -86,39 +86,51 @@
 	in.changed.notify()
 }
 
-const (
-	// registerRetryInterval is the time between two attempts to register.
-	registerRetryInterval = 200 * time.Millisecond
+// ownRow returns the row of this instance in the instances table.
+func (in *Instance) ownRow() (table.Row, error) {
+	value, err := json.Marshal(in.self)
+	return table.Row{Key: instancesTableName + "/" + in.self.Instance, Value: value}, eris.Wrap(err, "encode")
+}
 
-	// registerPollInterval is the time between checks whether the instances table was
-	// read; the store responds within a few milliseconds.
-	registerPollInterval = 5 * time.Millisecond
-)
+// isRegistered reports whether the instances table names this instance with its present address.
+func (in *Instance) isRegistered() bool {
+	row, err := in.ownRow()
+	return err == nil && bytes.Equal(in.instanceTable.Get(row.Key).Value, row.Value)
+}
 
-// register makes sure that the instances table has a row for this instance. An unchanged
-// row is not written again: the store writes one row after the other, so after a restart
-// of a large fleet the claims of homes would wait behind the rows of all instances.
+// registerRetryInterval is the time between two attempts to register.
+const registerRetryInterval = 200 * time.Millisecond
+
+// register keeps a row for this instance in the instances table until the context ends: instances
+// without a row receive no heartbeats and no calls. An unchanged row is not written again: the store
+// writes one row after the other, so after a restart of a large fleet the claims of homes would wait
+// behind the rows of all instances.
 func (in *Instance) register(ctx context.Context) {
-	value, err := json.Marshal(in.self)
+	row, err := in.ownRow()
 	if err != nil {
-		in.log.Error().Err(eris.Wrap(err, "encode")).Msg("instance not registered")
+		in.log.Error().Err(err).Msg("instance not registered")
 		return
 	}
-	key := instancesTableName + "/" + in.self.Instance
-	for pause := registerPollInterval; ctx.Err() == nil; {
-		if in.instanceTable.IsLoaded() {
-			if bytes.Equal(in.instanceTable.Get(key).Value, value) {
-				return
-			}
-			pause = registerRetryInterval
-			if _, err := in.store.Commit(ctx, table.Transaction{Puts: []table.Put{{Key: key, Value: value}}}); err == nil {
-				return
-			} else {
-				in.log.Warn().Err(err).Msg("instance not registered, will retry")
+	put := table.Transaction{Puts: []table.Put{{Key: row.Key, Value: row.Value}}}
+	for ctx.Err() == nil {
+		next := in.changed.wait()
+		if !in.instanceTable.IsLoaded() || in.isRegistered() {
+			select {
+			case <-next:
+			case <-ctx.Done():
 			}
+			continue
+		}
+		commit, err := in.store.Commit(ctx, put)
+		if err != nil {
+			in.log.Warn().Err(err).Msg("instance not registered, will retry")
+		} else {
+			in.log.Info().Int64("version", commit.Version).Msg("instance registered")
+			row.Version = commit.Version
+			in.instanceTable.ApplyWrite(row)
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(registerRetryInterval):
 		case <-ctx.Done():
 		}
 	}
