home: log the runs and the joined submissions of a job at its end

Who read the logs of two runs of one task saw that both homes had ended the job, but not which runs they had started or adopted, on which workers and when, and of a job that was submitted again not whose the earlier submissions were: the identity of the last one replaced them.

The line "job ended" now begins with the time taken, the origin, the last start, the token and the number of the submission. New are the count of runs, the first and the last of them with run number, worker and time, and the submissions that were replaced, at most four. Its field job is the plain id also for a part, which has a field of its own, so that a filter by the exact id finds it.

--- a/home/adopt.go
+++ b/home/adopt.go
@@ -58,6 +58,7 @@
 			}
 			t.state, t.worker, t.run, t.startedAt, t.maybeRunning = taskRunning, w, run, now, false
 			w.assign(j, t)
+			j.trail.addRun(t, true)
 			j.started = true
 			w.signal()
 			h.options.Log.Info().Str("job", j.batch.ID).Str("task", t.name).Str("worker", w.info.ID).
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -250,6 +250,7 @@
 func (h *Home) startTask(j *job, t *task, w *worker, now time.Time) {
 	t.state, t.worker, t.run, t.startedAt = taskRunning, w, h.nextRunNumber(), now
 	j.started = true
+	j.trail.addRun(t, false)
 	h.activity.starts++
 	step := j.batch.Steps[t.step]
 	until := w.tracker.GrantLease(now)
--- a/home/finish.go
+++ b/home/finish.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -115,18 +116,24 @@
 	h.logEnd(j)
 }
 
-// logEnd logs the end of a job. All its durations count from the arrival of the job at its origin.
+// logEnd logs the end of a job. All its durations count from the arrival of the job at its origin. The fields that
+// tell two runs of one task apart come first, since records of incidents cut lines off.
 func (h *Home) logEnd(j *job) {
-	l := h.options.Log.Info().
-		Stringer("job", j.key).Str("queue", j.route.Name).Str("verdict", string(j.outcome.Result)).Str("reason", j.outcome.Reason).
-		Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Int64("objectiveMillis", j.objective.Milliseconds()).
-		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).
-		Str("home", h.options.DataCentre).Int64("token", h.options.Token).Bool("resumed", j.resumed).
-		Int("submissions", j.submissions).Int64("acceptedMillis", j.ageAtEntry.Milliseconds())
+	l := h.options.Log.Info().Str("job", j.key.ID)
+	if p := j.key.Part; p.Count > 0 {
+		l.Str("part", fmt.Sprintf("%d+%d", p.First, p.Count))
+	}
+	l.Int64("tookMillis", time.Since(j.arrivedAt).Milliseconds()).Str("origin", j.lastSubmission.Origin).
+		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int64("token", h.options.Token).
+		Int64("submission", j.lastSubmission.Number).Int("submissions", j.submissions)
+	j.trail.addTo(l, j.arrivedAt)
+	l.Int64("acceptedMillis", j.ageAtEntry.Milliseconds())
 	if j.transit != UnknownTransit {
 		l.Int64("transitMillis", j.transit.Milliseconds())
 	}
-	j.lastSubmission.addTo(l).Msg("job ended")
+	l.Str("verdict", string(j.outcome.Result)).Str("reason", j.outcome.Reason).Bool("resumed", j.resumed).
+		Str("home", h.options.DataCentre).Str("originIncarnation", j.lastSubmission.Incarnation).Str("queue", j.route.Name).
+		Int64("objectiveMillis", j.objective.Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
 }
 
 // lastStart returns the time from the arrival of a job to the latest start of a task of its first
--- a/home/job.go
+++ b/home/job.go
@@ -25,6 +25,7 @@
 	startPath      startPath
 	originMisses   int // starts that the origin failed to send
 	submissions    int
+	trail          trail
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
--- a/home/submit.go
+++ b/home/submit.go
@@ -140,6 +140,7 @@
 	}
 	if j := h.jobs[s.Key()]; j != nil {
 		now := time.Now()
+		j.trail.addReplaced(j.lastSubmission, now)
 		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
 		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
 		j.startPath, j.batch.Spec, j.originMisses = s.startPath(), s.Batch.Spec, 0
