entry, fleet: log to which homes a request's job went and who sent it

Where the job went stood in other lines, and only if a call had failed; a record that keeps a few lines of each log has none of them. A request that was read too late was refused in a line without its job, and one that the end of the process cut off left no line.

The line now begins with the time taken and a list of the attempts, at most 16: instance and token of the home, the number of the submission, from when until when, and what the origin took the end for, such as moved, redirected, not accepted or lost. Then come the caller's timeout, how long the request had waited unread, the caller's address, the time of arrival, and whether the caller left before the outcome. The origin records the attempts in the submission; they are not sent to other instances. It stays one line a request. Requests that were read too late have the same fields, and a stop that does not wait for a request logs "request cut".

A caller that closes its connection, closes half of it or resets it left a line before as well.

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -105,21 +106,24 @@
 
 	conn := c.RequestCtx().Conn()
 	age := requestAge(conn)
+	r := &jobRequest{job: id, queue: route.Name, caller: conn.RemoteAddr().String(), timeout: timeout, arrived: time.Now().Add(-age), unread: age}
 	if age > minLateRead {
 		s.options.Log.Warn().Str("job", id).Int64("unreadMillis", age.Milliseconds()).
 			Int64("timeoutMillis", timeout.Milliseconds()).Msg("request read late")
 	}
 	switch {
 	case age >= timeout:
-		return s.refuse(c, http.StatusServiceUnavailable, "the request was read after its timeout", 0)
+		return s.refuseUnread(c, r, "the request was read after its timeout")
 	case socket.HungUp(socket.Raw(conn)):
-		return s.refuse(c, http.StatusServiceUnavailable, "the caller has disconnected", 0)
+		return s.refuseUnread(c, r, "the caller has disconnected")
 	}
 
 	left := timeout - age
 	ctx, cancel := context.WithTimeout(c.Context(), s.untilClose(left))
+	defer s.track(r)()
 	w := watchConn(conn, cancel)
-	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: age, TimeLeft: left})
+	outcome := s.options.Dispatcher.Run(ctx, home.Submission{Batch: batch, Route: route, Age: age, TimeLeft: left, Attempts: &r.attempts})
+	callerLeft := errors.Is(ctx.Err(), context.Canceled)
 	w.stop()
-	return s.answer(c, route, id, outcome, age+time.Since(began))
+	return s.answer(c, r, outcome, age+time.Since(began), callerLeft)
 }
--- a/entry/queue_reply.go
+++ b/entry/queue_reply.go
@@ -28,7 +28,7 @@
 
 // answer sends the outcome of a job. Only the response to a refused job, of which
 // nothing ran, has a Retry-After header.
-func (s *QueueServer) answer(c fiber.Ctx, route model.Route, id string, o home.Outcome, took time.Duration) error {
+func (s *QueueServer) answer(c fiber.Ctx, r *jobRequest, o home.Outcome, took time.Duration, callerLeft bool) error {
 	status := http.StatusOK
 	body := s.options.Protocol.SucceededBody()
 	switch o.Result {
@@ -44,8 +44,8 @@
 	}
 	s.options.Observer.Answered(string(o.Result), "")
 	s.options.Observer.Response(took, 0)
-	s.options.Log.Info().Str("job", id).Str("queue", route.Name).Int("status", status).Str("verdict", string(o.Result)).
-		Str("reason", o.Reason).Int64("tookMillis", took.Milliseconds()).Msg("request answered")
+	r.addTo(s.options.Log.Info(), took).Bool("callerLeft", callerLeft).Int("status", status).Str("verdict", string(o.Result)).
+		Str("reason", o.Reason).Msg("request answered")
 	return s.send(c, status, body)
 }
 
@@ -58,6 +58,15 @@
 	return c.Status(status).SendString(reason)
 }
 
+// refuseUnread refuses a job that is not run since its request was read too late.
+func (s *QueueServer) refuseUnread(c fiber.Ctx, r *jobRequest, reason string) error {
+	const status = http.StatusServiceUnavailable
+	r.addTo(s.options.Log.Info(), time.Since(r.arrived)).Str("path", truncatePath(c.Path())).Int("status", status).Str("reason", reason).
+		Msg("request refused")
+	s.options.Observer.Refused("request")
+	return c.Status(status).SendString(reason)
+}
+
 // maxLoggedPathBytes is the length to which a path is truncated in the log.
 const maxLoggedPathBytes = 80
 
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,6 +77,7 @@
 	app      *fiber.App   // for callers
 	readyApp *fiber.App   // for the load balancer
 	open     atomic.Int64 // requests in progress
+	requests sync.Map     // those of them that have submitted a job, by *jobRequest
 	draining atomic.Bool
 	closesAt atomic.Pointer[time.Time] // set while the server drains
 	done     chan struct{}
@@ -133,6 +135,7 @@
 	err := errors.Join(s.app.ShutdownWithContext(ctx), s.readyApp.ShutdownWithContext(ctx))
 	_ = s.options.CallerListener.Close() // a shutdown before the first accept does not close the listener
 	if err != nil {
+		s.logCut()
 		return &Error{Op: "stop", Kind: KindServe, Err: err}
 	}
 	return nil
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -117,6 +117,12 @@
 
 // serveQueuesBehind is serveQueues with a latest pause and a wrapper of the callers' listener.
 func serveQueuesBehind(t *testing.T, d Dispatcher, p PauseSource, wrap func(net.Listener) net.Listener) (s *QueueServer, callers, balancer string) {
+	t.Helper()
+	return serveQueuesLogged(t, d, p, wrap, io.Discard)
+}
+
+// serveQueuesLogged is serveQueuesBehind with a writer of the log.
+func serveQueuesLogged(t *testing.T, d Dispatcher, p PauseSource, wrap func(net.Listener) net.Listener, w io.Writer) (s *QueueServer, callers, balancer string) {
 	t.Helper()
 	listeners := make([]net.Listener, 2)
 	for i := range listeners {
@@ -129,7 +135,7 @@
 	s = NewQueueServer(QueueOptions{
 		CallerListener: wrap(listeners[0]), BalancerListener: listeners[1], Protocol: plainProtocol{}, Dispatcher: d, Pauses: p, Observer: ignoringObserver{},
 		Limits: Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096, MaxConnections: 100, ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second},
-		Log:    &log.Logger{Writer: log.IOWriter{Writer: io.Discard}},
+		Log:    &log.Logger{Writer: log.IOWriter{Writer: w}},
 	})
 	if err := s.Start(t.Context()); err != nil {
 		t.Fatal(err)
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -56,12 +56,16 @@
 	for range maxForwards {
 		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed, time.Since(began), in.homeMissingFor()))
 		if !ok {
+			recordNoHome(ctx, s, j.target, time.Since(began))
 			break
 		}
 		j.annotate(&s)
 		s.Age, s.TimeLeft, s.Number = time.Since(began), time.Until(deadline), in.submissions.Add(1)
 		in.reserveUntilHeartbeat(dc, s)
-		outcome, err := in.submit(ctx, dc, s)
+		owner, sentTo := in.homeOf(dc)
+		end := beginAttempt(s, owner.Instance, sentTo)
+		outcome, err := in.submit(ctx, dc, owner, s)
+		end(ctx, outcome, err)
 		if mayHaveBegun(outcome, err) {
 			begun = attempt{dataCentre: dc, token: token, submission: s}
 		}
@@ -124,9 +128,8 @@
 	return min(plan.MaxStartDelay(plan.Objective(s.Route, chain), chain)-age, homeTimeout-missing)
 }
 
-// submit sends a job to the home of a data centre and waits for the outcome.
-func (in *Instance) submit(ctx context.Context, dataCentre string, s home.Submission) (home.Outcome, error) {
-	owner, _ := in.homeOf(dataCentre)
+// submit sends a job to the home of a data centre, which the owner is, and waits for the outcome.
+func (in *Instance) submit(ctx context.Context, dataCentre string, owner homeRow, s home.Submission) (home.Outcome, error) {
 	if owner.Instance == in.self.Instance {
 		h := in.localHome(dataCentre)
 		if h == nil {
--- a/home/submit.go
+++ b/home/submit.go
@@ -77,6 +77,9 @@
 	// the start requests itself, through OriginStarter; 0 otherwise.
 	SpecBytes     int            `json:"withheld,omitempty"`
 	OriginStarter *OriginStarter `json:"-"`
+
+	// Attempts records the attempts of the origin, if it is set.
+	Attempts *Attempts `json:"-"`
 }
 
 // UnknownTransit is the transit of a submission that may have been under way for any time.
