fleet: log the job and the home of a failed call before its error

Records of incidents cut lines off after 200 bytes. "home did not answer" began with the error, whose text takes 60 to 150 bytes, so that records show the error with a part of the job's id, and neither the home's token nor whether the call counted as not sent, which decides whether the job may go elsewhere.

The fields of the line are the same, the error is the last one now. The test failed before: token and "unsent" ended at byte 207 of 152.

--- a/fleet/attempts_test.go
+++ b/fleet/attempts_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"regexp"
@@ -9,8 +10,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"foxtailmux/home"
+	"foxtailmux/logger"
 	"foxtailmux/model"
 	"foxtailmux/peer"
 	"foxtailmux/plan"
@@ -119,3 +122,29 @@
 type errText string
 
 func (e errText) Error() string { return string(e) }
+
+// Guards against a record of an incident, which cuts lines off after 200 bytes, without the job and the home of
+// a failed call.
+func TestJobAndHomeOfAFailedCallStandInTheFirstBytesOfALine(t *testing.T) {
+	const maxBytes = 200 - len(`"instance":"edge-osr-b-2","dataCentre":"osr-b",`)
+	var logged bytes.Buffer
+	in := newListener(t)
+	in.log = &logger.Logger{Logger: log.Logger{Writer: log.IOWriter{Writer: &logged}}}
+	in.self.Instance, in.self.Incarnation = "entry", "1"
+	in.reservations, in.link = map[string]reservation{}, plan.NewLink(0)
+	in.homeTable = watch.New(homesTableName, nil, nil, func([]table.Row) {}, &in.log.Logger)
+	other := startGroup(t, "other")
+	other.Handle(methodRun, func(context.Context, json.RawMessage) (any, error) { return nil, errNotHome })
+	in.peers.SetPeer("other", other.Addr())
+	in.hear(`{"instance":"other","incarnation":"1","nextMillis":60000}`)
+	in.homeTable.ApplyWrite(table.Row{Key: homeKey("osr-a"), Value: []byte(`{"instance":"other","incarnation":"1"}`), Version: 1234})
+	time.Sleep(50 * time.Millisecond) // until the heartbeat has arrived
+
+	s := home.Submission{Batch: model.Batch{ID: "5c0e7a21d94b36f8"}, Origin: "entry", Incarnation: "1", TimeLeft: time.Second}
+	s.Route = model.Route{Stretch: 2, Allowance: 10 * time.Millisecond}
+	in.forward(t.Context(), s, newForwarding("osr-a"), time.Now())
+	want := `"job":"5c0e7a21d94b36f8","home":"osr-a","token":1234,"submission":1,"unsent":true`
+	if end := bytes.Index(logged.Bytes(), []byte(want)) + len(want); end < len(want) || end > maxBytes {
+		t.Errorf("the fields end at byte %d of %s", end, logged.Bytes())
+	}
+}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -74,8 +74,8 @@
 			return home.Outcome{Result: home.Cancelled, Reason: "its caller went away"}
 		}
 		if err != nil {
-			in.log.Warn().Err(err).Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
-				Bool("unsent", notAccepted(err)).Msg("home did not answer")
+			in.log.Warn().Stringer("job", s.Key()).Str("home", dc).Int64("token", token).Int64("submission", s.Number).
+				Bool("unsent", notAccepted(err)).Err(err).Msg("home did not answer")
 		}
 		switch j.decide(dc, outcome, err) {
 		case returnOutcome:
