--- a/home/submit.go
+++ b/home/submit.go
@@ -78,6 +78,9 @@
 	// the start requests itself, through OriginStarter; 0 otherwise.
 	SpecBytes     int            `json:"withheld,omitempty"`
 	OriginStarter *OriginStarter `json:"-"`
+
+	// Attempts records the attempts of the origin, if it is set.
+	Attempts *Attempts `json:"-"`
 }
 
 // UnknownTransit is the transit of a submission that may have been under way for any time.
@@ -141,6 +144,7 @@
 	}
 	if j := h.jobs[s.Key()]; j != nil {
 		now := time.Now()
+		j.trail.addReplaced(j.lastSubmission, now)
 		j.lastSubmission, j.sentAt = s.ID(), s.sentBefore(now)
 		j.recordRequest(s, now)
 		j.deadline = later(j.deadline, now.Add(s.TimeLeft))
