--- a/fleet/supersede.go
+++ b/fleet/supersede.go
@@ -69,9 +69,9 @@
 	}
 	err := in.supersedeElsewhere(ctx, resubmission{s, dataCentre, since}, announced)
 	held := time.Since(since)
-	in.log.Info().Err(err).Stringer("job", s.Key()).Str("home", dataCentre).Str("origin", s.Origin).Int64("submission", s.Number).
-		Int64("request", s.Request).Int64("ageMillis", s.Age.Milliseconds()).Strs("openAt", instancesOf(announced)).
-		Int64("heldMillis", held.Milliseconds()).Msg("earlier submissions are superseded")
+	in.log.Info().Stringer("job", s.Key()).Strs("openAt", instancesOf(announced)).Int64("heldMillis", held.Milliseconds()).
+		Int64("ageMillis", s.Age.Milliseconds()).Str("home", dataCentre).Str("origin", s.Origin).Int64("request", s.Request).
+		Int64("submission", s.Number).Err(err).Msg("earlier submissions are superseded")
 	if err != nil {
 		return home.Outcome{Result: home.Cancelled, Reason: err.Error()}
 	}
@@ -134,7 +134,7 @@
 		p.Go(func(ctx context.Context) error {
 			response, err := in.supersedeAt(ctx, instance, r, false)
 			if err != nil {
-				in.log.Info().Err(err).Stringer("job", r.Key()).Str("peer", instance).Msg("earlier submissions not queried")
+				in.log.Info().Stringer("job", r.Key()).Str("peer", instance).Err(err).Msg("earlier submissions not queried")
 				return nil
 			}
 			if response.LaterOpen {
@@ -172,7 +172,7 @@
 			return nil
 		}
 		if now := time.Now(); now.After(o.until.Add(leaseExpiryMargin)) || now.After(in.leasesEnd(o, now)) {
-			in.log.Info().Err(err).Stringer("job", r.Key()).Str("openAt", o.instance).Bool("runsLeft", response.RunsLeft).
+			in.log.Info().Stringer("job", r.Key()).Str("openAt", o.instance).Bool("runsLeft", response.RunsLeft).Err(err).
 				Msg("end of an earlier submission not confirmed, its leases have expired")
 			return nil
 		}
