--- a/beat/beat.go
+++ b/beat/beat.go
@@ -184,41 +184,70 @@
 		period time.Duration
 		toHome bool
 	}
-	bodies := map[variant][]byte{}
+	encoded := map[variant][][]byte{}
 	for _, hb := range d.due(now, len(own.Homes) > 0) {
 		v := variant{hb.period, hb.toHome}
-		body, ok := bodies[v]
+		bodies, ok := encoded[v]
 		if !ok {
 			h := own
 			h.NextMillis = hb.period.Milliseconds()
 			if !hb.toHome {
 				h.Open = nil
 			}
-			body = d.encode(h)
-			bodies[v] = body
-		}
-		if body == nil {
-			continue
+			bodies = d.encodeAll(h)
+			encoded[v] = bodies
 		}
-		addr, err := net.ResolveUDPAddr("udp", hb.peer.Addr)
+		d.sendTo(hb.peer, bodies)
+	}
+}
+
+func (d *Detector) sendTo(p Peer, bodies [][]byte) {
+	addr, err := net.ResolveUDPAddr("udp", p.Addr)
+	for _, body := range bodies {
 		if err == nil {
 			_, err = d.options.Conn.WriteTo(body, addr)
 		}
-		if err != nil {
-			d.options.Log.Debug().Err(err).Str("peer", hb.peer.Instance).Msg("heartbeat not sent")
+	}
+	if err != nil {
+		d.options.Log.Debug().Err(err).Str("peer", p.Instance).Msg("heartbeat not sent")
+	}
+}
+
+const (
+	openJobTextBytes = 11 // of an open job in a heartbeat
+	openTextBytes    = 16 // of the field of open jobs without them
+)
+
+// encodeAll encodes a heartbeat with as many of its open jobs as fit into a packet, and further ones with the others.
+func (d *Detector) encodeAll(h Heartbeat) [][]byte {
+	var bodies [][]byte
+	open := h.Open
+	for first := true; first || len(open) > 0; first = false {
+		h.Open = nil
+		body := d.encode(h)
+		if body == nil {
+			break
+		}
+		n := min(len(open), (maxHeartbeatBytes-len(body)-openTextBytes)/openJobTextBytes)
+		if n <= 0 && !first {
+			d.options.Log.Error().Int("bytes", len(body)).Int("openJobs", len(open)).Msg("open jobs not announced")
+			break
 		}
+		if n > 0 {
+			h.Open = open[:n]
+			body = d.encode(h)
+			open = open[n:]
+		}
+		bodies = append(bodies, body)
+		h.Cancelled = nil // the first one has them
 	}
+	return bodies
 }
 
-// encode returns nil if the heartbeat can't be sent. One that is too large goes without Open, or without
-// Cancelled, too: it is needed as a sign of life.
+// encode returns nil if the heartbeat can't be sent. One that is too large goes without Cancelled: it is
+// needed as a sign of life.
 func (d *Detector) encode(h Heartbeat) []byte {
 	body, err := json.Marshal(h)
-	if len(body) > maxHeartbeatBytes && len(h.Open) > 0 {
-		d.options.Log.Warn().Int("bytes", len(body)).Int("openJobs", len(h.Open)).Msg("heartbeat sent without open jobs")
-		h.Open = nil
-		body, err = json.Marshal(h)
-	}
 	if len(body) > maxHeartbeatBytes && len(h.Cancelled) > 0 {
 		d.options.Log.Warn().Int("bytes", len(body)).Int("cancels", len(h.Cancelled)).Msg("heartbeat sent without cancels")
 		h.Cancelled = nil
--- a/beat/open_test.go
+++ b/beat/open_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,16 +41,46 @@
 	}
 }
 
-// Guards against an instance that counts as dead since its heartbeat with many open jobs does not fit into a packet.
-func TestLargeHeartbeatGoesWithoutOpenJobs(t *testing.T) {
+// Guards against open jobs that are not announced since they don't fit into one packet, and against an instance that
+// counts as dead since its heartbeat does not.
+func TestManyOpenJobsGoInSeveralHeartbeats(t *testing.T) {
 	d := New(Options{Log: &log.Logger{Level: log.PanicLevel}})
-	h := Heartbeat{Instance: "a", Homes: map[string]model.FreeCapacity{"kochi": {}}, Cancelled: []int64{4}, Open: make(OpenJobs, 200)}
+	h := Heartbeat{Instance: "a", Homes: map[string]model.FreeCapacity{"kochi": {}}, Cancelled: []int64{4}}
+	for n := range 200 {
+		h.Open = append(h.Open, OpenJob{Job: uint32(n)})
+	}
 	var got Heartbeat
-	if err := json.Unmarshal(d.encode(h), &got); err != nil {
-		t.Fatal(err)
+	for i, body := range d.encodeAll(h) {
+		var part Heartbeat
+		if err := json.Unmarshal(body, &part); err != nil || len(body) > maxHeartbeatBytes {
+			t.Fatalf("%d bytes, error %v", len(body), err)
+		}
+		open, cancelled := append(got.Open, part.Open...), got.Cancelled
+		if i == 0 {
+			cancelled = part.Cancelled
+		}
+		got = part
+		got.Open, got.Cancelled = open, cancelled
 	}
-	h.Open = nil
 	if diff := cmp.Diff(h, got); diff != "" {
-		t.Errorf("heartbeat (-want +got):\n%s", diff)
+		t.Errorf("heartbeats together (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against an instance that counts as dead since its heartbeat with many homes leaves no space for open jobs.
+func TestHeartbeatWithoutSpaceGoesWithoutOpenJobs(t *testing.T) {
+	d := New(Options{Log: &log.Logger{Level: log.PanicLevel}})
+	h := Heartbeat{Instance: "a", Homes: map[string]model.FreeCapacity{}, Open: make(OpenJobs, 3)}
+	for i := 0; len(d.encode(h)) < maxHeartbeatBytes-100; i++ {
+		h.Homes[fmt.Sprintf("dataCentre%d", i)] = model.FreeCapacity{Free: 1_000_000}
+	}
+	h.Homes["lastDataCentreWithALongName"] = model.FreeCapacity{Free: 1_000_000, Waiting: 1_000_000}
+	var got Heartbeat
+	bodies := d.encodeAll(h)
+	if err := json.Unmarshal(bodies[0], &got); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int{1, len(h.Homes)}, []int{len(bodies), len(got.Homes)}); diff != "" {
+		t.Errorf("heartbeats and homes (-want +got):\n%s", diff)
 	}
 }
--- a/fleet/cancel.go
+++ b/fleet/cancel.go
@@ -119,6 +119,7 @@
 	for i, n := range h.Cancelled {
 		ids[i] = home.SubmissionID{Origin: h.Instance, Incarnation: h.Incarnation, Number: n}
 	}
+	in.held.Cancel(ids...)
 	for _, local := range in.homesByCentre() {
 		local.CancelAnnounced(ids)
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,7 @@
 	requests    atomic.Int64 // number of requests of callers
 	submissions atomic.Int64 // number of submissions to homes
 	openJobs    openJobs
+	held        heldSubmissions
 
 	ctx        context.Context
 	cancel     context.CancelFunc
--- a/fleet/openjobs.go
+++ b/fleet/openjobs.go
@@ -9,19 +9,15 @@
 	"foxtailmux/home"
 )
 
-// maxAnnouncedJobs bounds the open jobs in a heartbeat, which has to fit into one packet. Older ones have been
-// in earlier heartbeats.
-const maxAnnouncedJobs = 48
-
-// openJobs records the jobs that homes of this and of other instances have announced as open for long. Used
-// where only time would keep two submissions of a job apart: a caller that got no response submits it again at
-// any instance, while the home of the first submission may have no sign of that. The zero value is ready to use.
+// openJobs records where jobs have been open for long, as far as homes have announced it. Used where only time
+// would keep two submissions of a job apart: a caller that got no response submits it again at any instance, while
+// the home of the first submission may have no sign of that. The zero value is ready to use.
 type openJobs struct {
 	mu    sync.Mutex
 	byJob map[uint32]map[openJobKey]openJob
 }
 
-// openJobKey identifies an announced job with the same hash of its id.
+// openJobKey identifies an announced job among those with the same hash of their ids.
 type openJobKey struct {
 	instance, incarnation string
 	request               uint16
@@ -30,15 +26,16 @@
 // openJob is where a job is open.
 type openJob struct {
 	openJobKey
-	until time.Time // when its time is over
+	until time.Time // when its last run has ended at the latest
 }
 
-// Record records the jobs that an instance announced.
-func (o *openJobs) Record(instance, incarnation string, list beat.OpenJobs, now time.Time) {
+// Record records jobs that an instance has announced. Their leases end that long after their time is over.
+func (o *openJobs) Record(instance, incarnation string, list beat.OpenJobs, leases time.Duration) {
+	now := time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, j := range list {
-		o.addLocked(j.Job, openJob{openJobKey{instance, incarnation, j.Request}, now.Add(j.Left)})
+		o.add(j.Job, openJob{openJobKey{instance, incarnation, j.Request}, now.Add(j.Left + leases)})
 	}
 }
 
@@ -46,10 +43,11 @@
 func (o *openJobs) Add(id string, j openJob) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.addLocked(beat.HashJob(id), j)
+	o.add(beat.HashJob(id), j)
 }
 
-func (o *openJobs) addLocked(hash uint32, j openJob) {
+// add is Add for callers that hold the lock.
+func (o *openJobs) add(hash uint32, j openJob) {
 	if o.byJob == nil {
 		o.byJob = map[uint32]map[openJobKey]openJob{}
 	}
@@ -59,10 +57,9 @@
 	o.byJob[hash][j.openJobKey] = j
 }
 
-// OfOtherRequests returns where a job may be open for other requests than the given one. An announcement
-// counts until the time of its job is over.
-func (o *openJobs) OfOtherRequests(id string, request home.RequestID, now time.Time) []openJob {
-	own := hashRequest(request)
+// OfOtherRequests returns where a job may be open for other requests than the given one.
+func (o *openJobs) OfOtherRequests(id string, request home.RequestID) []openJob {
+	own, now := hashRequest(request), time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []openJob
@@ -85,7 +82,7 @@
 	}
 }
 
-// RemoveExpired removes the announcements of jobs whose time is over.
+// RemoveExpired removes the announcements of jobs that can have no run.
 func (o *openJobs) RemoveExpired(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -103,10 +100,9 @@
 
 func hashRequest(r home.RequestID) uint16 { return beat.HashRequest(r.Origin, r.Incarnation, r.Number) }
 
-// announcedJobs returns the jobs of this instance's homes that the next heartbeat announces, those with the
-// latest requests first, and records them.
+// announcedJobs returns the long open jobs of this instance, those with the latest requests first, and records them.
 func (in *Instance) announcedJobs() beat.OpenJobs {
-	var jobs []home.OpenJob
+	jobs := in.held.LongOpenJobs()
 	for _, h := range in.homesByCentre() {
 		jobs = append(jobs, h.LongOpenJobs()...)
 	}
@@ -115,11 +111,16 @@
 	for i, j := range jobs {
 		list[i] = beat.OpenJob{Job: beat.HashJob(j.ID), Request: hashRequest(j.Request), Left: j.Left}
 	}
-	in.openJobs.Record(in.self.Instance, in.self.Incarnation, list, time.Now())
-	return list[:min(len(list), maxAnnouncedJobs)]
+	in.openJobs.Record(in.self.Instance, in.self.Incarnation, list, in.leaseTime())
+	return list
 }
 
 // onOpenJobs records the open jobs that a heartbeat announces.
 func (in *Instance) onOpenJobs(h beat.Heartbeat) {
-	in.openJobs.Record(h.Instance, h.Incarnation, h.Open, time.Now())
+	in.openJobs.Record(h.Instance, h.Incarnation, h.Open, in.leaseTime())
+}
+
+// leaseTime returns how long runs can outlive the last request of their home to their workers.
+func (in *Instance) leaseTime() time.Duration {
+	return in.settings.Platform.MaxLease + home.LeaseMargin
 }
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -105,6 +105,7 @@
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, eris.Wrap(err, "decode cancel")
 	}
+	in.held.Cancel(r.Submission)
 	h := in.localHome(r.DataCentre)
 	if h == nil {
 		in.log.Info().Stringer("job", r.Job).Str("home", r.DataCentre).Str("origin", r.Submission.Origin).
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -1,19 +1,23 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/phuslu/log"
 
 	"foxtailmux/beat"
 	"foxtailmux/home"
 	"foxtailmux/model"
+	"foxtailmux/peer"
 	"foxtailmux/plan"
 	"foxtailmux/table"
 	"foxtailmux/watch"
@@ -46,7 +50,7 @@
 	a := &asked{}
 	other := startGroup(t, "other")
 	other.Handle(methodSupersede, func(_ context.Context, params json.RawMessage) (any, error) {
-		var r supersedeRequest
+		var r supersedeCall
 		if err := json.Unmarshal(params, &r); err != nil {
 			return nil, err
 		}
@@ -61,14 +65,22 @@
 	})
 	in.peers.SetPeer("other", other.Addr())
 	in.hear(`{"instance":"other","incarnation":"1","nextMillis":60000}`)
+	in.awaitIncarnation("1")
+	return in, a
+}
+
+// awaitIncarnation waits until a heartbeat of an incarnation of "other" has arrived.
+func (l listener) awaitIncarnation(incarnation string) {
 	for range 50 {
-		if time.Sleep(10 * time.Millisecond); in.heartbeats.IsAlive("other") {
-			break
+		if time.Sleep(10 * time.Millisecond); l.heartbeats.Status("other").Incarnation == incarnation {
+			return
 		}
 	}
-	return in, a
 }
 
+// testLeaseTime is the leaseTime of a newResubmissionTest.
+const testLeaseTime = 300*time.Millisecond + home.LeaseMargin
+
 // setHome records the home of a data centre as the store does.
 func (l listener) setHome(dataCentre, instance string, version int64) {
 	value := fmt.Sprintf(`{"instance":%q,"incarnation":"1"}`, instance)
@@ -83,10 +95,9 @@
 
 // resubmit returns how long a job waited for its earlier submissions, and the error of that.
 func (l listener) resubmit(t *testing.T, s home.Submission) (time.Duration, error) {
-	since := time.Now()
-	announced := l.openJobs.OfOtherRequests(s.Batch.ID, s.RequestID(), since)
-	err := l.supersedeElsewhere(t.Context(), resubmission{s, "kochi", since}, announced)
-	return time.Since(since), err
+	r := resubmission{s, "kochi", time.Now(), map[openJobKey]bool{}}
+	err := l.supersedeElsewhere(t.Context(), r)
+	return time.Since(r.since), err
 }
 
 func resubmitted(id string) home.Submission {
@@ -94,8 +105,8 @@
 }
 
 var (
-	runsLeft   = supersedeResponse{RunsLeft: true}
-	noRunsLeft = supersedeResponse{}
+	runsLeft   = supersedeResult{RunsLeft: true}
+	noRunsLeft = supersedeResult{}
 )
 
 // Guards against a task that runs at two homes: a job is started while the home that has announced it still has
@@ -109,7 +120,7 @@
 	if diff := cmp.Diff(3, a.count()); diff != "" {
 		t.Errorf("requests (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(true, a.requests[2].Certain && a.requests[2].By == resubmitted("a").RequestID()); diff != "" {
+	if diff := cmp.Diff(true, a.requests[2].Announced && a.requests[2].By == resubmitted("a").RequestID()); diff != "" {
 		t.Errorf("certain end for this request asked (-want +got):\n%s", diff)
 	}
 }
@@ -128,11 +139,15 @@
 	}{
 		"new":                 {resubmitted("a"), noRunsLeft, nil, 0},
 		"old":                 {old, noRunsLeft, nil, 1},
-		"old, later one open": {old, supersedeResponse{LaterOpen: true}, errSuperseded, 1},
+		"old, later one open": {old, supersedeResult{LaterOpen: true}, errSuperseded, 1},
 		"old, no response":    {old, errors.New("not now"), nil, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			in, a := newResubmissionTest(t, c.result)
+			results, ok := c.result.([]any)
+			if !ok {
+				results = []any{c.result}
+			}
+			in, a := newResubmissionTest(t, results...)
 			_, err := in.resubmit(t, c.submission)
 			if !errors.Is(err, c.wantErr) {
 				t.Errorf("got %v, want %v", err, c.wantErr)
@@ -162,36 +177,47 @@
 	in.announce("a", 3*time.Second)
 	s := resubmitted("a")
 	s.Origin = "first"
-	if diff := cmp.Diff(0, len(in.openJobs.OfOtherRequests("a", s.RequestID(), time.Now()))); diff != "" {
+	if diff := cmp.Diff(0, len(in.openJobs.OfOtherRequests("a", s.RequestID()))); diff != "" {
 		t.Errorf("other requests (-want +got):\n%s", diff)
 	}
 }
 
-// Guards against a caller that waits for longer than an earlier run can live: until its time is over where its home
-// does not respond, and until the leases have expired where the store names a later home that has not started.
-func TestResubmissionWaitsNoLongerThanAnEarlierRunCanLive(t *testing.T) {
+// Guards against a caller that waits for longer than an earlier run can live: until its time is over and the leases
+// have expired where its home does not respond, and until the leases have expired where the home is lost and the later
+// one has not started; and against tasks that start before that.
+func TestResubmissionWaitsAsLongAsAnEarlierRunCanLive(t *testing.T) {
+	const left = 400 * time.Millisecond
 	for name, c := range map[string]struct {
-		left     time.Duration
-		replaced bool
-		want     time.Duration
+		left           time.Duration
+		lost, replaced bool
+		want           time.Duration
 	}{
-		"home does not respond": {left: 400 * time.Millisecond, want: 400*time.Millisecond + leaseExpiryMargin},
-		"home replaced":         {left: time.Minute, replaced: true, want: 300*time.Millisecond + leaseExpiryMargin},
+		"home does not respond":       {left: left, want: left + testLeaseTime},
+		"home lost":                   {left: left, lost: true, want: left + testLeaseTime},
+		"home lost and replaced":      {left: time.Minute, lost: true, replaced: true, want: testLeaseTime},
+		"home replaced, but is heard": {left: left, replaced: true, want: left + testLeaseTime},
 	} {
 		t.Run(name, func(t *testing.T) {
-			in, _ := newResubmissionTest(t, errors.New("not now"))
+			in, a := newResubmissionTest(t, errors.New("not now"))
 			in.announce("a", c.left)
 			if c.replaced {
 				in.setHome("tvm", "third", 9)
 				in.homeChangedAt["tvm"] = time.Now()
 			}
+			if c.lost {
+				in.hear(`{"instance":"other","incarnation":"2","nextMillis":60000}`)
+				in.awaitIncarnation("2")
+			}
 			took, err := in.resubmit(t, resubmitted("a"))
 			if err != nil {
 				t.Error(err)
 			}
-			if took < c.want || took > c.want+500*time.Millisecond {
+			if took < c.want-50*time.Millisecond || took > c.want+500*time.Millisecond {
 				t.Errorf("waited %v, want %v", took, c.want)
 			}
+			if diff := cmp.Diff(!c.lost, a.count() > 0); diff != "" {
+				t.Errorf("asked (-want +got):\n%s", diff)
+			}
 		})
 	}
 }
@@ -200,13 +226,13 @@
 // may continue, reports that none is left.
 func TestRunsOfAClosedHomeAreLeftUntilTheirLeasesHaveExpired(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
+	in.setHome("kochi", "third", 10)
 	in.homeClosedAt = time.Now()
-	ask := func(certain bool) bool {
-		r := supersedeRequest{SupersedeRequest: home.SupersedeRequest{Job: "a", Certain: certain}}
-		return in.supersede(t.Context(), r, "").RunsLeft
+	ask := func(announced bool) bool {
+		return in.supersede(t.Context(), home.SupersedeRequest{Job: "a", Announced: announced}, "").RunsLeft
 	}
 	got := []bool{ask(true), ask(false)}
-	time.Sleep(in.settings.Platform.MaxLease + leaseExpiryMargin)
+	time.Sleep(in.leaseTime())
 	got = append(got, ask(true))
 	if diff := cmp.Diff([]bool{true, false, false}, got); diff != "" {
 		t.Errorf("runs left (-want +got):\n%s", diff)
@@ -217,7 +243,7 @@
 func TestRequestForTheEndOfAJobAnnouncesIt(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	by := home.RequestID{Origin: "first", Incarnation: "1", Number: 1}
-	params, err := json.Marshal(supersedeRequest{
+	params, err := json.Marshal(supersedeCall{
 		SupersedeRequest: home.SupersedeRequest{Job: "a", By: by}, Instance: "other", Incarnation: "1", Left: time.Second,
 	})
 	if err != nil {
@@ -227,44 +253,146 @@
 		t.Fatal(err)
 	}
 	later := resubmitted("a").RequestID()
-	if diff := cmp.Diff([]string{"other"}, instancesOf(in.openJobs.OfOtherRequests("a", later, time.Now()))); diff != "" {
-		t.Errorf("open at (-want +got):\n%s", diff)
+	open := in.openJobs.OfOtherRequests("a", later)
+	if diff := cmp.Diff(1, len(open)); diff != "" || open[0].instance != "other" {
+		t.Errorf("open at %v (-want +got):\n%s", open, diff)
 	}
-	in.openJobs.RemoveExpired(time.Now().Add(time.Second))
+	in.openJobs.RemoveExpired(time.Now().Add(time.Second + in.leaseTime()))
 	if diff := cmp.Diff(0, len(in.openJobs.byJob)); diff != "" {
 		t.Errorf("announcements after the time of the job (-want +got):\n%s", diff)
 	}
 }
 
-// Guards against a heartbeat that announces the oldest of many open jobs only, which earlier ones have announced.
-func TestHeartbeatAnnouncesTheLatestOfManyOpenJobs(t *testing.T) {
-	const jobs = maxAnnouncedJobs + 10
-	in, _ := newResubmissionTest(t, noRunsLeft)
+// Guards against a heartbeat that does not announce the job of a submission that waits for an earlier one, and against
+// two submissions of which neither is told of the other since neither has arrived at its home.
+func TestHeldSubmissionIsAnnouncedAndEnds(t *testing.T) {
+	in, _ := newResubmissionTest(t, runsLeft)
+	in.announce("a", time.Minute)
+	h := home.New(home.Options{DataCentre: "kochi", Token: 1, MaxLease: time.Second, Log: &in.log.Logger, OnFenced: func() {}})
+	defer h.Close()
+	earlier := home.SupersedeRequest{Job: "a", By: home.RequestID{Origin: "first", Number: 1}, Age: 2 * home.LongOpenAge}
+	later := home.SupersedeRequest{Job: "a", By: home.RequestID{Origin: "third", Number: 1}}
+	for name, end := range map[string]func(home.Submission){
+		"superseded": func(home.Submission) { in.supersede(t.Context(), later, "") },
+		"cancelled":  func(s home.Submission) { in.held.Cancel(s.ID()) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := resubmitted("a")
+			s.Age, s.Number = home.LongOpenAge, 4
+			ended := make(chan home.Outcome, 1)
+			go func() { ended <- in.submitHere(t.Context(), "kochi", h, s) }()
+			time.Sleep(200 * time.Millisecond)
+			announced := false
+			for _, j := range in.announcedJobs() {
+				announced = announced || j.Job == beat.HashJob("a") && j.Request == hashRequest(s.RequestID())
+			}
+			got := []bool{announced, in.supersede(t.Context(), earlier, "").LaterOpen}
+			if diff := cmp.Diff([]bool{true, true}, got); diff != "" {
+				t.Errorf("announced, later for an earlier request (-want +got):\n%s", diff)
+			}
+			end(s)
+			if diff := cmp.Diff(home.Cancelled, (<-ended).Result); diff != "" {
+				t.Errorf("held submission (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a task that runs at two homes: the times of a submission leave out how long it waited for earlier
+// ones, and it starts beside runs that an earlier home of its data centre has left on workers that have not reported.
+func TestHeldSubmissionIsOlderAtItsHome(t *testing.T) {
+	in, _ := newResubmissionTest(t, runsLeft, runsLeft, noRunsLeft)
+	in.homeChangedAt["kochi"] = time.Now()
+	in.openJobs.Add("a", openJob{openJobKey{instance: "earlier", incarnation: "1"}, time.Now().Add(time.Minute)})
+	in.announce("a", time.Minute)
+	var logged bytes.Buffer
 	h := home.New(home.Options{
-		DataCentre: "kochi", Token: 1, MaxLease: time.Second, Link: plan.NewLink(0), Observer: in.meter, Log: &in.log.Logger, OnFenced: func() {},
+		DataCentre: "kochi", Token: 1, MaxLease: time.Second, Link: plan.NewLink(0), Observer: in.meter, OnFenced: func() {},
+		Log: &log.Logger{Writer: log.IOWriter{Writer: &logged}},
 	})
-	defer h.Close()
-	in.localHomes["kochi"] = h
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	for n := range jobs {
-		s := resubmitted(fmt.Sprint("job", n))
-		s.Batch.Steps, s.Request, s.Age = []model.Step{{Replicas: 1}}, int64(n), 2*time.Second-time.Duration(n)*time.Millisecond
-		go h.Submit(ctx, s)
+	s := resubmitted("a")
+	s.Batch.Steps, s.TimeLeft = []model.Step{{Replicas: 1}}, time.Second
+	go func() {
+		time.Sleep(300 * time.Millisecond)
+		h.Close()
+	}()
+	in.submitHere(t.Context(), "kochi", h, s)
+	<-h.Done()
+	var line struct {
+		AcceptedMillis, TransitMillis int64
+		Resumed                       bool
 	}
-	for range 100 {
-		if time.Sleep(10 * time.Millisecond); len(h.LongOpenJobs()) == jobs {
-			break
+	for text := range bytes.Lines(logged.Bytes()) {
+		if bytes.Contains(text, []byte("job ended")) {
+			if err := json.Unmarshal(text, &line); err != nil {
+				t.Fatal(err)
+			}
 		}
 	}
-	got, want := map[uint32]bool{}, map[uint32]bool{}
-	for _, j := range in.ownHeartbeat().Open {
-		got[j.Job] = true
+	if line.AcceptedMillis < announcedRetry.Milliseconds() || line.TransitMillis != line.AcceptedMillis || !line.Resumed {
+		t.Errorf("the job was accepted as %+v", line)
+	}
+}
+
+// Guards against a live caller's job that ends since a request of an earlier submission was held up on the network.
+func TestLateRequestForTheEndOfAJobIsRefused(t *testing.T) {
+	in, _ := newResubmissionTest(t, noRunsLeft)
+	in.peers.Handle(methodSupersede, in.serveSupersede)
+	conns := make(chan *holdingConn, 1)
+	asking := peer.New(peer.Options{
+		Self: model.Entry{ID: "other", Incarnation: "1"},
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			var d net.Dialer
+			raw, err := d.DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			conn := &holdingConn{Conn: raw}
+			conns <- conn
+			return conn, nil
+		},
+	})
+	t.Cleanup(func() { _ = asking.Close(context.Background()) })
+	asking.SetPeer("entry", in.peers.Addr())
+	c := supersedeCall{SupersedeRequest: home.SupersedeRequest{Job: "a"}, Instance: "other", Left: time.Minute}
+	if err := asking.Call(t.Context(), "entry", methodSupersede, c, nil); err != nil {
+		t.Fatal(err)
+	}
+	conn := <-conns
+	conn.hold()
+	c.Job = "b"
+	ended := make(chan error, 1)
+	go func() { ended <- asking.Call(t.Context(), "entry", methodSupersede, c, nil) }()
+	time.Sleep(maxTransit - 100*time.Millisecond)
+	for !conn.holdsBytes() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	if err := conn.release(); err != nil {
+		t.Fatal(err)
 	}
-	for n := range maxAnnouncedJobs {
-		want[beat.HashJob(fmt.Sprint("job", jobs-1-n))] = true
+	if err := <-ended; err == nil {
+		t.Error("a late request was served")
 	}
+	got := []int{len(in.openJobs.OfOtherRequests("a", home.RequestID{Number: 9})), len(in.openJobs.OfOtherRequests("b", home.RequestID{Number: 9}))}
+	if diff := cmp.Diff([]int{1, 0}, got); diff != "" {
+		t.Errorf("announcements of both jobs (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a task that runs at two homes: an instance that does not know what its earlier incarnation left, or
+// has not started the home that the store names, reports that no run is left.
+func TestInstanceWithoutItsHomeMayHaveLeftRuns(t *testing.T) {
+	in, _ := newResubmissionTest(t, noRunsLeft)
+	in.setHome("kochi", "third", 10)
+	got := map[string]bool{"no home": in.mayHaveLeftRuns()}
+	in.startedAt = time.Now()
+	got["just started"] = in.mayHaveLeftRuns()
+	in.startedAt = time.Now().Add(-time.Hour)
+	in.setHome("kochi", "entry", 11)
+	got["home not started"] = in.mayHaveLeftRuns()
+	want := map[string]bool{"no home": false, "just started": true, "home not started": true}
 	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("announced (-want +got):\n%s", diff)
+		t.Errorf("runs may be left (-want +got):\n%s", diff)
 	}
 }
--- a/fleet/transit_test.go
+++ b/fleet/transit_test.go
@@ -55,6 +55,12 @@
 	c.holds = true
 }
 
+func (c *holdingConn) holdsBytes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.held) > 0
+}
+
 func (c *holdingConn) release() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/home/adopt.go
+++ b/home/adopt.go
@@ -6,14 +6,14 @@
 	"foxtailmux/lease"
 )
 
-// adoptionMargin is added to the longest lease. For that time after its start a home holds back
+// LeaseMargin is added to the longest lease. For that time after its start a home holds back
 // jobs that an earlier home may have begun while not all workers have reported their runs;
 // afterwards the leases of the earlier home have expired.
-const adoptionMargin = 250 * time.Millisecond
+const LeaseMargin = 250 * time.Millisecond
 
 // allRunsKnown reports whether no worker can still have an unreported run of an earlier home.
 func (h *Home) allRunsKnown(now time.Time) bool {
-	if now.Sub(h.startedAt) > h.options.MaxLease+adoptionMargin {
+	if now.Sub(h.startedAt) > h.options.MaxLease+LeaseMargin {
 		return true
 	}
 	if h.incompleteList {
--- a/home/supersede.go
+++ b/home/supersede.go
@@ -63,12 +63,12 @@
 var errClosed = eris.New("the home was closed")
 
 // SupersedeRequest asks for the end of the jobs with an id that belong to earlier requests than one of the given
-// age. With Certain, runs of an earlier home that its workers have not reported count as left.
+// age. If the job was announced, runs of an earlier home that its workers have not reported count as left.
 type SupersedeRequest struct {
-	Job     string        `json:"job"` // id
-	By      RequestID     `json:"by"`
-	Age     time.Duration `json:"age"`
-	Certain bool          `json:"certain,omitempty"`
+	Job       string        `json:"job"` // id
+	By        RequestID     `json:"by"`
+	Age       time.Duration `json:"age"`
+	Announced bool          `json:"announced,omitempty"`
 }
 
 // Supersede ends jobs whose caller has submitted them again. It returns when none of their runs can be on a
@@ -114,7 +114,7 @@
 	if k := (Key{ID: r.Job}); now.Sub(h.startedAt) < inheritanceWindow && !slices.Contains(h.unwanted, k) {
 		h.unwanted = append(h.unwanted, k)
 	}
-	if r.Certain && !h.allRunsKnown(now) {
+	if r.Announced && !h.allRunsKnown(now) {
 		return true, false, nil
 	}
 	for _, w := range h.workers {
--- a/home/supersede_test.go
+++ b/home/supersede_test.go
@@ -34,7 +34,7 @@
 		go func() { first <- submit(c.firstHome, requestOf(firstRequest, "a", 2)) }()
 		time.Sleep(resubmitDelay)
 
-		later, err := c.firstHome.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Certain: true})
+		later, err := c.firstHome.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true})
 		if err != nil || later {
 			t.Errorf("later job open: %t, error %v", later, err)
 		}
@@ -98,7 +98,7 @@
 
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		r := home.SupersedeRequest{Job: "a", By: laterRequest, Certain: true}
+		r := home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true}
 		if _, err := h.Supersede(ctx, r); err == nil {
 			t.Error("the runs count as ended before the lease of their worker has expired")
 		}
@@ -124,7 +124,7 @@
 
 		next := dc.newHome(2)
 		defer dc.close(next)
-		later, err := next.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Certain: true})
+		later, err := next.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true})
 		if err != nil || later {
 			t.Errorf("later job open: %t, error %v", later, err)
 		}
--- a/proof/late_forward_test.go
+++ b/proof/late_forward_test.go
@@ -19,7 +19,13 @@
 // which instances reach that home.
 func newHeldFleet(t *testing.T) (s *soak, origin *soakInstance, links []*faultProxy) {
 	t.Helper()
-	s = newFleet(t, []string{"kochi", "kochi", "tvm", "tvm"}, []string{"kochi", "kochi", "tvm"})
+	return newHeldFleetOf(t, []string{"kochi", "kochi", "tvm"})
+}
+
+// newHeldFleetOf is newHeldFleet with instances in the given data centres.
+func newHeldFleetOf(t *testing.T, dataCentres []string) (s *soak, origin *soakInstance, links []*faultProxy) {
+	t.Helper()
+	s = newFleet(t, []string{"kochi", "kochi", "tvm", "tvm"}, dataCentres)
 	s.setRunTime(heldRunTime)
 	home := s.homeOf("kochi")
 	origin = s.instances[0]
--- a/proof/lost_caller_test.go
+++ b/proof/lost_caller_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -36,38 +38,54 @@
 // power or are cut off, so that leases outlast the time after which the caller submits the job again elsewhere.
 func TestJobOfALostOriginDoesNotRunBesideItsResubmission(t *testing.T) {
 	const (
-		runTime       = 1600 * time.Millisecond
-		originLostAt  = 100 * time.Millisecond
-		nextLostAt    = 1050 * time.Millisecond
-		lostFor       = 4 * time.Second
-		callerTimeout = 4 * time.Second
-		nextTimeout   = 6 * time.Second // of its second submission, which may wait for a later home of the first
+		runTime      = 2500 * time.Millisecond
+		estimate     = 1200 * time.Millisecond
+		originLostAt = 350 * time.Millisecond  // the home gives it up 0.8 s later at the earliest
+		nextLostAt   = 1050 * time.Millisecond // its home has announced the job by then
+		lostFor      = 4 * time.Second
+		nextTimeout  = 8 * time.Second // of the second submission, which may wait for a later home of the first
 	)
-	for name, loseNext := range map[string]func(*soak){
-		"home": func(s *soak) { s.losePower(s.homeOf("kochi"), lostFor) },
-		"workers": func(s *soak) {
-			for _, link := range s.workerProxies[:2] {
-				s.raise(lostFor, &link.holdAll)
-			}
-		},
+	loseHome := func(s *soak) { s.losePower(s.homeOf("kochi"), lostFor) }
+	loseWorkers := func(s *soak) {
+		for _, link := range s.workerProxies[:2] {
+			s.raise(lostFor, &link.holdAll)
+		}
+	}
+	for name, c := range map[string]struct {
+		loseNext      func(*soak)
+		callerTimeout time.Duration
+	}{
+		"home":                               {loseHome, 4 * time.Second},
+		"home, short timeout":                {loseHome, 1600 * time.Millisecond},
+		"workers":                            {loseWorkers, 4 * time.Second},
+		"workers, forwarded the second time": {loseWorkers, 4 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			s, origin, _ := newHeldFleet(t)
+			s, origin, _ := newHeldFleetOf(t, []string{"kochi", "kochi", "tvm", "tvm"})
 			s.setRunTime(runTime)
+			next := s.homeOf("tvm")
+			if strings.Contains(name, "forwarded") {
+				next = s.instances[slices.IndexFunc(s.instances, func(i *soakInstance) bool { return i.dataCentre == "tvm" && i != next })]
+			}
 			time.AfterFunc(originLostAt, func() {
 				s.callersLink(origin).resetClients()
 				s.losePower(origin, lostFor)
 			})
-			time.AfterFunc(nextLostAt, func() { loseNext(s) })
-			if diff := cmp.Diff(0, s.submitOnce(origin, heldJob, runTime, callerTimeout)); diff != "" {
+			time.AfterFunc(nextLostAt, func() { c.loseNext(s) })
+			if diff := cmp.Diff(0, s.submitOnce(origin, heldJob, estimate, c.callerTimeout)); diff != "" {
 				t.Errorf("status of the first submission (-want +got):\n%s", diff)
 			}
 			time.Sleep(resendDelay)
-			if diff := cmp.Diff(http.StatusOK, s.submitOnce(s.instances[2], heldJob, runTime, nextTimeout)); diff != "" {
+			if diff := cmp.Diff(http.StatusOK, s.submitOnce(next, heldJob, estimate, nextTimeout)); diff != "" {
 				t.Errorf("status of the second submission (-want +got):\n%s", diff)
 			}
 			s.restarts.Wait()
 			s.check()
+			for _, task := range []string{heldJob + ".0.0.0", heldJob + ".0.0.1"} {
+				if run := s.ledger.Runs(task)[0]; run.Ended.Sub(run.Began) < nextLostAt {
+					t.Errorf("the first run ended before the second loss: %v", run)
+				}
+			}
 		})
 	}
 }
