proof: add losses of whole data centres and of instances' rows

The fleet test had no disruption that aims at the only instance of a data centre, none that loses workers of all data centres at once, and none after which an instance is missing in the lists of others. All three are in the users' record. Added are kills, power losses and one-way cuts of the only instance, one worker of each data centre lost within 2 s, starts without the store, deleted rows of instances and pauses of a home for 3 s. Programs never delete rows of instances themselves.

--- a/proof/disruption_test.go
+++ b/proof/disruption_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -25,7 +26,17 @@
 // soak; FOXTAILMUX_FAULTS names the disruptions that occur, all if it is empty.
 
 // disruptionSeeds are the seeds that CI runs.
-var disruptionSeeds = []uint64{1, 2}
+var disruptionSeeds = []uint64{
+	1, 2,
+	10_000, // the first seed with losses of a whole data centre and of instances that are not in the list
+}
+
+// Seeds below firstSiteSeed draw from the first disruptions only, as many as there were when those
+// seeds were first used, so that they draw the same ones as at that time.
+const (
+	firstSiteSeed      = 10_000
+	earlierDisruptions = 36
+)
 
 const (
 	disruptionTimeout = 1500 * time.Millisecond // of callers
@@ -65,11 +76,17 @@
 	return kind.runTime + time.Duration(number%5)*kind.spread/4
 }
 
+// The data centres of the workers and of the instances. The last instance is the only one of its data
+// centre.
+var (
+	disruptionWorkers   = []string{"kochi", "kochi", "kochi", "kochi", "tvm", "tvm", "tvm", "calicut", "calicut"}
+	disruptionInstances = []string{"kochi", "kochi", "kochi", "tvm", "tvm", "calicut"}
+)
+
 // newDisruptionSoak returns a soak with nine workers and six instances in three data centres.
 func newDisruptionSoak(t *testing.T, seed uint64) *soak {
 	s := newEmptySoak(t, seed)
-	s.addAll([]string{"kochi", "kochi", "kochi", "kochi", "tvm", "tvm", "tvm", "calicut", "calicut"},
-		[]string{"kochi", "kochi", "kochi", "tvm", "tvm", "calicut"})
+	s.addAll(disruptionWorkers, disruptionInstances)
 	for _, w := range s.workers {
 		w.Needs = needsOfTask
 		w.SetRunTime(runTimeOfTask)
@@ -155,16 +172,7 @@
 		}
 		s.fault(links, s.millis(400, 3000), func(fp *faultProxy) flags { return flags{&fp.unreachable, &fp.dropDatagrams} })
 	}},
-	{"cutOneWay", func(s *soak) {
-		i, d := s.randomInstance(), s.millis(400, 4500)
-		from := s.linksOf(func(from, to string) bool { return from == i.name && s.isInstance(to) })
-		to := s.linksOf(func(from, to string) bool { return to == i.name && s.isInstance(from) })
-		if s.random.IntN(2) == 0 {
-			from, to = to, from
-		}
-		s.fault(from, d, func(fp *faultProxy) flags { return flags{&fp.holdRequests, &fp.dropDatagrams} })
-		s.fault(to, d, func(fp *faultProxy) flags { return flags{&fp.holdResponses} })
-	}},
+	{"cutOneWay", func(s *soak) { s.cutOneWay(s.randomInstance(), s.millis(400, 4500)) }},
 	{"cutReset", func(s *soak) {
 		s.fault(s.peerLinks(s.randomInstance()), s.millis(300, 2000), func(fp *faultProxy) flags { return flags{&fp.reset, &fp.dropDatagrams} })
 	}},
@@ -214,6 +222,23 @@
 	{"storeSlow", func(s *soak) { s.setStoreFaults(stand.StoreFaults{Delay: 400 * time.Millisecond}) }},
 	{"storeLoses", func(s *soak) { s.setStoreFaults(stand.StoreFaults{DropCommitResponses: true, TruncateHistory: true}) }},
 	{"storeHeld", func(s *soak) { s.raise(s.millis(300, 3000), &s.randomInstance().storeProxy.holdAll) }},
+
+	{"killOnly", func(s *soak) { s.end(s.onlyInstance(), syscall.SIGKILL, s.millis(0, 3000)) }},
+	{"powerLossOfOnly", func(s *soak) { s.losePower(s.onlyInstance(), s.millis(500, 4000)) }},
+	{"cutOnlyOneWay", func(s *soak) { s.cutOneWay(s.onlyInstance(), s.millis(400, 4500)) }},
+	{"workersLost", func(s *soak) { s.loseWorkers(2 * time.Second) }},
+	{"rowDeleted", func(s *soak) { s.deleteRow(s.randomInstance(), s.millis(300, 4000)) }},
+	{"rowDeletedAndKilled", func(s *soak) {
+		i := s.randomInstance()
+		s.deleteRow(i, s.millis(300, 4000))
+		s.end(i, syscall.SIGKILL, s.millis(0, 1500))
+	}},
+	{"startWithoutStore", func(s *soak) {
+		i := s.randomInstance()
+		s.end(i, syscall.SIGKILL, 0)
+		s.raise(s.millis(300, 4000), &i.storeProxy.holdAll)
+	}},
+	{"pauseHomeLong", func(s *soak) { s.pauseFor(s.randomHome(), s.millis(2900, 3100)) }},
 }
 
 // flags are switches of faults.
@@ -290,6 +315,62 @@
 	})
 }
 
+// cutOneWay cuts an instance off from the others, in one direction.
+func (s *soak) cutOneWay(i *soakInstance, d time.Duration) {
+	from := s.linksOf(func(from, to string) bool { return from == i.name && s.isInstance(to) })
+	to := s.linksOf(func(from, to string) bool { return to == i.name && s.isInstance(from) })
+	if s.random.IntN(2) == 0 {
+		from, to = to, from
+	}
+	s.fault(from, d, func(fp *faultProxy) flags { return flags{&fp.holdRequests, &fp.dropDatagrams} })
+	s.fault(to, d, func(fp *faultProxy) flags { return flags{&fp.holdResponses} })
+}
+
+// onlyInstance returns the instance that is the only one of its data centre.
+func (s *soak) onlyInstance() *soakInstance { return s.instances[len(s.instances)-1] }
+
+// loseWorkers loses one worker of each data centre at a random time before the limit: it crashes or
+// does not respond.
+func (s *soak) loseWorkers(limit time.Duration) {
+	byDataCentre := map[string][]int{}
+	for w, dc := range disruptionWorkers {
+		byDataCentre[dc] = append(byDataCentre[dc], w)
+	}
+	for _, dc := range slices.Sorted(maps.Keys(byDataCentre)) {
+		w := byDataCentre[dc][s.random.IntN(len(byDataCentre[dc]))]
+		crash, d := s.random.IntN(2) == 0, s.millis(300, 2000)
+		time.AfterFunc(s.millis(0, int(limit.Milliseconds())), func() {
+			if crash {
+				s.workers[w].Crash()
+				s.workerServers[w].CloseClientConnections()
+				return
+			}
+			s.raise(d, &s.workerProxies[w].holdAll)
+		})
+	}
+}
+
+// deleteRow deletes the row of an instance for some time, so that it is unknown to the others. Some of
+// these are cut off from the store when the row is back and learn of the instance a second later.
+func (s *soak) deleteRow(i *soakInstance, d time.Duration) {
+	key := "nodes/" + i.name
+	row := s.store.Get(key)
+	if row == "" {
+		return
+	}
+	s.store.Delete(key)
+	var held []*atomic.Bool
+	for _, other := range s.instances {
+		if other != i && s.random.IntN(3) == 0 {
+			held = append(held, &other.storeProxy.holdAll)
+		}
+	}
+	time.AfterFunc(d, func() {
+		s.raise(time.Second, held...)
+		s.store.Put(key, row)
+	})
+}
+
 // losePower ends an instance without a sign to any of its peers, callers and workers.
 func (s *soak) losePower(i *soakInstance, downFor time.Duration) {
 	links := append(s.linksOf(func(from, to string) bool { return from == i.name || to == i.name }), i.storeProxy)
@@ -300,10 +381,13 @@
 	s.end(i, syscall.SIGKILL, downFor)
 }
 
-// chosenDisruptions returns the disruptions that FOXTAILMUX_FAULTS names.
-func chosenDisruptions(t *testing.T) []disruption {
+// chosenDisruptions returns the disruptions that FOXTAILMUX_FAULTS names, or else those of the seed.
+func chosenDisruptions(t *testing.T, seed uint64) []disruption {
 	t.Helper()
 	text := os.Getenv("FOXTAILMUX_FAULTS")
+	if text == "" && seed < firstSiteSeed {
+		return disruptions[:earlierDisruptions]
+	}
 	if text == "" {
 		return disruptions
 	}
@@ -321,10 +405,10 @@
 // Guards against tasks that run twice at the same time, and jobs answered as succeeded before all of their
 // tasks were done, in a fleet of three data centres whose callers submit again soon.
 func TestDisruptedFleetRunsEachTaskOnceAtATime(t *testing.T) {
-	chosen := chosenDisruptions(t)
 	seeds, lasts := soakRange(t, disruptionSeeds)
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			chosen := chosenDisruptions(t, seed)
 			s := newDisruptionSoak(t, seed)
 			s.waitRecovered()
 			ctx, cancel := context.WithTimeout(context.Background(), lasts)
