--- a/fleet/held.go
+++ b/fleet/held.go
@@ -71,6 +71,13 @@
 	}
 }
 
+// Len returns the number of submissions.
+func (h *heldSubmissions) Len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.list)
+}
+
 // LongOpenJobs returns the jobs of the submissions as home.Home.LongOpenJobs does.
 func (h *heldSubmissions) LongOpenJobs() []home.OpenJob {
 	h.mu.Lock()
--- a/fleet/openjobs.go
+++ b/fleet/openjobs.go
@@ -71,6 +71,13 @@
 	return list
 }
 
+// Len returns the number of announced jobs.
+func (o *openJobs) Len() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.byJob)
+}
+
 // Remove removes an announcement.
 func (o *openJobs) Remove(id string, k openJobKey) {
 	o.mu.Lock()
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -14,10 +14,12 @@
 	Leaving  bool                   `json:"leaving"`
 	Open     int                    `json:"openRequests"`
 	Routing  *model.Routing         `json:"routing"`
-	Homes    map[string]home.State  `json:"homes"`   // homes that this instance is, by data centre
-	Owners   map[string]homeRow     `json:"owners"`  // home rows, by data centre
-	Peers    map[string]beat.Status `json:"peers"`   // live peers, by name
-	Workers  int                    `json:"workers"` // number of known workers
+	Homes    map[string]home.State  `json:"homes"`    // homes that this instance is, by data centre
+	Owners   map[string]homeRow     `json:"owners"`   // home rows, by data centre
+	Peers    map[string]beat.Status `json:"peers"`    // live peers, by name
+	Workers  int                    `json:"workers"`  // number of known workers
+	Held     int                    `json:"held"`     // submissions that wait for the end of earlier ones
+	OpenJobs int                    `json:"openJobs"` // announced jobs, of this and of other instances
 }
 
 func (in *Instance) state() State {
@@ -30,6 +32,9 @@
 		Homes:   map[string]home.State{},
 		Owners:  map[string]homeRow{},
 		Peers:   in.heartbeats.AlivePeers(),
+
+		Held:     in.held.Len(),
+		OpenJobs: in.openJobs.Len(),
 	}
 	if err := in.Ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -286,9 +286,9 @@
 			for _, j := range in.announcedJobs() {
 				announced = announced || j.Job == beat.HashJob("a") && j.Request == hashRequest(s.RequestID())
 			}
-			got := []bool{announced, in.supersede(t.Context(), earlier, "").LaterOpen}
-			if diff := cmp.Diff([]bool{true, true}, got); diff != "" {
-				t.Errorf("announced, later for an earlier request (-want +got):\n%s", diff)
+			got := []any{announced, in.supersede(t.Context(), earlier, "").LaterOpen, in.held.Len(), in.openJobs.Len()}
+			if diff := cmp.Diff([]any{true, true, 1, 1}, got); diff != "" {
+				t.Errorf("announced, later for an earlier request, held submissions, announced jobs (-want +got):\n%s", diff)
 			}
 			end(s)
 			if diff := cmp.Diff(home.Cancelled, (<-ended).Result); diff != "" {
