--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -17,7 +16,6 @@
 	"foxtailmux/beat"
 	"foxtailmux/home"
 	"foxtailmux/model"
-	"foxtailmux/peer"
 	"foxtailmux/plan"
 	"foxtailmux/table"
 	"foxtailmux/watch"
@@ -338,21 +336,7 @@
 func TestLateRequestForTheEndOfAJobIsRefused(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	in.peers.Handle(methodSupersede, in.serveSupersede)
-	conns := make(chan *holdingConn, 1)
-	asking := peer.New(peer.Options{
-		Self: model.Entry{ID: "other", Incarnation: "1"},
-		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-			var d net.Dialer
-			raw, err := d.DialContext(ctx, "tcp", addr)
-			if err != nil {
-				return nil, err
-			}
-			conn := &holdingConn{Conn: raw}
-			conns <- conn
-			return conn, nil
-		},
-	})
-	t.Cleanup(func() { _ = asking.Close(context.Background()) })
+	asking, conns := newHoldingGroup(t, "other")
 	asking.SetPeer("entry", in.peers.Addr())
 	c := supersedeCall{SupersedeRequest: home.SupersedeRequest{Job: "a"}, Instance: "other", Left: time.Minute}
 	if err := asking.Call(t.Context(), "entry", methodSupersede, c, nil); err != nil {
--- a/fleet/transit_test.go
+++ b/fleet/transit_test.go
@@ -72,6 +72,27 @@
 	return err
 }
 
+// newHoldingGroup returns a group that only calls others, and its connections.
+func newHoldingGroup(t *testing.T, id string) (*peer.Group, chan *holdingConn) {
+	t.Helper()
+	conns := make(chan *holdingConn, 1)
+	g := peer.New(peer.Options{
+		Self: model.Entry{ID: id, Incarnation: "1"},
+		Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			var d net.Dialer
+			raw, err := d.DialContext(ctx, "tcp", addr)
+			if err != nil {
+				return nil, err
+			}
+			conn := &holdingConn{Conn: raw}
+			conns <- conn
+			return conn, nil
+		},
+	})
+	t.Cleanup(func() { _ = g.Close(context.Background()) })
+	return g, conns
+}
+
 // Guards against a task that runs twice: a forwarded job that was held up before the first heartbeat of
 // its origin counted as new, and ran beside the next submission of its caller.
 func TestTransitIsKnownWithoutAHeartbeatOfTheOrigin(t *testing.T) {
@@ -96,21 +117,7 @@
 				return outcome, err
 			})
 
-			conns := make(chan *holdingConn, 1)
-			origin := peer.New(peer.Options{
-				Self: model.Entry{ID: "entry", Incarnation: "1"},
-				Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-					var d net.Dialer
-					raw, err := d.DialContext(ctx, "tcp", addr)
-					if err != nil {
-						return nil, err
-					}
-					conn := &holdingConn{Conn: raw}
-					conns <- conn
-					return conn, nil
-				},
-			})
-			t.Cleanup(func() { _ = origin.Close(context.Background()) })
+			origin, conns := newHoldingGroup(t, "entry")
 			origin.SetPeer("home", in.peers.Addr())
 			if err := origin.Call(t.Context(), "home", "none", nil, nil); err == nil {
 				t.Fatal("an unknown method was served")
