fleet, home, beat: end an earlier submission of the same queue only

The id alone does not name a job: two queues may have jobs with one id, and the later one would have ended the other's. Found by reading; the case "other queue" of TestEarlierRequestSupersedesNoLaterOne fails without it.

--- a/beat/beat_test.go
+++ b/beat/beat_test.go
@@ -362,7 +362,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := newWire()
 		home := map[string]model.FreeCapacity{"kochi": {}}
-		open := beat.OpenJobs{{Job: beat.HashJob("a"), Left: time.Second}}
+		open := beat.OpenJobs{{Job: beat.HashJob("quotes", "a"), Left: time.Second}}
 		received := map[string]*atomic.Int32{}
 		start := func(p beat.Peer, homes func() map[string]model.FreeCapacity) *beat.Detector {
 			received[p.Instance] = &atomic.Int32{}
--- a/beat/open.go
+++ b/beat/open.go
@@ -12,13 +12,13 @@
 
 // OpenJob announces an unfinished job of a home by hashes, so that a heartbeat has space for many.
 type OpenJob struct {
-	Job     uint32        // HashJob of its id
+	Job     uint32        // HashJob of it
 	Request uint16        // HashRequest of its last request
 	Left    time.Duration // until its time is over, at most maxOpenLeft
 }
 
-// HashJob returns the hash that announces the id of a job.
-func HashJob(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+// HashJob returns the hash that announces a job of a queue.
+func HashJob(queue, id string) uint32 { return uint32(xxhash.Sum64String(queue + "/" + id)) }
 
 // HashRequest returns the hash that announces the number of a request at an incarnation of its origin.
 func HashRequest(origin, incarnation string, number int64) uint16 {
--- a/beat/open_test.go
+++ b/beat/open_test.go
@@ -15,8 +15,8 @@
 // Guards against open jobs that another home does not recognise, or whose time it takes to be over too early.
 func TestOpenJobsAreEncodedAndDecoded(t *testing.T) {
 	want := Heartbeat{Instance: "a", Open: OpenJobs{
-		{Job: HashJob("a"), Request: HashRequest("entry", "1", 4), Left: 1500 * time.Millisecond},
-		{Job: HashJob("b"), Request: HashRequest("entry", "1", 5)},
+		{Job: HashJob("quotes", "a"), Request: HashRequest("entry", "1", 4), Left: 1500 * time.Millisecond},
+		{Job: HashJob("quotes", "b"), Request: HashRequest("entry", "1", 5)},
 	}}
 	body, err := json.Marshal(want)
 	if err != nil {
--- a/fleet/held.go
+++ b/fleet/held.go
@@ -50,7 +50,7 @@
 	defer h.mu.Unlock()
 	for s := range h.list {
 		switch {
-		case s.Batch.ID != r.Job || s.RequestID() == r.By:
+		case s.Batch.ID != r.Job || s.Batch.Queue != r.Queue || s.RequestID() == r.By:
 		case s.requestedAt().Before(arrivedAt):
 			s.end(errSuperseded)
 		default:
@@ -87,7 +87,7 @@
 	for s := range h.list {
 		if now.Sub(s.requestedAt()) >= home.LongOpenAge {
 			list = append(list, home.OpenJob{
-				ID: s.Batch.ID, Request: s.RequestID(), RequestedAt: s.requestedAt(), Left: s.since.Add(s.TimeLeft).Sub(now),
+				ID: s.Batch.ID, Queue: s.Batch.Queue, Request: s.RequestID(), RequestedAt: s.requestedAt(), Left: s.since.Add(s.TimeLeft).Sub(now),
 			})
 		}
 	}
--- a/fleet/openjobs.go
+++ b/fleet/openjobs.go
@@ -17,7 +17,7 @@
 	byJob map[uint32]map[openJobKey]openJob
 }
 
-// openJobKey identifies an announced job among those with the same hash of their ids.
+// openJobKey identifies an announced job among those with the same hash.
 type openJobKey struct {
 	instance, incarnation string
 	request               uint16
@@ -40,10 +40,10 @@
 }
 
 // Add records that a job is open.
-func (o *openJobs) Add(id string, j openJob) {
+func (o *openJobs) Add(queue, id string, j openJob) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.add(beat.HashJob(id), j)
+	o.add(beat.HashJob(queue, id), j)
 }
 
 // add is Add for callers that hold the lock.
@@ -58,12 +58,12 @@
 }
 
 // OfOtherRequests returns where a job may be open for other requests than the given one.
-func (o *openJobs) OfOtherRequests(id string, request home.RequestID) []openJob {
+func (o *openJobs) OfOtherRequests(queue, id string, request home.RequestID) []openJob {
 	own, now := hashRequest(request), time.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var list []openJob
-	for k, j := range o.byJob[beat.HashJob(id)] {
+	for k, j := range o.byJob[beat.HashJob(queue, id)] {
 		if k.request != own && now.Before(j.until) {
 			list = append(list, j)
 		}
@@ -79,10 +79,10 @@
 }
 
 // Remove removes an announcement.
-func (o *openJobs) Remove(id string, k openJobKey) {
+func (o *openJobs) Remove(queue, id string, k openJobKey) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	hash := beat.HashJob(id)
+	hash := beat.HashJob(queue, id)
 	delete(o.byJob[hash], k)
 	if len(o.byJob[hash]) == 0 {
 		delete(o.byJob, hash)
@@ -116,7 +116,7 @@
 	slices.SortFunc(jobs, func(a, b home.OpenJob) int { return b.RequestedAt.Compare(a.RequestedAt) })
 	list := make(beat.OpenJobs, len(jobs))
 	for i, j := range jobs {
-		list[i] = beat.OpenJob{Job: beat.HashJob(j.ID), Request: hashRequest(j.Request), Left: j.Left}
+		list[i] = beat.OpenJob{Job: beat.HashJob(j.Queue, j.ID), Request: hashRequest(j.Request), Left: j.Left}
 	}
 	in.openJobs.Record(in.self.Instance, in.self.Incarnation, list, in.leaseTime())
 	return list
--- a/fleet/servesupersede.go
+++ b/fleet/servesupersede.go
@@ -49,7 +49,7 @@
 		c.Age, c.Left = c.Age+transit, c.Left-transit
 	}
 	k := openJobKey{c.Instance, c.Incarnation, hashRequest(c.By)}
-	in.openJobs.Add(c.Job, openJob{k, time.Now().Add(c.Left + in.leaseTime())})
+	in.openJobs.Add(c.Queue, c.Job, openJob{k, time.Now().Add(c.Left + in.leaseTime())})
 	return in.supersede(ctx, c.SupersedeRequest, ""), nil
 }
 
--- a/fleet/supersede.go
+++ b/fleet/supersede.go
@@ -41,7 +41,7 @@
 // submitHere runs a submission at a home of this instance, once no earlier submission of the same job that was
 // announced can run a task elsewhere.
 func (in *Instance) submitHere(ctx context.Context, dataCentre string, h *home.Home, s home.Submission) home.Outcome {
-	if s.Age < home.LongOpenAge && len(in.openJobs.OfOtherRequests(s.Batch.ID, s.RequestID())) == 0 {
+	if s.Age < home.LongOpenAge && len(in.openJobs.OfOtherRequests(s.Batch.Queue, s.Batch.ID, s.RequestID())) == 0 {
 		return h.Submit(ctx, s)
 	}
 	r := resubmission{s, dataCentre, time.Now(), map[openJobKey]bool{}}
@@ -94,7 +94,7 @@
 	}
 	for {
 		// A later home may have continued and announced a job meanwhile.
-		open := in.openJobs.OfOtherRequests(r.Batch.ID, r.RequestID())
+		open := in.openJobs.OfOtherRequests(r.Batch.Queue, r.Batch.ID, r.RequestID())
 		open = slices.DeleteFunc(open, func(o openJob) bool { return r.settled[o.openJobKey] })
 		if len(open) == 0 {
 			return endOf(ctx)
@@ -132,7 +132,7 @@
 				return errSuperseded
 			case result.RunsLeft:
 				k := openJobKey{instance: instance, incarnation: in.heartbeats.Status(instance).Incarnation}
-				in.openJobs.Add(r.Batch.ID, openJob{k, time.Now().Add(in.leaseTime())})
+				in.openJobs.Add(r.Batch.Queue, r.Batch.ID, openJob{k, time.Now().Add(in.leaseTime())})
 			}
 			return nil
 		})
@@ -152,7 +152,7 @@
 		case err == nil && result.LaterOpen:
 			return errSuperseded
 		case err == nil && !result.RunsLeft, isUnknownMethod(err):
-			in.openJobs.Remove(r.Batch.ID, o.openJobKey)
+			in.openJobs.Remove(r.Batch.Queue, r.Batch.ID, o.openJobKey)
 			return nil
 		}
 		if time.Now().After(in.lastRunEnd(o)) {
@@ -256,10 +256,12 @@
 func (in *Instance) supersedeAt(ctx context.Context, instance string, r resubmission, announced bool) (supersedeResult, error) {
 	held := time.Since(r.since)
 	call := supersedeCall{
-		SupersedeRequest: home.SupersedeRequest{Job: r.Batch.ID, By: r.RequestID(), Age: r.Age + held, Announced: announced},
-		Instance:         in.self.Instance,
-		Incarnation:      in.self.Incarnation,
-		Left:             r.TimeLeft - held,
+		SupersedeRequest: home.SupersedeRequest{
+			Job: r.Batch.ID, Queue: r.Batch.Queue, By: r.RequestID(), Age: r.Age + held, Announced: announced,
+		},
+		Instance:    in.self.Instance,
+		Incarnation: in.self.Incarnation,
+		Left:        r.TimeLeft - held,
 	}
 	if instance == in.self.Instance {
 		return in.supersede(ctx, call.SupersedeRequest, r.dataCentre), nil
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -88,7 +88,7 @@
 // announce records a job of another request as a heartbeat of "other" announces it.
 func (l listener) announce(id string, left time.Duration) {
 	request := beat.HashRequest("first", "1", 1)
-	l.onOpenJobs(beat.Heartbeat{Instance: "other", Incarnation: "1", Open: beat.OpenJobs{{Job: beat.HashJob(id), Request: request, Left: left}}})
+	l.onOpenJobs(beat.Heartbeat{Instance: "other", Incarnation: "1", Open: beat.OpenJobs{{Job: beat.HashJob("quotes", id), Request: request, Left: left}}})
 }
 
 // resubmit returns how long a job waited for its earlier submissions, and the error of that.
@@ -99,7 +99,7 @@
 }
 
 func resubmitted(id string) home.Submission {
-	return home.Submission{Batch: model.Batch{ID: id}, Origin: "later", Incarnation: "1", Request: 1, TimeLeft: 3 * time.Second}
+	return home.Submission{Batch: model.Batch{ID: id, Queue: "quotes"}, Origin: "later", Incarnation: "1", Request: 1, TimeLeft: 3 * time.Second}
 }
 
 var (
@@ -175,7 +175,7 @@
 	in.announce("a", 3*time.Second)
 	s := resubmitted("a")
 	s.Origin = "first"
-	if diff := cmp.Diff(0, len(in.openJobs.OfOtherRequests("a", s.RequestID()))); diff != "" {
+	if diff := cmp.Diff(0, len(in.openJobs.OfOtherRequests("quotes", "a", s.RequestID()))); diff != "" {
 		t.Errorf("other requests (-want +got):\n%s", diff)
 	}
 }
@@ -227,7 +227,7 @@
 	in.setHome("kochi", "third", 10)
 	in.homeClosedAt = time.Now()
 	ask := func(announced bool) bool {
-		return in.supersede(t.Context(), home.SupersedeRequest{Job: "a", Announced: announced}, "").RunsLeft
+		return in.supersede(t.Context(), home.SupersedeRequest{Job: "a", Queue: "quotes", Announced: announced}, "").RunsLeft
 	}
 	got := []bool{ask(true), ask(false)}
 	time.Sleep(in.leaseTime())
@@ -242,7 +242,7 @@
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	by := home.RequestID{Origin: "first", Incarnation: "1", Number: 1}
 	params, err := json.Marshal(supersedeCall{
-		SupersedeRequest: home.SupersedeRequest{Job: "a", By: by}, Instance: "other", Incarnation: "1", Left: time.Second,
+		SupersedeRequest: home.SupersedeRequest{Job: "a", Queue: "quotes", By: by}, Instance: "other", Incarnation: "1", Left: time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -251,7 +251,7 @@
 		t.Fatal(err)
 	}
 	later := resubmitted("a").RequestID()
-	open := in.openJobs.OfOtherRequests("a", later)
+	open := in.openJobs.OfOtherRequests("quotes", "a", later)
 	if diff := cmp.Diff(1, len(open)); diff != "" || open[0].instance != "other" {
 		t.Errorf("open at %v (-want +got):\n%s", open, diff)
 	}
@@ -268,8 +268,8 @@
 	in.announce("a", time.Minute)
 	h := home.New(home.Options{DataCentre: "kochi", Token: 1, MaxLease: time.Second, Log: &in.log.Logger, OnFenced: func() {}})
 	defer h.Close()
-	earlier := home.SupersedeRequest{Job: "a", By: home.RequestID{Origin: "first", Number: 1}, Age: 2 * home.LongOpenAge}
-	later := home.SupersedeRequest{Job: "a", By: home.RequestID{Origin: "third", Number: 1}}
+	earlier := home.SupersedeRequest{Job: "a", Queue: "quotes", By: home.RequestID{Origin: "first", Number: 1}, Age: 2 * home.LongOpenAge}
+	later := home.SupersedeRequest{Job: "a", Queue: "quotes", By: home.RequestID{Origin: "third", Number: 1}}
 	for name, end := range map[string]func(home.Submission){
 		"superseded": func(home.Submission) { in.supersede(t.Context(), later, "") },
 		"cancelled":  func(s home.Submission) { in.held.Cancel(s.ID()) },
@@ -282,7 +282,7 @@
 			time.Sleep(200 * time.Millisecond)
 			announced := false
 			for _, j := range in.announcedJobs() {
-				announced = announced || j.Job == beat.HashJob("a") && j.Request == hashRequest(s.RequestID())
+				announced = announced || j.Job == beat.HashJob("quotes", "a") && j.Request == hashRequest(s.RequestID())
 			}
 			got := []any{announced, in.supersede(t.Context(), earlier, "").LaterOpen, in.held.Len(), in.openJobs.Len()}
 			if diff := cmp.Diff([]any{true, true, 1, 1}, got); diff != "" {
@@ -301,7 +301,7 @@
 func TestHeldSubmissionIsOlderAtItsHome(t *testing.T) {
 	in, _ := newResubmissionTest(t, runsLeft, runsLeft, noRunsLeft)
 	in.homeChangedAt["kochi"] = time.Now()
-	in.openJobs.Add("a", openJob{openJobKey{instance: "earlier", incarnation: "1"}, time.Now().Add(time.Minute)})
+	in.openJobs.Add("quotes", "a", openJob{openJobKey{instance: "earlier", incarnation: "1"}, time.Now().Add(time.Minute)})
 	in.announce("a", time.Minute)
 	var logged bytes.Buffer
 	h := home.New(home.Options{
@@ -338,7 +338,7 @@
 	in.peers.Handle(methodSupersede, in.serveSupersede)
 	asking, conns := newHoldingGroup(t, "other")
 	asking.SetPeer("entry", in.peers.Addr())
-	c := supersedeCall{SupersedeRequest: home.SupersedeRequest{Job: "a"}, Instance: "other", Left: time.Minute}
+	c := supersedeCall{SupersedeRequest: home.SupersedeRequest{Job: "a", Queue: "quotes"}, Instance: "other", Left: time.Minute}
 	if err := asking.Call(t.Context(), "entry", methodSupersede, c, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -358,7 +358,7 @@
 	if err := <-ended; err == nil {
 		t.Error("a late request was served")
 	}
-	got := []int{len(in.openJobs.OfOtherRequests("a", home.RequestID{Number: 9})), len(in.openJobs.OfOtherRequests("b", home.RequestID{Number: 9}))}
+	got := []int{len(in.openJobs.OfOtherRequests("quotes", "a", home.RequestID{Number: 9})), len(in.openJobs.OfOtherRequests("quotes", "b", home.RequestID{Number: 9}))}
 	if diff := cmp.Diff([]int{1, 0}, got); diff != "" {
 		t.Errorf("announcements of both jobs (-want +got):\n%s", diff)
 	}
--- a/home/supersede.go
+++ b/home/supersede.go
@@ -39,7 +39,7 @@
 
 // OpenJob is an unfinished job of a home.
 type OpenJob struct {
-	ID          string
+	ID, Queue   string
 	Request     RequestID     // its last one
 	RequestedAt time.Time     // when that arrived at its origin
 	Left        time.Duration // until its time is over
@@ -53,7 +53,7 @@
 	var list []OpenJob
 	for _, j := range h.jobs {
 		if now.Sub(j.requestedAt) >= LongOpenAge {
-			list = append(list, OpenJob{ID: j.key.ID, Request: j.request, RequestedAt: j.requestedAt, Left: j.deadline.Sub(now)})
+			list = append(list, OpenJob{ID: j.key.ID, Queue: j.key.Queue, Request: j.request, RequestedAt: j.requestedAt, Left: j.deadline.Sub(now)})
 		}
 	}
 	return list
@@ -62,10 +62,11 @@
 // errClosed is returned by a home that was closed before all runs of a superseded job had ended.
 var errClosed = eris.New("the home was closed")
 
-// SupersedeRequest asks for the end of the jobs with an id that belong to earlier requests than one of the given
+// SupersedeRequest asks for the end of the jobs with an id and a queue that belong to earlier requests than one of the given
 // age. If the job was announced, runs of an earlier home that its workers have not reported count as left.
 type SupersedeRequest struct {
 	Job       string        `json:"job"` // id
+	Queue     string        `json:"queue"`
 	By        RequestID     `json:"by"`
 	Age       time.Duration `json:"age"`
 	Announced bool          `json:"announced,omitempty"`
@@ -99,7 +100,7 @@
 		return false, false, errClosed
 	}
 	for _, j := range h.jobs {
-		if j.key.ID != r.Job || j.request == r.By {
+		if !r.concerns(j.key) || j.request == r.By {
 			continue
 		}
 		if !j.requestedAt.Before(arrivedAt) {
@@ -111,28 +112,32 @@
 		h.abort(j, Outcome{Result: Cancelled, Reason: "its caller has submitted it again"})
 	}
 	now := time.Now()
-	if k := (Key{ID: r.Job}); now.Sub(h.startedAt) < inheritanceWindow && !slices.Contains(h.unwanted, k) {
+	if k := (Key{ID: r.Job, Queue: r.Queue}); now.Sub(h.startedAt) < inheritanceWindow && !slices.Contains(h.unwanted, k) {
 		h.unwanted = append(h.unwanted, k)
 	}
 	if r.Announced && !h.allRunsKnown(now) {
 		return true, false, nil
 	}
 	for _, w := range h.workers {
-		if w.hasRunOfEarlierRequest(r.Job, r.By) {
+		if w.hasRunOfEarlierRequest(r) {
 			return true, false, nil
 		}
 	}
 	return false, false, nil
 }
 
-// hasRunOfEarlierRequest reports whether the worker may have a run of a job that belongs to no job of the
-// given request.
-func (w *worker) hasRunOfEarlierRequest(id string, by RequestID) bool {
-	for _, r := range w.tracker.Runs() {
-		if !(Key{ID: id}).hasTask(r.Task) {
+// concerns reports whether a job, or a part of one, is the one that is to end. The content of a job does not tell: its
+// tasks have the same names.
+func (r SupersedeRequest) concerns(k Key) bool { return k.ID == r.Job && k.Queue == r.Queue }
+
+// hasRunOfEarlierRequest reports whether the worker may have a run of the job that belongs to no job of the later
+// request. The queue of an inherited run is not known.
+func (w *worker) hasRunOfEarlierRequest(r SupersedeRequest) bool {
+	for _, run := range w.tracker.Runs() {
+		if !(Key{ID: r.Job}).hasTask(run.Task) {
 			continue
 		}
-		if a, ok := w.assignments[r.Task]; !ok || a.job.request != by {
+		if a, ok := w.assignments[run.Task]; !ok || r.concerns(a.job.key) && a.job.request != r.By {
 			return true
 		}
 	}
--- a/home/supersede_test.go
+++ b/home/supersede_test.go
@@ -34,7 +34,7 @@
 		go func() { first <- submit(c.firstHome, requestOf(firstRequest, "a", 2)) }()
 		time.Sleep(resubmitDelay)
 
-		later, err := c.firstHome.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true})
+		later, err := c.firstHome.Supersede(t.Context(), home.SupersedeRequest{Job: "a", Queue: "quotes", By: laterRequest, Announced: true})
 		if err != nil || later {
 			t.Errorf("later job open: %t, error %v", later, err)
 		}
@@ -60,9 +60,10 @@
 
 		laterOpen := map[string]bool{}
 		for name, r := range map[string]home.SupersedeRequest{
-			"earlier request": {Job: "a", By: firstRequest, Age: resubmitDelay},
-			"same request":    {Job: "a", By: laterRequest},
-			"other job":       {Job: "a0", By: firstRequest},
+			"earlier request": {Job: "a", Queue: "quotes", By: firstRequest, Age: resubmitDelay},
+			"same request":    {Job: "a", Queue: "quotes", By: laterRequest},
+			"other job":       {Job: "a0", Queue: "quotes", By: firstRequest},
+			"other queue":     {Job: "a", Queue: "prices", By: firstRequest},
 		} {
 			later, err := h.Supersede(t.Context(), r)
 			if err != nil {
@@ -70,7 +71,7 @@
 			}
 			laterOpen[name] = later
 		}
-		want := map[string]bool{"earlier request": true, "same request": false, "other job": false}
+		want := map[string]bool{"earlier request": true, "same request": false, "other job": false, "other queue": false}
 		if diff := cmp.Diff(want, laterOpen); diff != "" {
 			t.Errorf("later job open (-want +got):\n%s", diff)
 		}
@@ -98,7 +99,7 @@
 
 		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 		defer cancel()
-		r := home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true}
+		r := home.SupersedeRequest{Job: "a", Queue: "quotes", By: laterRequest, Announced: true}
 		if _, err := h.Supersede(ctx, r); err == nil {
 			t.Error("the runs count as ended before the lease of their worker has expired")
 		}
@@ -124,7 +125,7 @@
 
 		next := dc.newHome(2)
 		defer dc.close(next)
-		later, err := next.Supersede(t.Context(), home.SupersedeRequest{Job: "a", By: laterRequest, Announced: true})
+		later, err := next.Supersede(t.Context(), home.SupersedeRequest{Job: "a", Queue: "quotes", By: laterRequest, Announced: true})
 		if err != nil || later {
 			t.Errorf("later job open: %t, error %v", later, err)
 		}
