--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -25,6 +25,8 @@
 type asked struct {
 	mu       sync.Mutex
 	requests []home.SupersedeRequest
+
+	submitted []home.RequestID // of the submissions that it received
 }
 
 func (a *asked) count() int {
@@ -47,6 +49,14 @@
 
 	a := &asked{}
 	other := startGroup(t, "other")
+	other.Handle(methodRun, func(_ context.Context, params json.RawMessage) (any, error) {
+		var r runRequest
+		err := json.Unmarshal(params, &r)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.submitted = append(a.submitted, r.Job.RequestID())
+		return home.Outcome{Result: home.Succeeded}, err
+	})
 	other.Handle(methodSupersede, func(_ context.Context, params json.RawMessage) (any, error) {
 		var r supersedeCall
 		if err := json.Unmarshal(params, &r); err != nil {
@@ -225,7 +235,8 @@
 func TestRunsOfAClosedHomeAreLeftUntilTheirLeasesHaveExpired(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	in.setHome("kochi", "third", 10)
-	in.homeClosedAt = time.Now()
+	in.fencedTokens = map[string]int64{}
+	in.closeHome("kochi", home.New(home.Options{DataCentre: "kochi", Token: 1, MaxLease: time.Second, Log: &in.log.Logger, OnFenced: func() {}}))
 	ask := func(announced bool) bool {
 		return in.supersede(t.Context(), home.SupersedeRequest{Job: "a", Queue: "quotes", Announced: announced}, "").RunsLeft
 	}
@@ -272,7 +283,18 @@
 	later := home.SupersedeRequest{Job: "a", Queue: "quotes", By: home.RequestID{Origin: "third", Number: 1}}
 	for name, end := range map[string]func(home.Submission){
 		"superseded": func(home.Submission) { in.supersede(t.Context(), later, "") },
-		"cancelled":  func(s home.Submission) { in.held.Cancel(s.ID()) },
+		"cancelled": func(s home.Submission) {
+			params, err := json.Marshal(cancelRequest{DataCentre: "kochi", Job: s.Key(), Submission: s.ID()})
+			if err == nil {
+				_, err = in.serveCancel(t.Context(), params)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		},
+		"cancel announced": func(s home.Submission) {
+			in.cancelAnnounced(beat.Heartbeat{Instance: s.Origin, Incarnation: s.Incarnation, Cancelled: []int64{s.Number}})
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := resubmitted("a")
@@ -380,3 +402,18 @@
 		t.Errorf("runs may be left (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against two requests of a job at one origin that count as one, so that neither ends the other.
+func TestRequestsOfOneOriginAreToldApart(t *testing.T) {
+	in, a := newResubmissionTest(t, noRunsLeft)
+	in.reservations, in.link, in.self.DataCentre = map[string]reservation{}, plan.NewLink(0), "tvm"
+	for range 2 {
+		s := home.Submission{Batch: model.Batch{ID: "a", Queue: "quotes"}, TimeLeft: time.Second}
+		s.Route = model.Route{Stretch: 2, Allowance: time.Second}
+		in.Run(t.Context(), s)
+	}
+	want := []home.RequestID{{Origin: "entry", Incarnation: "1", Number: 1}, {Origin: "entry", Incarnation: "1", Number: 2}}
+	if diff := cmp.Diff(want, a.submitted); diff != "" {
+		t.Errorf("requests (-want +got):\n%s", diff)
+	}
+}
