--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -311,8 +311,14 @@
 				t.Errorf("announced, later for an earlier request, held submissions, announced jobs (-want +got):\n%s", diff)
 			}
 			end(s)
-			if diff := cmp.Diff(home.Cancelled, (<-ended).Result); diff != "" {
-				t.Errorf("held submission (-want +got):\n%s", diff)
+			select {
+			case o := <-ended:
+				if diff := cmp.Diff(home.Cancelled, o.Result); diff != "" {
+					t.Errorf("held submission (-want +got):\n%s", diff)
+				}
+			case <-time.After(s.TimeLeft / 2):
+				t.Error("the submission is held on")
+				<-ended
 			}
 		})
 	}
