fleet: wait for the runs of a closed home only, and ask its successor

What callers saw: a job that was submitted again failed (no response within 3.5 s) while two instances that were cut off from each other took turns as the home of its first submission.

Cause: an instance that had closed any home within the last 1.25 s reported that runs of any job may be left, and each turn closed one.

Now it reports so for the jobs of which a home had runs when it was closed, and the asker then asks the successors, which know these runs.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -62,6 +62,7 @@
 	submissions atomic.Int64 // number of submissions to homes
 	openJobs    openJobs
 	held        heldSubmissions
+	leftRuns    leftRuns // of homes that were closed
 
 	ctx        context.Context
 	cancel     context.CancelFunc
@@ -78,7 +79,6 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
-	homeClosedAt      time.Time                // when a home of this instance was closed last
 	cancelling        map[int64]int            // requests that are not delivered yet, by number of the submission that they cancel
 	lastAnnounced     int64                    // number of the last of them in the latest heartbeat
 	homeSeenAt        time.Time                // when a home was last alive
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -60,6 +60,7 @@
 	in.updateWorkerPolling()
 	in.closeIdleClients()
 	in.openJobs.RemoveExpired(time.Now())
+	in.leftRuns.RemoveExpired(time.Now())
 	in.reviewHomes()
 	in.recordHome()
 }
@@ -95,12 +96,12 @@
 func (in *Instance) closeHome(dataCentre string, h *home.Home) {
 	in.mu.Lock()
 	in.fencedTokens[dataCentre] = max(in.fencedTokens[dataCentre], h.Token())
-	in.homeClosedAt = time.Now()
 	if in.localHomes[dataCentre] == h {
 		delete(in.localHomes, dataCentre)
 	}
 	in.mu.Unlock()
 	h.Close()
+	in.leftRuns.Add(h.JobsWithRuns(), time.Now().Add(in.leaseTime()))
 }
 
 // reviewHomes compares the homes in the store with those that run in this instance. It
--- a/fleet/servesupersede.go
+++ b/fleet/servesupersede.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -28,12 +29,16 @@
 }
 
 // supersedeResult reports whether a job of a later request is open, and otherwise whether runs of earlier ones
-// may be left.
+// may be left: by a home of the instance, or by one that it has closed, whose successor knows them.
 type supersedeResult struct {
-	LaterOpen bool `json:"laterOpen,omitempty"`
-	RunsLeft  bool `json:"runsLeft,omitempty"`
+	LaterOpen  bool `json:"laterOpen,omitempty"`
+	RunsLeft   bool `json:"runsLeft,omitempty"`
+	ClosedHome bool `json:"closedHome,omitempty"`
 }
 
+// ended reports whether all jobs of earlier requests have ended.
+func (r supersedeResult) ended() bool { return !r.LaterOpen && !r.RunsLeft && !r.ClosedHome }
+
 // serveSupersede ends the earlier submissions of a job that was submitted again to another instance, and records
 // that the job is open there. A call that was under way for too long is refused: its job may have been submitted
 // once more.
@@ -76,23 +81,16 @@
 		}
 		result.RunsLeft = result.RunsLeft || err != nil
 	}
-	result.RunsLeft = result.RunsLeft || r.Announced && in.mayHaveLeftRuns()
+	result.RunsLeft = result.RunsLeft || r.Announced && in.lacksHome()
+	result.ClosedHome = in.leftRuns.Has(r.Job, time.Now())
 	return result
 }
 
-// mayHaveLeftRuns reports whether there may be runs of a home that this instance, or its earlier incarnation, has
-// been, or of one that the store names and that has not started yet.
-func (in *Instance) mayHaveLeftRuns() bool {
-	in.mu.Lock()
-	closedAt := in.homeClosedAt
-	in.mu.Unlock()
-	if time.Since(in.startedAt) < in.leaseTime() || time.Since(closedAt) < in.leaseTime() {
-		return true
-	}
-	for _, dc := range in.dataCentres() {
-		if owner, _ := in.homeOf(dc); owner.Instance == in.self.Instance && in.localHome(dc) == nil {
-			return true
-		}
-	}
-	return false
+// lacksHome reports whether the store names this instance, or an earlier incarnation of it, as a home that has not
+// started, or an earlier incarnation may have been one until a moment ago.
+func (in *Instance) lacksHome() bool {
+	return time.Since(in.startedAt) < in.leaseTime() || slices.ContainsFunc(in.dataCentres(), func(dc string) bool {
+		owner, _ := in.homeOf(dc)
+		return owner.Instance == in.self.Instance && in.localHome(dc) == nil
+	})
 }
--- a/fleet/supersede.go
+++ b/fleet/supersede.go
@@ -130,7 +130,7 @@
 				in.log.Info().Stringer("job", r.Key()).Str("peer", instance).Err(err).Msg("earlier submissions not queried")
 			case result.LaterOpen:
 				return errSuperseded
-			case result.RunsLeft:
+			case !result.ended():
 				k := openJobKey{instance: instance, incarnation: in.heartbeats.Status(instance).Incarnation}
 				in.openJobs.Add(r.Batch.Queue, r.Batch.ID, openJob{k, time.Now().Add(in.leaseTime())})
 			}
@@ -151,12 +151,12 @@
 		switch {
 		case err == nil && result.LaterOpen:
 			return errSuperseded
-		case err == nil && !result.RunsLeft, isUnknownMethod(err):
+		case err == nil && result.ended(), isUnknownMethod(err):
 			in.openJobs.Remove(r.Batch.Queue, r.Batch.ID, o.openJobKey)
 			return nil
 		}
 		if time.Now().After(in.lastRunEnd(o)) {
-			in.log.Info().Stringer("job", r.Key()).Str("openAt", o.instance).Bool("runsLeft", result.RunsLeft).Err(err).
+			in.log.Info().Stringer("job", r.Key()).Str("openAt", o.instance).Bool("runsLeft", result.RunsLeft).Bool("closedHome", result.ClosedHome).Err(err).
 				Msg("end of an earlier submission not confirmed, its leases have expired")
 			return nil
 		}
@@ -168,27 +168,40 @@
 	}
 }
 
-// supersedeWhere asks the instance that has announced a job, or all other homes if it is lost and the store names
-// it as a home no more.
+// supersedeWhere asks the instance that has announced a job, and all other homes if it has closed its home, or is lost
+// and the store names it as a home no more.
 func (in *Instance) supersedeWhere(ctx context.Context, r resubmission, o openJob) (supersedeResult, error) {
-	switch {
-	case in.isHeard(o.openJobKey):
-		return in.supersedeAt(ctx, o.instance, r, true)
-	case in.isHomeByStore(o.instance, o.incarnation):
+	if in.isHeard(o.openJobKey) {
+		result, err := in.supersedeAt(ctx, o.instance, r, true)
+		if err != nil || !result.ClosedHome || result.RunsLeft {
+			return result, err
+		}
+		return in.supersedeAtOthers(ctx, r, o.instance)
+	}
+	if in.isHomeByStore(o.instance, o.incarnation) {
 		return supersedeResult{}, errNotAlive
 	}
+	return in.supersedeAtOthers(ctx, r, "")
+}
+
+// supersedeAtOthers asks the homes of all data centres but those of an instance that was asked before. One that is not alive may have
+// runs left.
+func (in *Instance) supersedeAtOthers(ctx context.Context, r resubmission, except string) (supersedeResult, error) {
 	var all supersedeResult
 	for _, dc := range in.otherCentres(r.dataCentre) {
+		owner, _ := in.homeOf(dc)
+		if owner.Instance == except {
+			continue
+		}
 		if _, ok := in.aliveHome(dc); !ok {
 			all.RunsLeft = true
 			continue
 		}
-		owner, _ := in.homeOf(dc)
 		result, err := in.supersedeAt(ctx, owner.Instance, r, true)
 		if err != nil || result.LaterOpen {
 			return result, err
 		}
-		all.RunsLeft = all.RunsLeft || result.RunsLeft
+		all.RunsLeft = all.RunsLeft || !result.ended()
 	}
 	return all, nil
 }
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"foxtailmux/beat"
+	"foxtailmux/fakes"
 	"foxtailmux/home"
 	"foxtailmux/model"
 	"foxtailmux/plan"
@@ -230,22 +232,71 @@
 	}
 }
 
-// Guards against a task that runs at two homes: an instance that has just closed its home, whose runs the next one
-// may continue, reports that none is left.
+// Guards against a task that runs at two homes: an instance that has closed its home, whose runs the next one may
+// continue, reports that none is left; and against jobs that wait for runs of others.
 func TestRunsOfAClosedHomeAreLeftUntilTheirLeasesHaveExpired(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	in.setHome("kochi", "third", 10)
 	in.fencedTokens = map[string]int64{}
-	in.closeHome("kochi", home.New(home.Options{DataCentre: "kochi", Token: 1, MaxLease: time.Second, Log: &in.log.Logger, OnFenced: func() {}}))
-	ask := func(announced bool) bool {
-		return in.supersede(t.Context(), home.SupersedeRequest{Job: "a", Queue: "quotes", Announced: announced}, "").RunsLeft
+	capacity := model.Resources{MilliCores: 1000}
+	worker := fakes.NewLeasedWorker("w", capacity, fakes.NewLedger())
+	worker.RunTime = func(string) time.Duration { return time.Minute }
+	h := home.New(home.Options{
+		DataCentre: "kochi", Token: 1, MaxLease: in.settings.Platform.MaxLease, Link: plan.NewLink(0), Observer: in.meter, Log: &in.log.Logger,
+		Connect: func(model.Worker, func(time.Duration)) home.Endpoint { return worker }, OnFenced: func() {}, RefreshWorkers: func() {},
+	})
+	h.SetWorkers(map[string]model.Worker{"w": {ID: "w", Addr: "w", DataCentre: "kochi", State: model.Live, Capacity: capacity}}, true)
+	s := resubmitted("a")
+	s.Batch.Steps, s.Route = []model.Step{{Replicas: 1}}, model.Route{Stretch: 2, Allowance: time.Second}
+	go h.Submit(t.Context(), s)
+	for range 100 {
+		if time.Sleep(10 * time.Millisecond); len(h.JobsWithRuns()) > 0 {
+			break
+		}
+	}
+	in.closeHome("kochi", h)
+
+	left := func(id string) bool {
+		return !in.supersede(t.Context(), home.SupersedeRequest{Job: id, Queue: "quotes", Announced: true}, "").ended()
 	}
-	got := []bool{ask(true), ask(false)}
+	got := map[string]bool{"job": left("a"), "other job": left("b")}
 	time.Sleep(in.leaseTime())
-	got = append(got, ask(true))
-	if diff := cmp.Diff([]bool{true, false, false}, got); diff != "" {
+	got["job, leases expired"] = left("a")
+	want := map[string]bool{"job": true, "other job": false, "job, leases expired": false}
+	if diff := cmp.Diff(want, got); diff != "" {
 		t.Errorf("runs left (-want +got):\n%s", diff)
 	}
+	in.leftRuns.RemoveExpired(time.Now())
+	if diff := cmp.Diff(0, len(in.leftRuns.until)); diff != "" {
+		t.Errorf("recorded jobs after that (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a caller that waits though the home that continues the runs of an earlier one has ended them, and
+// against a task that starts before it has.
+func TestSuccessorOfAClosedHomeConfirmsTheEnd(t *testing.T) {
+	in, a := newResubmissionTest(t, supersedeResult{ClosedHome: true})
+	third := startGroup(t, "third")
+	var answers atomic.Int32
+	third.Handle(methodSupersede, func(context.Context, json.RawMessage) (any, error) {
+		return supersedeResult{RunsLeft: answers.Add(1) < 3}, nil
+	})
+	in.peers.SetPeer("third", third.Addr())
+	in.hear(`{"instance":"third","incarnation":"1","nextMillis":60000}`)
+	in.setHome("tvm", "third", 9)
+	in.homeChangedAt["tvm"] = time.Now()
+	for range 50 {
+		if time.Sleep(10 * time.Millisecond); in.heartbeats.IsAlive("third") {
+			break
+		}
+	}
+	in.announce("a", time.Minute)
+	if _, err := in.resubmit(t, resubmitted("a")); err != nil {
+		t.Error(err)
+	}
+	if diff := cmp.Diff([]int{3, 3}, []int{a.count(), int(answers.Load())}); diff != "" {
+		t.Errorf("requests to the closed home's instance and to its successor (-want +got):\n%s", diff)
+	}
 }
 
 // Guards against a home that learns of no job that an instance asks for: the next submission may come here.
@@ -394,18 +445,18 @@
 
 // Guards against a task that runs at two homes: an instance that does not know what its earlier incarnation left, or
 // has not started the home that the store names, reports that no run is left.
-func TestInstanceWithoutItsHomeMayHaveLeftRuns(t *testing.T) {
+func TestInstanceWithoutItsHomeConfirmsNoEnd(t *testing.T) {
 	in, _ := newResubmissionTest(t, noRunsLeft)
 	in.setHome("kochi", "third", 10)
-	got := map[string]bool{"no home": in.mayHaveLeftRuns()}
+	got := map[string]bool{"no home": in.lacksHome()}
 	in.startedAt = time.Now()
-	got["just started"] = in.mayHaveLeftRuns()
+	got["just started"] = in.lacksHome()
 	in.startedAt = time.Now().Add(-time.Hour)
 	in.setHome("kochi", "entry", 11)
-	got["home not started"] = in.mayHaveLeftRuns()
+	got["home not started"] = in.lacksHome()
 	want := map[string]bool{"no home": false, "just started": true, "home not started": true}
 	if diff := cmp.Diff(want, got); diff != "" {
-		t.Errorf("runs may be left (-want +got):\n%s", diff)
+		t.Errorf("lacks a home (-want +got):\n%s", diff)
 	}
 }
 
--- a/home/supersede.go
+++ b/home/supersede.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -59,6 +60,21 @@
 	return list
 }
 
+// JobsWithRuns returns the ids of the jobs that may have a run on a worker.
+func (h *Home) JobsWithRuns() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ids []string
+	for _, w := range h.workers {
+		for _, r := range w.tracker.Runs() {
+			id, _, _ := strings.Cut(r.Task, ".")
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // errClosed is returned by a home that was closed before all runs of a superseded job had ended.
 var errClosed = eris.New("the home was closed")
 
