--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -92,16 +92,19 @@
 	}
 }
 
-// closeHome closes a home. Its token is not used again.
+// closeHome closes a home. Its token is not used again. The home is removed once its runs are recorded, so that no
+// request finds neither.
 func (in *Instance) closeHome(dataCentre string, h *home.Home) {
 	in.mu.Lock()
 	in.fencedTokens[dataCentre] = max(in.fencedTokens[dataCentre], h.Token())
-	if in.localHomes[dataCentre] == h {
-		delete(in.localHomes, dataCentre)
-	}
 	in.mu.Unlock()
 	h.Close()
 	in.leftRuns.Add(h.JobsWithRuns(), time.Now().Add(in.leaseTime()))
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.localHomes[dataCentre] == h {
+		delete(in.localHomes, dataCentre)
+	}
 }
 
 // reviewHomes compares the homes in the store with those that run in this instance. It
