fleet: wait for own runs that are left

An instance that is the home of two data centres and got a submission that is old, while it has runs of an earlier one left at its other home, recorded them under an empty incarnation. That counted as one that is lost and whose leases have expired, so that the submission did not wait (TWICE is possible). TestOwnRunsThatAreLeftAreWaitedFor failed before.

--- a/fleet/supersede.go
+++ b/fleet/supersede.go
@@ -131,7 +131,7 @@
 			case result.LaterOpen:
 				return errSuperseded
 			case !result.ended():
-				k := openJobKey{instance: instance, incarnation: in.heartbeats.Status(instance).Incarnation}
+				k := openJobKey{instance: instance, incarnation: in.incarnationOf(instance)}
 				in.openJobs.Add(r.Batch.Queue, r.Batch.ID, openJob{k, time.Now().Add(in.leaseTime())})
 			}
 			return nil
@@ -208,10 +208,18 @@
 
 // isHeard reports whether the incarnation of an instance that announced a job is alive.
 func (in *Instance) isHeard(k openJobKey) bool {
-	if k.instance == in.self.Instance {
-		return k.incarnation == in.self.Incarnation
+	if k.instance != in.self.Instance && !in.heartbeats.IsAlive(k.instance) {
+		return false
 	}
-	return in.heartbeats.IsAlive(k.instance) && in.heartbeats.Status(k.instance).Incarnation == k.incarnation
+	return k.incarnation == in.incarnationOf(k.instance)
+}
+
+// incarnationOf returns the incarnation of an instance that was heard last, and that of this one.
+func (in *Instance) incarnationOf(instance string) string {
+	if instance == in.self.Instance {
+		return in.self.Incarnation
+	}
+	return in.heartbeats.Status(instance).Incarnation
 }
 
 // lastRunEnd returns when the last run of an announced job has ended at the latest. The leases of an instance that is
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -474,3 +474,22 @@
 		t.Errorf("requests (-want +got):\n%s", diff)
 	}
 }
+
+// Guards against a task that runs at two homes of one instance: its own report that runs are left counts as that of an
+// incarnation that is lost, whose leases have expired.
+func TestOwnRunsThatAreLeftAreWaitedFor(t *testing.T) {
+	in, _ := newResubmissionTest(t, noRunsLeft)
+	h := home.New(home.Options{DataCentre: "kochi", Token: 1, MaxLease: time.Second, Log: &in.log.Logger, OnFenced: func() {}})
+	defer h.Close()
+	in.localHomes["kochi"] = h
+	in.leftRuns.Add([]string{"a"}, time.Now().Add(time.Minute))
+	s := resubmitted("a")
+	s.Age = home.LongOpenAge
+	if err := in.supersedeUnannounced(t.Context(), resubmission{s, "kochi", time.Now(), map[openJobKey]bool{}}); err != nil {
+		t.Fatal(err)
+	}
+	open := in.openJobs.OfOtherRequests("quotes", "a", s.RequestID())
+	if len(open) != 1 || !in.isHeard(open[0].openJobKey) {
+		t.Errorf("the runs are left at %v, want at this incarnation", open)
+	}
+}
