fleet, home: compare a request for the end of a job with a job in one place

The submissions that wait compared id and queue by themselves. Behaviour is as before; go test -race ./fleet passed.

--- a/fleet/held.go
+++ b/fleet/held.go
@@ -50,7 +50,7 @@
 	defer h.mu.Unlock()
 	for s := range h.list {
 		switch {
-		case s.Batch.ID != r.Job || s.Batch.Queue != r.Queue || s.RequestID() == r.By:
+		case !r.Concerns(s.Key()), s.RequestID() == r.By:
 		case s.requestedAt().Before(arrivedAt):
 			s.end(errSuperseded)
 		default:
--- a/fleet/leftruns.go
+++ b/fleet/leftruns.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// leftRuns records the jobs of which homes that this instance has closed may have left runs, by id, until the leases
-// have expired. The zero value is ready to use.
+// leftRuns records, by id, the jobs that had runs when this instance closed their home, until the leases have expired.
+// The zero value is ready to use.
 type leftRuns struct {
 	mu    sync.Mutex
 	until map[string]time.Time
--- a/fleet/supersede.go
+++ b/fleet/supersede.go
@@ -184,8 +184,8 @@
 	return in.supersedeAtOthers(ctx, r, "")
 }
 
-// supersedeAtOthers asks the homes of all data centres but those of an instance that was asked before. One that is not alive may have
-// runs left.
+// supersedeAtOthers asks the homes of all data centres but those of an instance that was asked before. One that is
+// not alive may have runs left.
 func (in *Instance) supersedeAtOthers(ctx context.Context, r resubmission, except string) (supersedeResult, error) {
 	var all supersedeResult
 	for _, dc := range in.otherCentres(r.dataCentre) {
--- a/home/supersede.go
+++ b/home/supersede.go
@@ -78,8 +78,8 @@
 // errClosed is returned by a home that was closed before all runs of a superseded job had ended.
 var errClosed = eris.New("the home was closed")
 
-// SupersedeRequest asks for the end of the jobs with an id and a queue that belong to earlier requests than one of the given
-// age. If the job was announced, runs of an earlier home that its workers have not reported count as left.
+// SupersedeRequest asks for the end of the jobs with an id and a queue that belong to earlier requests than one of
+// the given age. If the job was announced, runs of an earlier home that its workers have not reported count as left.
 type SupersedeRequest struct {
 	Job       string        `json:"job"` // id
 	Queue     string        `json:"queue"`
@@ -116,7 +116,7 @@
 		return false, false, errClosed
 	}
 	for _, j := range h.jobs {
-		if !r.concerns(j.key) || j.request == r.By {
+		if !r.Concerns(j.key) || j.request == r.By {
 			continue
 		}
 		if !j.requestedAt.Before(arrivedAt) {
@@ -142,9 +142,9 @@
 	return false, false, nil
 }
 
-// concerns reports whether a job, or a part of one, is the one that is to end. The content of a job does not tell: its
+// Concerns reports whether a job, or a part of one, is the one that is to end. The content of a job does not tell: its
 // tasks have the same names.
-func (r SupersedeRequest) concerns(k Key) bool { return k.ID == r.Job && k.Queue == r.Queue }
+func (r SupersedeRequest) Concerns(k Key) bool { return k.ID == r.Job && k.Queue == r.Queue }
 
 // hasRunOfEarlierRequest reports whether the worker may have a run of the job that belongs to no job of the later
 // request. The queue of an inherited run is not known.
@@ -153,7 +153,7 @@
 		if !(Key{ID: r.Job}).hasTask(run.Task) {
 			continue
 		}
-		if a, ok := w.assignments[run.Task]; !ok || r.concerns(a.job.key) && a.job.request != r.By {
+		if a, ok := w.assignments[run.Task]; !ok || r.Concerns(a.job.key) && a.job.request != r.By {
 			return true
 		}
 	}
