watch, fleet: notice silent connections to the store by the first missing response

Cause: requests that break together are waited for one by one. The caches are a group now: the ends of their waits are spread over 2 s, and the first response that is missing makes all of them send their requests again on new connections. Ruled out: a shorter wait (another margin, and twice the requests), TCP keep-alives (not seen behind a proxy that answers them).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -179,6 +179,10 @@
 	in.configTable = watch.New(in.tables.Operator, in.store, nil, in.onConfig, l)
 	in.homeTable = watch.New(homesTableName, in.store, nil, in.onHomes, l)
 	in.instanceTable = watch.New(instancesTableName, in.store, nil, in.onInstances, l)
+	tables := watch.NewGroup()
+	for _, t := range []*watch.Cache{in.configTable, in.homeTable, in.instanceTable, in.workerTable} {
+		tables.Add(t)
+	}
 	in.peers = peer.New(peer.Options{
 		Self:          model.Entry{ID: in.self.Instance, Incarnation: in.self.Incarnation},
 		Listen:        func(string) (net.Listener, error) { return in.listeners.peers, nil },
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -18,7 +18,8 @@
 // table. Watch returns the changes after a version, and waits for the first one
 // up to the given time. If the store no longer has these changes, the error of
 // Watch has a method HistoryLost that returns true, and the cache reads the
-// whole table again.
+// whole table again. The error of a request without a response has a method
+// TimedOut that returns true.
 type Source interface {
 	List(ctx context.Context, name string) (table.Changes, error)
 	Watch(ctx context.Context, name string, after int64, wait time.Duration) (table.Changes, error)
@@ -53,6 +54,9 @@
 	onChange     func(rows []table.Row)
 	log          *log.Logger
 	done         chan struct{}
+	group        *Group // nil if the cache is in none
+	slot         int
+	giveUp       chan struct{} // holds an element when the request that waits for a change is to be sent again
 
 	mu          sync.Mutex
 	rows        map[string]table.Row
@@ -75,7 +79,7 @@
 	}
 	return &Cache{
 		name: name, source: source, pollInterval: pollInterval, onChange: onChange, log: log,
-		done: make(chan struct{}), refresh: make(chan struct{}, 1), rows: map[string]table.Row{},
+		done: make(chan struct{}), refresh: make(chan struct{}, 1), giveUp: make(chan struct{}, 1), rows: map[string]table.Row{},
 	}
 }
 
@@ -154,6 +158,12 @@
 		}
 
 		c.recordRequest(err, more)
+		if c.group != nil && timedOut(err) {
+			c.group.repeatRequests()
+		}
+		if errors.Is(err, errGivenUp) {
+			continue // the next request does not wait for a change
+		}
 		if err == nil {
 			retryDelay = minRetryDelay
 			if !more { // waiting after full pages would let the cache fall behind without bound
@@ -253,12 +263,15 @@
 func (c *Cache) follow(ctx context.Context) (more bool, err error) {
 	c.mu.Lock()
 	after, wait := c.version, feedWait
+	if c.group != nil {
+		wait = c.group.wait(c.slot, time.Now())
+	}
 	if !c.reachable {
 		wait = 0
 	}
 	c.mu.Unlock()
 
-	changes, err := c.source.Watch(ctx, c.name, after, wait)
+	changes, err := c.watch(ctx, after, wait)
 	if err != nil {
 		return false, err
 	}
@@ -266,6 +279,33 @@
 	return changes.More, nil
 }
 
+// watch requests the changes after a version. It gives up a request that waits for a change when the group
+// asks for that; the request then ends by its own timeout, and its response is dropped.
+func (c *Cache) watch(ctx context.Context, after int64, wait time.Duration) (table.Changes, error) {
+	if c.group == nil || wait == 0 {
+		return c.source.Watch(ctx, c.name, after, wait)
+	}
+	select {
+	case <-c.giveUp: // meant for an earlier request
+	default:
+	}
+	type response struct {
+		changes table.Changes
+		err     error
+	}
+	responses := make(chan response, 1)
+	go func() {
+		changes, err := c.source.Watch(ctx, c.name, after, wait)
+		responses <- response{changes, err}
+	}()
+	select {
+	case r := <-responses:
+		return r.changes, r.err
+	case <-c.giveUp:
+		return table.Changes{}, errGivenUp
+	}
+}
+
 // ApplyWrite adds a row that this process has written to the store, or that the
 // store returned as a conflict of a write, so that the cache has it before the
 // change feed delivers it. It calls onChange if the row is newer than the cached
