drain, home, fleet: start nothing in a data centre that an operator drains

Cause: no line of the code read the operator's requests to drain a data centre. Each instance follows the rows of the operator's table; heartbeats carry their version, and an instance with older requests fetches them from a peer.

--- a/beat/beat.go
+++ b/beat/beat.go
@@ -47,6 +47,7 @@
 	Slow           bool                          `json:"slow,omitempty"`      // the process is scheduled too late to be a home
 	Homes          map[string]model.FreeCapacity `json:"homes,omitempty"`     // free capacity of the sender's homes, by data centre
 	RoutingVersion int64                         `json:"routing"`             // version of the configuration in force
+	DrainVersion   int64                         `json:"drains,omitempty"`    // version of the known requests to drain data centres
 	NextMillis     int64                         `json:"nextMillis"`          // time until the next heartbeat to the same peer
 	Cancelled      []int64                       `json:"cancelled,omitempty"` // submissions of the sender whose cancel is not delivered yet
 	Open           OpenJobs                      `json:"open,omitempty"`      // long open jobs of the sender's homes, sent to other homes only
@@ -79,7 +80,7 @@
 
 // Options configure a Detector. OwnHeartbeat returns the heartbeat of this instance and is
 // called for each round of heartbeats. OnChange is called with each heartbeat that differs
-// from the one before in Incarnation, Leaving, Slow or RoutingVersion, or follows a timeout;
+// from the one before in Incarnation, Leaving, Slow, RoutingVersion or DrainVersion, or follows a timeout;
 // OnCancelled, which may be nil, with each that has Cancelled; OnOpen, which may be nil, with each that has
 // Open. None may block.
 type Options struct {
@@ -309,7 +310,7 @@
 // a timeout. The homes of the sender and their free capacity don't count.
 func (h Heartbeat) stateDiffersFrom(old Status, now time.Time) bool {
 	return old.Incarnation != h.Incarnation || old.Leaving != h.Leaving || old.Slow != h.Slow ||
-		old.RoutingVersion != h.RoutingVersion || now.Sub(old.LastHeartbeat) > old.timeout()
+		old.RoutingVersion != h.RoutingVersion || old.DrainVersion != h.DrainVersion || now.Sub(old.LastHeartbeat) > old.timeout()
 }
 
 // RecordMessage records that a message other than a heartbeat was received from an
--- a/fleet/adapter.go
+++ b/fleet/adapter.go
@@ -20,9 +20,10 @@
 
 // TableNames are the tables and rows that a platform writes.
 type TableNames struct {
-	Workers   string // table with a row for each worker, written by the worker
-	Operator  string // table written by the platform's operator
-	ConfigKey string // key of the configuration row
+	Workers     string // table with a row for each worker, written by the worker
+	Operator    string // table written by the platform's operator
+	ConfigKey   string // key of the configuration row
+	DrainPrefix string // of the keys of the operator's rows that drain a data centre, whose name follows
 }
 
 // EndpointOptions are the callbacks of an endpoint. OnLateReply receives the response time
--- a/fleet/ask.go
+++ b/fleet/ask.go
@@ -58,7 +58,7 @@
 		}
 	}
 	list := p.Wait()
-	if _, ok := in.aliveHome(in.self.DataCentre); ok {
+	if _, ok := in.aliveHome(in.self.DataCentre); ok && !in.isDrained(in.self.DataCentre) {
 		list = append(list, centreCapacity{in.self.DataCentre, ownTasks})
 	}
 	return list
--- a/fleet/await.go
+++ b/fleet/await.go
@@ -24,15 +24,16 @@
 
 // awaitHome waits for a live home: that of the target data centre or, for a job that no
 // home has begun, of another one. It returns the data centre and the fencing token, and
-// false if there is none within the limit or the context ends.
+// false if there is none within the limit, the context ends or all data centres are drained.
 func (in *Instance) awaitHome(ctx context.Context, j *forwarding, limit time.Duration) (string, int64, bool) {
 	var dataCentre string
 	var token int64
-	ok := in.await(ctx, limit, func() (found bool) {
+	found := false
+	in.await(ctx, limit, func() bool {
 		dataCentre, token, found = in.findHome(j)
-		return found
+		return found || !j.resumed && in.allDrained()
 	})
-	return dataCentre, token, ok
+	return dataCentre, token, found
 }
 
 // await waits until a condition on homes and instances holds. It returns false if the
@@ -60,10 +61,10 @@
 
 // findHome returns the live home of the target data centre or, for a job that no home has
 // begun, the live home with the most free capacity, less the needs of its waiting jobs. A
-// home that could not be reached with this job is passed over unless it may have begun the
-// job.
+// home that could not be reached with this job, or whose data centre is drained, is passed over
+// unless it may have begun the job.
 func (in *Instance) findHome(j *forwarding) (string, int64, bool) {
-	if token, ok := in.aliveHome(j.target); ok && (j.resumed || !j.unreachable[j.target]) {
+	if token, ok := in.aliveHome(j.target); ok && (j.resumed || in.mayTake(j, j.target)) {
 		return j.target, token, true
 	}
 	if j.resumed {
@@ -71,7 +72,7 @@
 	}
 	best, bestFree := "", -1
 	for _, dc := range in.dataCentres() {
-		if _, ok := in.aliveHome(dc); !ok || j.unreachable[dc] {
+		if _, ok := in.aliveHome(dc); !ok || !in.mayTake(j, dc) {
 			continue
 		}
 		if capacity := in.freeCapacity(dc); capacity.Free-capacity.Waiting > bestFree || best == "" {
@@ -82,6 +83,11 @@
 	return best, token, ok
 }
 
+// mayTake reports whether a job that no home has begun may go to a data centre.
+func (in *Instance) mayTake(j *forwarding, dataCentre string) bool {
+	return !j.unreachable[dataCentre] && !in.isDrained(dataCentre)
+}
+
 // aliveHome returns the fencing token of the home of a data centre and whether that home
 // is alive and can be called: the rows of homes and instances arrive in any order.
 func (in *Instance) aliveHome(dataCentre string) (token int64, ok bool) {
--- a/fleet/capacity.go
+++ b/fleet/capacity.go
@@ -79,11 +79,11 @@
 	return best, best != ""
 }
 
-// otherCentres returns all data centres but one.
+// otherCentres returns the data centres that may start tasks, except one.
 func (in *Instance) otherCentres(except string) []string {
 	var list []string
 	for _, dc := range in.dataCentres() {
-		if dc != except {
+		if dc != except && !in.isDrained(dc) {
 			list = append(list, dc)
 		}
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 
 	"foxtailmux/beat"
+	"foxtailmux/drain"
 	"foxtailmux/entry"
 	"foxtailmux/home"
 	"foxtailmux/logger"
@@ -56,6 +57,8 @@
 	callerServer    *entry.QueueServer
 	routing         atomic.Pointer[model.Routing]
 	fetchingRouting atomic.Bool // from a peer
+	drains          atomic.Pointer[drain.Requests]
+	fetchingDrains  atomic.Bool // from a peer
 	stopSettings    atomic.Pointer[setup.Stop]
 
 	requests    atomic.Int64 // number of requests of callers
@@ -215,6 +218,7 @@
 	in.peers.Handle(methodStart, in.serveStart)
 	in.peers.Handle(methodPending, in.servePending)
 	in.peers.Handle(methodRouting, in.serveRouting)
+	in.peers.Handle(methodDrains, in.serveDrains)
 }
 
 // Start starts the servers and the background work, which registers the instance. Every
@@ -252,6 +256,7 @@
 	if r := in.routing.Load(); r != nil {
 		hb.RoutingVersion = r.Version
 	}
+	hb.DrainVersion = in.drains.Load().Version()
 	hb.Cancelled, hb.Open = in.undeliveredCancels(), in.announcedJobs()
 	for dc, h := range in.homesByCentre() {
 		if hb.Homes == nil {
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -55,9 +55,10 @@
 	deadline := began.Add(s.TimeLeft)
 	var begun attempt
 	for range maxForwards {
-		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed, time.Since(began), in.homeMissingFor()))
+		dc, token, ok := in.awaitHome(ctx, j, homeWaitLimit(s, j.resumed || j.mustRun, time.Since(began), in.homeMissingFor()))
 		if !ok {
 			recordNoHome(ctx, s, j.target, time.Since(began))
+			j.allDrained = in.allDrained()
 			break
 		}
 		j.annotate(&s)
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/beat"
+	"foxtailmux/drain"
 	"foxtailmux/home"
 	"foxtailmux/meter"
 	"foxtailmux/model"
@@ -57,12 +58,14 @@
 func (in *Instance) review() {
 	in.removeMissing(time.Now())
 	in.fetchNewerRouting()
+	in.fetchNewerDrains()
 	in.updateWorkerPolling()
 	in.closeIdleClients()
 	in.openJobs.RemoveExpired(time.Now())
 	in.leftRuns.RemoveExpired(time.Now())
 	in.reviewHomes()
 	in.recordHome()
+	in.recordDrainedRuns()
 }
 
 // recordLag records how late the timer of a review fired.
@@ -109,9 +112,10 @@
 
 // reviewHomes compares the homes in the store with those that run in this instance. It
 // claims those that need this instance as their successor, and claims anew those that this
-// instance has closed with the token in the store.
+// instance has closed with the token in the store. A home must not start a task before the
+// operator's table, which may drain its data centre, has been read.
 func (in *Instance) reviewHomes() {
-	if !in.homeTable.IsLoaded() || !in.workerTable.IsLoaded() {
+	if !in.homeTable.IsLoaded() || !in.workerTable.IsLoaded() || !in.configTable.IsLoaded() {
 		return
 	}
 	for _, dc := range in.dataCentres() {
@@ -178,6 +182,7 @@
 		RefreshWorkers: in.workerTable.Refresh,
 		LastMessage:    in.lastMessage,
 		OriginTimeout:  beat.HeartbeatTimeout,
+		Drained:        func() (drain.Request, bool) { return in.drainOf(dataCentre) },
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/fleet/originstart.go
+++ b/fleet/originstart.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"foxtailmux/drain"
 	"foxtailmux/home"
 	"foxtailmux/lease"
 	"foxtailmux/model"
@@ -56,14 +57,18 @@
 	Addr       string        `json:"addr"`
 	Start      lease.Start   `json:"start"`
 	Timeout    time.Duration `json:"timeout"`
+
+	DrainVersion int64 `json:"drainVersion,omitempty"` // of the requests to drain data centres that the home has
 }
 
-// startResponse holds the response of the worker. Problem is set if the worker gave none.
+// startResponse holds the response of the worker. Problem is set if the worker gave none, and Drains
+// if the start was not sent since the data centre is drained.
 type startResponse struct {
 	Reply      lease.Reply `json:"reply"`
 	Problem    string      `json:"problem,omitempty"`
 	Sent       bool        `json:"sent,omitempty"` // the worker may have received the start
 	JobRemoved bool        `json:"gone,omitempty"` // the job is no longer at its origin
+	Drains     *drain.Set  `json:"drains,omitempty"`
 }
 
 // workerError reports that an origin got no response from a worker to a start.
@@ -143,6 +148,7 @@
 	const op = "start by the origin"
 	ctx, cancel := context.WithTimeout(in.ctx, r.Timeout+originStartSlack)
 	defer cancel()
+	r.DrainVersion = in.drains.Load().Version()
 	var resp startResponse
 	err := in.peers.Call(ctx, origin, methodStart, r, &resp)
 	switch {
@@ -153,6 +159,9 @@
 	case resp.Problem != "":
 		return lease.Reply{}, &workerError{problem: resp.Problem, sent: resp.Sent}
 	}
+	if resp.Drains != nil {
+		in.applyDrains(*resp.Drains, "peer "+origin, false) // before the home starts the task again
+	}
 	return resp.Reply, nil
 }
 
@@ -166,6 +175,9 @@
 	if _, token := in.homeOf(r.DataCentre); r.Start.Token < token {
 		return startResponse{Reply: lease.Reply{Refusal: lease.Fenced}}, nil
 	}
+	if drains := in.declineStart(r); drains != nil {
+		return startResponse{Reply: lease.Reply{Refusal: lease.Late}, Drains: drains}, nil
+	}
 	endpoint, spec, ok := in.clientAndKeptSpec(r)
 	if !ok {
 		return startResponse{JobRemoved: true}, nil
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"foxtailmux/drain"
 	"foxtailmux/home"
 	"foxtailmux/peer"
 )
@@ -23,7 +24,9 @@
 	maybeRunning  []string // tasks that the last home may have left running
 	tasksReported bool     // maybeRunning was reported by the last home
 	part          *home.Part
-	unreachable   map[string]bool // data centres whose home could not be reached
+	unreachable   map[string]bool // data centres whose home could not be reached or has handed the job back
+	mustRun       bool            // tasks of the job may have run, none runs now, and any home may continue it
+	allDrained    bool            // no data centre may start tasks
 }
 
 func newForwarding(localDC string) *forwarding {
@@ -32,7 +35,7 @@
 
 // annotate fills in what the next home has to know about the earlier attempts.
 func (j *forwarding) annotate(s *home.Submission) {
-	s.Resumed, s.Immediate, s.NoRedirect = j.resumed, j.immediate, j.noRedirect
+	s.Resumed, s.Immediate, s.NoRedirect = j.resumed || j.mustRun, j.immediate, j.noRedirect
 	s.Done, s.MaybeRunning, s.TasksReported, s.Part = j.doneTasks, j.maybeRunning, j.tasksReported, j.part
 }
 
@@ -56,6 +59,9 @@
 		j.doneTasks = append(j.doneTasks, outcome.Done...)
 		j.maybeRunning, j.tasksReported = outcome.MaybeRunning, err == nil
 		return retryAtLaterHome
+	case outcome.Result == home.Drained:
+		j.handOver(dataCentre, outcome.Done)
+		return tryTarget
 	case outcome.Result == home.Redirected:
 		j.target, j.immediate = outcome.DataCentre, true
 		return tryTarget
@@ -71,6 +77,17 @@
 	return returnOutcome
 }
 
+// handOver frees the job for other data centres after the home of a drained one has handed it back. That
+// home has made sure that none of its tasks runs there. A job of which tasks may have run must not be
+// refused any more.
+func (j *forwarding) handOver(dataCentre string, done []string) {
+	j.mustRun = j.mustRun || j.resumed || j.part != nil || len(done) > 0
+	j.doneTasks = append(j.doneTasks, done...)
+	j.resumed, j.maybeRunning, j.tasksReported = false, nil, j.mustRun
+	j.unreachable[dataCentre] = true
+	j.target, j.immediate = j.localDC, false
+}
+
 // decideUnreachable returns the next step after an attempt that started nothing.
 func (j *forwarding) decideUnreachable(dataCentre string) decision {
 	if j.resumed {
@@ -83,9 +100,12 @@
 
 // failure returns the outcome of a job for which no home was found.
 func (j *forwarding) failure() home.Outcome {
-	if j.resumed {
+	if j.resumed || j.mustRun {
 		return home.Outcome{Result: home.Lost, Reason: "the home of the job is out of reach"}
 	}
+	if j.allDrained {
+		return home.Outcome{Result: home.Refused, Reason: "all data centres are drained", RetryAfter: drain.RetryDelay}
+	}
 	return home.Outcome{Result: home.Refused, Reason: "no home is in reach", RetryAfter: homeTimeout}
 }
 
--- a/fleet/routing.go
+++ b/fleet/routing.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
+	"foxtailmux/beat"
 	"foxtailmux/model"
 	"foxtailmux/table"
 )
 
 // onConfig handles changes of the operator's table.
 func (in *Instance) onConfig(rows []table.Row) {
+	in.onDrainRows(rows)
 	for _, row := range rows {
 		if row.Key != in.tables.ConfigKey || row.Deleted {
 			continue
@@ -51,24 +54,31 @@
 	routingRetryDelay = 250 * time.Millisecond
 )
 
-// fetchNewerRouting fetches the configuration of a live peer in the background if it is newer than
-// the own one. The next review tries again until the configuration is there.
+// fetchNewerRouting fetches the configuration of a live peer if it is newer than the own one.
 func (in *Instance) fetchNewerRouting() {
-	newest, peerID := int64(0), ""
+	own := int64(0)
 	if r := in.routing.Load(); r != nil {
-		newest = r.Version
+		own = r.Version
 	}
+	in.fetchNewer(&in.fetchingRouting, own, func(s beat.Status) int64 { return s.RoutingVersion }, in.fetchRouting)
+}
+
+// fetchNewer calls fetch in the background with the live peer whose heartbeat has the newest version, if
+// that is newer than the own one and no other fetch is in progress. The next review tries again until the
+// own version is as new.
+func (in *Instance) fetchNewer(busy *atomic.Bool, own int64, version func(beat.Status) int64, fetch func(peerID string)) {
+	newest, peerID := own, ""
 	for id, s := range in.heartbeats.AlivePeers() {
-		if s.RoutingVersion > newest {
-			newest, peerID = s.RoutingVersion, id
+		if v := version(s); v > newest {
+			newest, peerID = v, id
 		}
 	}
-	if peerID == "" || !in.fetchingRouting.CompareAndSwap(false, true) {
+	if peerID == "" || !busy.CompareAndSwap(false, true) {
 		return
 	}
 	in.background.Go(func() {
-		defer in.fetchingRouting.Store(false)
-		in.fetchRouting(peerID)
+		defer busy.Store(false)
+		fetch(peerID)
 		select {
 		case <-time.After(routingRetryDelay):
 		case <-in.ctx.Done():
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -21,6 +21,7 @@
 	methodStartable = "home.startable"
 	methodPending   = "home.pending"
 	methodRouting   = "routing.get"
+	methodDrains    = "drains.get"
 )
 
 // runRequest hands a job to the home of a data centre.
--- a/fleet/state.go
+++ b/fleet/state.go
@@ -20,6 +20,7 @@
 	Workers  int                    `json:"workers"`  // number of known workers
 	Held     int                    `json:"held"`     // submissions that wait for the end of earlier ones
 	OpenJobs int                    `json:"openJobs"` // announced jobs, of this and of other instances
+	Drained  map[string]DrainState  `json:"drained"`  // requests to drain data centres, by data centre
 }
 
 func (in *Instance) state() State {
@@ -35,6 +36,7 @@
 
 		Held:     in.held.Len(),
 		OpenJobs: in.openJobs.Len(),
+		Drained:  in.drainState(),
 	}
 	if err := in.Ready(); err != nil {
 		s.Ready, s.NotReady = false, err.Error()
--- a/home/backlog.go
+++ b/home/backlog.go
@@ -98,6 +98,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.activity.questions++
+	if h.isDrained() {
+		return 0
+	}
 	now := time.Now()
 	j := h.newJob(s, now)
 	return h.startableTasks(j, h.aheadOf(j, now), now)
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -31,7 +31,7 @@
 	h.dispatchedAt = now
 
 	p := h.newPass(now)
-	if len(p.available) == 0 {
+	if !h.handBack(p, now) || len(p.available) == 0 {
 		return
 	}
 	for _, j := range h.jobsByUrgency(now) {
--- a/home/home.go
+++ b/home/home.go
@@ -19,6 +19,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/budget"
+	"foxtailmux/drain"
 	"foxtailmux/learn"
 	"foxtailmux/lease"
 	"foxtailmux/model"
@@ -54,7 +55,8 @@
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
 // the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
-// cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
+// cancelled. Drained, which may be nil, returns the operator's request to drain the data centre; it must
+// not call the home. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -65,6 +67,7 @@
 	RefreshWorkers func()
 	LastMessage    func(instance, incarnation string) time.Time
 	OriginTimeout  time.Duration
+	Drained        func() (drain.Request, bool)
 	Link           *plan.Link
 	Clock          func() time.Duration
 	Observer       Observer
@@ -142,6 +145,7 @@
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
 	activity          activity
+	emptyReported     bool // that a drained data centre has no run left
 }
 
 // finishedJob is the kept outcome of a job.
@@ -285,6 +289,7 @@
 	now := time.Now()
 	h.recordLag(now.Sub(due))
 	h.reportActivity(now)
+	h.reportDrained(now)
 
 	for id, w := range h.workers {
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
--- a/home/load.go
+++ b/home/load.go
@@ -31,14 +31,15 @@
 }
 
 // FreeCapacity returns the capacity of the healthy workers, the part of it that is free for
-// tasks of typical size, and the need of the waiting tasks.
+// tasks of typical size, and the need of the waiting tasks. A drained data centre has no capacity.
 func (h *Home) FreeCapacity() model.FreeCapacity {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var f model.FreeCapacity
 	now := time.Now()
+	drained := h.isDrained()
 	for _, w := range h.workers {
-		if w.isUsable() && w.health.State(now) == plan.Healthy {
+		if !drained && w.isUsable() && w.health.State(now) == plan.Healthy {
 			f.Capacity += w.tracker.Capacity().TotalMilliCores()
 			f.Free += wholeTasks(w.tracker.Free().TotalMilliCores(), h.typicalMilliCores)
 		}
--- a/home/state.go
+++ b/home/state.go
@@ -12,6 +12,8 @@
 	Token      int64                  `json:"token"`
 	Jobs       int                    `json:"jobs"`
 	Waiting    int                    `json:"waitingJobs"`
+	Runs       int                    `json:"runs"`
+	Drained    bool                   `json:"drained,omitempty"`
 	Workers    map[string]WorkerState `json:"workers"`
 }
 
@@ -38,6 +40,8 @@
 		Token:      h.options.Token,
 		Jobs:       len(h.jobs),
 		Waiting:    len(h.waiting),
+		Runs:       h.runCount(),
+		Drained:    h.isDrained(),
 		Workers:    map[string]WorkerState{},
 	}
 	now := time.Now()
--- a/home/submit.go
+++ b/home/submit.go
@@ -19,7 +19,8 @@
 // job was to start at once or not at all, and can't start at once. NoCapacity: the job would be
 // refused or late, but several data centres together may run it in time. Cancelled: the
 // caller disconnected, or the time of the job is over. Lost: some tasks may have run, and the
-// home is unreachable or the job can't end in time.
+// home is unreachable or the job can't end in time. Drained: the data centre is drained, and no task of
+// the job runs there; those that were done are listed.
 const (
 	Succeeded  Result = "succeeded"
 	Failed     Result = "failed"
@@ -30,6 +31,7 @@
 	NoCapacity Result = "noRoom"
 	Cancelled  Result = "cancelled"
 	Lost       Result = "lost"
+	Drained    Result = "drained"
 )
 
 // Outcome is the result of a job with its details.
@@ -40,7 +42,7 @@
 	StartableTasks int           `json:"room,omitempty"`       // tasks that could start here in time, with NoCapacity
 	AcceptedWhole  bool          `json:"whole,omitempty"`      // the home accepts the job as a whole, but late, with NoCapacity
 	DataCentre     string        `json:"dataCentre,omitempty"` // with Redirected
-	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved
+	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved and Drained
 	MaybeRunning   []string      `json:"begun,omitempty"`      // tasks that may still run, with Moved
 }
 
@@ -189,6 +191,9 @@
 
 // admit decides whether a new job is accepted, and returns the outcome of a job that is not.
 func (h *Home) admit(j *job, s Submission, now time.Time) (Outcome, bool) {
+	if h.isDrained() {
+		return Outcome{Result: Drained, Reason: drainedReason}, false
+	}
 	if !h.capacityKnown(now) {
 		return Outcome{}, true
 	}
--- a/meter/count.go
+++ b/meter/count.go
@@ -72,6 +72,12 @@
 // ConfigVersion sets the version of the configuration in force.
 func (m *Meter) ConfigVersion(n int64) { m.configVersion.Set(float64(n)) }
 
+// DrainedDataCentres sets the number of data centres that an operator has drained.
+func (m *Meter) DrainedDataCentres(n int) { m.drained.Set(float64(n)) }
+
+// DrainedRuns sets the number of runs left in drained data centres at the homes of this instance.
+func (m *Meter) DrainedRuns(n int) { m.drainedRuns.Set(float64(n)) }
+
 // QueueWait records the time that a task waited for a slot.
 func (m *Meter) QueueWait(d time.Duration) { m.queueWait.Observe(d.Seconds()) }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,6 +29,8 @@
 
 	queue         prometheus.Gauge
 	configVersion prometheus.Gauge
+	drained       prometheus.Gauge
+	drainedRuns   prometheus.Gauge
 
 	queueWait prometheus.Histogram
 	response  prometheus.Histogram
@@ -73,6 +75,8 @@
 func (m *Meter) initGauges() {
 	m.queue = gauge("queue_tasks", "Tasks that wait for a slot.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
+	m.drained = gauge("drained_data_centres", "Data centres that an operator has drained.")
+	m.drainedRuns = gauge("drained_runs", "Runs left in drained data centres, at the homes of this instance.")
 }
 
 func (m *Meter) initHistograms() {
@@ -95,6 +99,8 @@
 		m.bytes,
 		m.queue,
 		m.configVersion,
+		m.drained,
+		m.drainedRuns,
 		m.queueWait,
 		m.response,
 		m.overIdeal,
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -29,6 +29,8 @@
 	m.Bytes(meter.ToWorker)(meter.Sent, 300)
 	m.QueueLength(7)
 	m.ConfigVersion(12)
+	m.DrainedDataCentres(1)
+	m.DrainedRuns(3)
 	m.QueueWait(3 * time.Millisecond)
 	m.Response(300*time.Millisecond, 200*time.Millisecond)
 	m.Response(time.Second, 0)
@@ -49,6 +51,8 @@
 foxtailmux_bytes_total{data_centre="kochi",direction="sent",instance_id="entry-1",to="worker"} 300
 foxtailmux_config_version{data_centre="kochi",instance_id="entry-1"} 12
 foxtailmux_control_bytes_total{data_centre="kochi",instance_id="entry-1",kind="heartbeat"} 512
+foxtailmux_drained_data_centres{data_centre="kochi",instance_id="entry-1"} 1
+foxtailmux_drained_runs{data_centre="kochi",instance_id="entry-1"} 3
 foxtailmux_forwards_total{data_centre="kochi",instance_id="entry-1",outcome="accepted"} 1
 foxtailmux_messages_total{data_centre="kochi",instance_id="entry-1",kind="cancel",purpose="wasted"} 1
 foxtailmux_messages_total{data_centre="kochi",instance_id="entry-1",kind="start",purpose="needed"} 1
