--- a/home/home_test.go
+++ b/home/home_test.go
@@ -13,6 +13,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/phuslu/log"
 
+	"foxtailmux/drain"
 	"foxtailmux/fakes"
 	"foxtailmux/home"
 	"foxtailmux/model"
@@ -53,6 +54,7 @@
 	began          time.Time
 	stall          atomic.Int64 // nanoseconds for which the process has stood still
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
+	drained        atomic.Pointer[drain.Request] // request to drain the data centre
 }
 
 func newTestCentre(t testing.TB, workers int) *testCentre {
@@ -83,6 +85,7 @@
 		Connect:        dc.connect,
 		LastMessage:    func(instance, incarnation string) time.Time { return dc.lastMessage(instance, incarnation) },
 		OriginTimeout:  heartbeatTimeout,
+		Drained:        dc.drainRequest,
 		Link:           dc.link,
 		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
