--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -57,6 +57,7 @@
 	7105, // a crashed worker carried out requests that it had received before: a fault of the fake
 	9000, // the first seed with connections that go silent
 	9200, // the first seed with workers that answer twice
+	firstDrainSeed,
 }
 
 // Seeds draw from the first kinds of faults only, as many as there were when they were first used, so
@@ -69,10 +70,15 @@
 		return 17
 	case seed < 9200:
 		return 19
+	case seed < firstDrainSeed:
+		return 20
 	}
-	return 20
+	return 22
 }
 
+// firstDrainSeed is the first seed with drained data centres and configurations in quick succession.
+const firstDrainSeed = 9300
+
 // With seeds from firstLowBandwidthSeed on, instances are configured with
 // low-bandwidth links, so that the origin of a job (the instance that holds the
 // caller's connection) sends the start requests itself. A job's specification then
@@ -95,6 +101,7 @@
 	workerServers []*httptest.Server
 	workerProxies []*faultProxy
 	rows          []workerRow // the workers' rows in the store
+	dataCentres   []string    // of the workers
 	instances     []*soakInstance
 	version       int
 	jobCount      atomic.Int64
@@ -243,7 +250,7 @@
 	s.targets[c.addr()] = id
 	s.mu.Unlock()
 	key, value := stand.WorkerRow(id, c.addr(), dc, 64_000)
-	s.rows = append(s.rows, workerRow{key, value})
+	s.rows, s.dataCentres = append(s.rows, workerRow{key, value}), append(s.dataCentres, dc)
 	s.store.Put(key, value)
 }
 
@@ -561,6 +568,15 @@
 	case 19:
 		proxy.stutter.Store(true)
 		until(func() { proxy.stutter.Store(false) })
+	case 20:
+		key := platform.DrainPrefix + s.dataCentres[w]
+		s.store.Put(key, "{}")
+		until(func() { s.store.Delete(key) })
+	case 21:
+		for range 5 {
+			s.putConfig()
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
 }
 
