--- a/drain/drain.go
+++ b/drain/drain.go
@@ -35,7 +35,7 @@
 // have been in force for any time before.
 type Request struct {
 	Version int64     `json:"version"` // of its row
-	Since   time.Time `json:"since"`
+	Since   time.Time `json:"since,omitzero"`
 }
 
 // Requests are the requests that an instance acts on. A nil *Requests has none. It is never changed.
