--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -48,7 +48,6 @@
 	for _, dc := range takenBack {
 		in.log.Warn().Str("drained", dc).Int64("version", set.Version).Str("source", source).Msg("data centre is no longer drained")
 	}
-	in.meter.DrainedDataCentres(len(after.All()))
 	for _, dc := range append(drained, takenBack...) {
 		if h := in.localHome(dc); h != nil {
 			h.ReviewDrain()
@@ -157,11 +156,13 @@
 	return h.RunCount()
 }
 
-// recordDrainedRuns sets the metric of the runs that are left at the drained homes of this instance.
-func (in *Instance) recordDrainedRuns() {
-	total := 0
-	for dc := range in.drains.Load().All() {
-		total += max(runCount(in.localHome(dc)), 0)
+// recordDrains sets the metrics of the requests and of the runs that are left at the drained homes of
+// this instance.
+func (in *Instance) recordDrains() {
+	requests, runs := in.drains.Load().All(), 0
+	for dc := range requests {
+		runs += max(runCount(in.localHome(dc)), 0)
 	}
-	in.meter.DrainedRuns(total)
+	in.meter.DrainedDataCentres(len(requests))
+	in.meter.DrainedRuns(runs)
 }
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -65,7 +65,7 @@
 	in.leftRuns.RemoveExpired(time.Now())
 	in.reviewHomes()
 	in.recordHome()
-	in.recordDrainedRuns()
+	in.recordDrains()
 }
 
 // recordLag records how late the timer of a review fired.
