home: log how many runs of a job were near its data

The line of a job's end names the rack and counts the near and far runs where a step names one, to measure what far runs cost.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -253,6 +253,7 @@
 	j.trail.addRun(t, false)
 	h.activity.starts++
 	step := j.batch.Steps[t.step]
+	j.placements.add(step, w)
 	until := w.tracker.GrantLease(now)
 	w.tracker.RecordStart(lease.Run{Task: t.name, Number: t.run, Needs: step.Needs}, until, now)
 	w.health.RecordStart()
--- a/home/finish.go
+++ b/home/finish.go
@@ -127,6 +127,7 @@
 		Int64("lastStartMillis", j.lastStart().Milliseconds()).Int64("token", h.options.Token).
 		Int64("submission", j.lastSubmission.Number).Int("submissions", j.submissions)
 	j.trail.addTo(l, j.arrivedAt)
+	j.placements.addTo(l)
 	l.Int64("acceptedMillis", j.ageAtEntry.Milliseconds())
 	if j.transit != UnknownTransit {
 		l.Int64("transitMillis", j.transit.Milliseconds())
--- a/home/job.go
+++ b/home/job.go
@@ -28,6 +28,7 @@
 	originMisses   int // starts that the origin failed to send
 	submissions    int
 	trail          trail
+	placements     placements
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
