near, home: hold tasks for places near their data, first rule

A task whose rack had no free place started elsewhere at once, and a far run counted as near in all estimates, in the health of its worker and in what was learned. Package near decides on a wait, home asks it before the placement, and placement.farFactor (off by default, bounds.far-x in the template) turns it on.

--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -34,6 +34,7 @@
 	if len(p.available) == 0 {
 		return
 	}
+	defer func() { h.heldRacks = p.heldRacks }()
 	for _, j := range h.jobsByUrgency(now) {
 		if len(p.available) == 0 {
 			return
@@ -55,6 +56,10 @@
 	runsKnown  bool                  // no worker can have an unreported run of an earlier home
 	unplaced   map[taskKind]struct{} // kinds of tasks that fit on no worker
 	candidates []plan.Candidate      // of the latest placement, kept to reuse the memory
+	racks      map[string]*rackPass  // those that tasks with data there wanted a place in
+	heldRacks  map[string]bool       // those that tasks are held for
+	short      bool                  // see Home.isShort
+	shortKnown bool
 }
 
 // taskKind is what a worker must have for a task. Tasks of a kind fit on the same workers unless
@@ -133,6 +138,7 @@
 func (h *Home) workersByID() []*worker {
 	if h.sortedWorkers == nil {
 		h.sortedWorkers = slices.SortedFunc(maps.Values(h.workers), func(a, b *worker) int { return strings.Compare(a.info.ID, b.info.ID) })
+		h.indexRacks()
 	}
 	return h.sortedWorkers
 }
@@ -186,6 +192,10 @@
 			stillWaiting = true
 			continue
 		}
+		if h.isHeldForRack(j, t, p, now) {
+			stillWaiting = true
+			continue
+		}
 		w := h.place(j, t, p, now)
 		if w == nil {
 			p.recordUnplaced(j, t.step)
@@ -193,6 +203,7 @@
 			continue
 		}
 		h.startTask(j, t, w, now)
+		h.recordRackStart(j, t, w, p)
 		p.recordStart(w)
 	}
 	if !stillWaiting {
@@ -215,7 +226,10 @@
 	step := j.batch.Steps[t.step]
 	p.candidates = p.candidates[:0]
 	for _, w := range p.available {
-		c := plan.Candidate{Free: w.tracker.Free(), Health: w.health.State(now), NearData: step.Rack != "" && step.Rack == w.info.Rack}
+		c := plan.Candidate{
+			Free: w.tracker.Free(), Health: w.health.State(now),
+			NearData: step.Rack != "" && step.Rack == w.info.Rack, Wanted: h.heldRacks[w.info.Rack],
+		}
 		switch {
 		case !w.canServe(j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
 			c.Health = plan.Ejected
@@ -253,11 +267,11 @@
 	j.trail.addRun(t, false)
 	h.activity.starts++
 	step := j.batch.Steps[t.step]
-	j.placements.add(step, w)
 	until := w.tracker.GrantLease(now)
 	w.tracker.RecordStart(lease.Run{Task: t.name, Number: t.run, Needs: step.Needs}, until, now)
 	w.health.RecordStart()
 	w.assign(j, t)
+	h.recordPlacement(j, t)
 	h.options.Observer.TaskStarted()
 	h.options.Observer.QueueWait(now.Sub(t.readyAt))
 
--- a/home/ends.go
+++ b/home/ends.go
@@ -43,7 +43,8 @@
 func (h *Home) taskDone(w *worker, j *job, t *task, now time.Time) {
 	ran := now.Sub(t.startedAt)
 	declared := j.batch.Steps[t.step].Estimate
-	w.health.RecordCompletion(ran, j.estimates[t.step])
+	w.health.RecordCompletion(ran, h.expectedRun(j, t))
+	ran = h.nearTime(t, ran)
 	h.meanRuns.Observe(j.route.Name, ran)
 	if declared > 0 {
 		h.runRatios.Observe(j.route.Name, time.Duration(float64(ran)/float64(declared)*float64(ratioUnit)))
--- a/home/home.go
+++ b/home/home.go
@@ -36,12 +36,14 @@
 	Close()
 }
 
-// Observer counts events of a home. Retried is called with the reason why a run is repeated, and
-// QueueWait with the time that a task waited for its start.
+// Observer counts events of a home. Retried is called with the reason why a run is repeated,
+// QueueWait with the time that a task waited for its start, and TaskPlaced for the start of each task
+// whose data are in a rack: whether it is near them, and whether it was held for such a place.
 type Observer interface {
 	TaskStarted()
 	Retried(reason string)
 	QueueWait(d time.Duration)
+	TaskPlaced(near, held bool)
 }
 
 // Options configure a Home. Token is its fencing token, and MaxLease the length of the leases
@@ -54,7 +56,8 @@
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
 // the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
-// cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
+// cancelled. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
+// and 1 mean that it makes no difference. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -65,6 +68,7 @@
 	RefreshWorkers func()
 	LastMessage    func(instance, incarnation string) time.Time
 	OriginTimeout  time.Duration
+	FarFactor      float64
 	Link           *plan.Link
 	Clock          func() time.Duration
 	Observer       Observer
@@ -119,9 +123,11 @@
 	fenced            bool
 	incompleteList    bool // a list lacked workers that may have runs of an earlier home
 	workers           map[string]*worker
-	sortedWorkers     []*worker           // by id, nil after a change of workers
-	assigned          map[string]struct{} // tasks that have a run, by name
-	expectedEnds      []expectedEnd       // of the assigned runs, in their order
+	sortedWorkers     []*worker            // by id, nil after a change of workers
+	racks             map[string][]*worker // sortedWorkers by rack
+	heldRacks         map[string]bool      // those that tasks are held for since the last pass
+	assigned          map[string]struct{}  // tasks that have a run, by name
+	expectedEnds      []expectedEnd        // of the assigned runs, in their order
 	jobs              map[Key]*job
 	waiting           map[*job]struct{} // jobs with tasks to start
 	finished          map[Key]finishedJob
@@ -243,6 +249,9 @@
 		if w.info.Incarnation != info.Incarnation {
 			w.signal()
 		}
+		if w.info.Rack != info.Rack {
+			h.sortedWorkers = nil
+		}
 		w.info, w.removed = info, false
 		w.tracker.SetCapacity(info.Capacity)
 	}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -37,6 +37,7 @@
 func (noopObserver) TaskStarted()            {}
 func (noopObserver) Retried(string)          {}
 func (noopObserver) QueueWait(time.Duration) {}
+func (noopObserver) TaskPlaced(bool, bool)   {}
 
 // testCentre is a data centre with fake workers.
 type testCentre struct {
--- a/home/job.go
+++ b/home/job.go
@@ -29,6 +29,7 @@
 	submissions    int
 	trail          trail
 	placements     placements
+	farSteps       []bool // steps without a worker in the rack of their data, nil if there are none
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
@@ -50,6 +51,8 @@
 	run          int64
 	readyAt      time.Time
 	startedAt    time.Time
+	far          bool // its run is outside the rack of its data
+	held         bool // it has waited for a place in that rack
 	maybeRunning bool            // an earlier home may have left a run of it on a worker
 	triedOn      map[string]bool // workers on which a run failed, was too slow or did not start
 }
@@ -91,6 +94,7 @@
 		}
 	}
 	j.objective = plan.Objective(s.Route, plan.CriticalPath(s.Batch.Steps, j.estimates))
+	h.setFarSteps(j)
 	if usual, ok := h.callerTimeouts.Usual(s.Route.Name); ok {
 		j.waitedBefore = plan.WaitedBefore(s.Age+s.TimeLeft, usual)
 	}
--- a/home/near.go
+++ b/home/near.go
@@ -1,39 +1,227 @@
 package home
 
 import (
+	"time"
+
 	"github.com/phuslu/log"
 
 	"foxtailmux/model"
+	"foxtailmux/near"
+	"foxtailmux/plan"
 )
 
-// isNear reports whether a worker is in the rack of the data of a step's tasks. Tasks of a step that names
-// no rack are near on all workers.
+// farFactor returns how many times as long a task takes on a worker outside the rack of its data, 1
+// where nothing is known about that.
+func (h *Home) farFactor() float64 { return max(h.options.FarFactor, 1) }
+
+// isNear reports whether a worker is in the rack of the data of a step's tasks. Tasks of a step that
+// names no rack are near on all workers.
 func (w *worker) isNear(s model.Step) bool { return s.Rack == "" || s.Rack == w.info.Rack }
 
-// placements counts the runs of a job's tasks that have their data in a rack.
+// scale multiplies a duration.
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(d) * factor)
+}
+
+// setFarSteps finds the steps of a new job whose tasks run far from their data on all workers, and
+// lengthens their estimates. The objective of the job is that of tasks near their data.
+func (h *Home) setFarSteps(j *job) {
+	factor := h.farFactor()
+	if factor == 1 {
+		return
+	}
+	for i, s := range j.batch.Steps {
+		if s.Rack == "" || len(h.workersInRack(s.Rack)) > 0 {
+			continue
+		}
+		if j.farSteps == nil {
+			j.farSteps = make([]bool, len(j.batch.Steps))
+		}
+		j.farSteps[i] = true
+		j.estimates[i] = scale(j.estimates[i], factor)
+	}
+}
+
+// expectedRun returns the run time that is expected of the present run of a task.
+func (h *Home) expectedRun(j *job, t *task) time.Duration {
+	if !t.far || j.farSteps != nil && j.farSteps[t.step] {
+		return j.estimates[t.step]
+	}
+	return scale(j.estimates[t.step], h.farFactor())
+}
+
+// expectedRunElsewhere returns the run time that is expected of a task if it is moved to another worker,
+// which may be in another rack.
+func (h *Home) expectedRunElsewhere(j *job, t *task) time.Duration {
+	if j.batch.Steps[t.step].Rack == "" || j.farSteps != nil && j.farSteps[t.step] {
+		return j.estimates[t.step]
+	}
+	return scale(j.estimates[t.step], h.farFactor())
+}
+
+// nearTime returns how long a run would have lasted near its data. Run times are learned as such, since
+// the share of far runs changes with the load.
+func (h *Home) nearTime(t *task, ran time.Duration) time.Duration {
+	if !t.far {
+		return ran
+	}
+	return time.Duration(float64(ran) / h.farFactor())
+}
+
+// indexRacks sets the workers by rack.
+func (h *Home) indexRacks() {
+	h.racks = map[string][]*worker{}
+	for _, w := range h.sortedWorkers {
+		h.racks[w.info.Rack] = append(h.racks[w.info.Rack], w)
+	}
+}
+
+// workersInRack returns the workers of a rack in the order of their ids.
+func (h *Home) workersInRack(rack string) []*worker {
+	h.workersByID()
+	return h.racks[rack]
+}
+
+// rackPass is what a pass knows of one rack whose workers are wanted.
+type rackPass struct {
+	workers  []*worker
+	forecast *near.Forecast
+}
+
+// rack returns what a pass knows of a rack.
+func (h *Home) rack(name string, p *pass, now time.Time) *rackPass {
+	if r := p.racks[name]; r != nil {
+		return r
+	}
+	r := &rackPass{workers: h.workersInRack(name)}
+	free := make([]model.Resources, len(r.workers))
+	var releases []near.Release
+	for i, w := range r.workers {
+		free[i] = w.tracker.Free()
+		for _, a := range w.assignments {
+			if in, ok := near.ReleaseIn(now.Sub(a.task.startedAt), h.expectedRun(a.job, a.task)); ok && w.tracker.IsRunning(a.task.name) {
+				releases = append(releases, near.Release{In: in, Worker: i, Resources: a.job.batch.Steps[a.task.step].Needs})
+			}
+		}
+	}
+	r.forecast = near.NewForecast(free, releases)
+	if p.racks == nil {
+		p.racks = map[string]*rackPass{}
+	}
+	p.racks[name] = r
+	return r
+}
+
+// isHeldForRack decides whether a task that could start waits for a place in the rack of its data. It is
+// decided anew in each pass: whenever a place comes free, and after a run did not end when expected.
+func (h *Home) isHeldForRack(j *job, t *task, p *pass, now time.Time) bool {
+	step := j.batch.Steps[t.step]
+	factor := h.farFactor()
+	if step.Rack == "" || factor == 1 || j.farSteps != nil && j.farSteps[t.step] {
+		return false
+	}
+	r := h.rack(step.Rack, p, now)
+	usable := func(i int) bool {
+		w := r.workers[i]
+		return w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(j.route, step) &&
+			!t.triedOn[w.info.ID] && !h.atLimit(j, t.step, step.MaxPerWorker, w)
+	}
+	for i, w := range r.workers {
+		if step.Needs.Within(w.tracker.Free()) && usable(i) {
+			return false
+		}
+	}
+	in, i, ok := r.forecast.Next(step.Needs, usable)
+	if !ok {
+		return false
+	}
+	run := j.estimates[t.step]
+	if !near.Hold(near.Task{Run: run, FarFactor: factor, Left: j.timeLeft(t.step, now)}, in, h.isShort(p)) {
+		return false
+	}
+	r.forecast.Take(i, step.Needs, in, run)
+	if p.heldRacks == nil {
+		p.heldRacks = map[string]bool{}
+	}
+	p.heldRacks[step.Rack], t.held = true, true
+	return true
+}
+
+// recordRackStart tells the forecast of a rack that a task was started there in this pass.
+func (h *Home) recordRackStart(j *job, t *task, w *worker, p *pass) {
+	r := p.racks[w.info.Rack]
+	if r == nil {
+		return
+	}
+	for i := range r.workers {
+		if r.workers[i] == w {
+			r.forecast.Take(i, j.batch.Steps[t.step].Needs, 0, h.expectedRun(j, t))
+		}
+	}
+}
+
+// timeLeft returns the time until a task of a step must end for its job to meet its objective and its
+// caller's timeout.
+func (j *job) timeLeft(step int, now time.Time) time.Duration {
+	end := j.arrivedAt.Add(j.objective - j.waitedBefore)
+	if j.deadline.Before(end) {
+		end = j.deadline
+	}
+	return end.Sub(now) - max(j.remainingPath()-j.estimates[step], 0)
+}
+
+// isShort reports whether the available workers have less free CPU than the waiting tasks need. It is
+// found once a pass.
+func (h *Home) isShort(p *pass) bool {
+	if !p.shortKnown {
+		free, waiting := 0, 0
+		for _, w := range p.available {
+			free += w.tracker.Free().TotalMilliCores()
+		}
+		for j := range h.waiting {
+			waiting += j.waitingMilliCores()
+		}
+		p.short, p.shortKnown = free < waiting, true
+	}
+	return p.short
+}
+
+// placements counts the runs of a job's tasks whose data are in a rack.
 type placements struct {
 	rack      string // of the first step that names one
 	near, far int
+	held      int // part of both that was held for a place near the data
+	heldFar   int // part of far that was held in vain
 }
 
-// add counts the start of a run on a worker.
-func (p *placements) add(s model.Step, w *worker) {
+// recordPlacement counts the start of a run whose data are in a rack.
+func (h *Home) recordPlacement(j *job, t *task) {
+	s := j.batch.Steps[t.step]
 	if s.Rack == "" {
 		return
 	}
-	if p.rack == "" {
-		p.rack = s.Rack
+	c := &j.placements
+	if c.rack == "" {
+		c.rack = s.Rack
 	}
-	if w.isNear(s) {
-		p.near++
+	if t.far {
+		c.far++
 	} else {
-		p.far++
+		c.near++
+	}
+	if t.held {
+		c.held++
+	}
+	if t.held && t.far {
+		c.heldFar++
 	}
+	h.options.Observer.TaskPlaced(!t.far, t.held)
+	t.held = false
 }
 
 // addTo adds the counts to a log line, for jobs whose data are in a rack.
-func (p *placements) addTo(l *log.Entry) {
-	if p.rack != "" {
-		l.Str("rack", p.rack).Int("nearRuns", p.near).Int("farRuns", p.far)
+func (c *placements) addTo(l *log.Entry) {
+	if c.rack != "" {
+		l.Str("rack", c.rack).Int("nearRuns", c.near).Int("farRuns", c.far).Int("heldRuns", c.held).Int("heldFarRuns", c.heldFar)
 	}
 }
--- a/home/progress.go
+++ b/home/progress.go
@@ -30,7 +30,7 @@
 		if !ok || p.Stopping || a.task.run != p.Number {
 			continue
 		}
-		estimate := a.job.estimates[a.task.step]
+		estimate := w.home.expectedRun(a.job, a.task)
 		if now.Before(plan.ProgressCheckAt(p.StartedAt, estimate)) {
 			continue
 		}
@@ -50,7 +50,7 @@
 		w.requestProgress()
 		return
 	}
-	if !plan.ShouldMove(now.Sub(p.StartedAt), p.Percent, estimate) {
+	if !plan.ShouldMove(now.Sub(p.StartedAt), p.Percent, w.home.expectedRunElsewhere(a.job, a.task)) {
 		return
 	}
 	h := w.home
--- a/home/renew.go
+++ b/home/renew.go
@@ -166,7 +166,7 @@
 	}
 	for p := range w.tracker.Progress() {
 		if a, ok := w.assignments[p.Task]; ok && !p.Stopping {
-			wait = min(wait, plan.LikelyEnd(p.StartedAt, a.job.estimates[a.task.step]).Sub(now))
+			wait = min(wait, plan.LikelyEnd(p.StartedAt, w.home.expectedRun(a.job, a.task)).Sub(now))
 		}
 	}
 	return max(wait, least)
--- a/home/worker.go
+++ b/home/worker.go
@@ -101,6 +101,7 @@
 // assign assigns the run of a task on the worker to the task's job.
 func (w *worker) assign(j *job, t *task) {
 	a := assignment{job: j, task: t}
+	t.far = !w.isNear(j.batch.Steps[t.step])
 	w.assignments[t.name] = a
 	w.home.assigned[t.name] = struct{}{}
 	w.home.addExpectedEnd(newExpectedEnd(w, a))
--- a/meter/count.go
+++ b/meter/count.go
@@ -32,6 +32,19 @@
 // TaskStarted counts a start request that was sent to a worker.
 func (m *Meter) TaskStarted() { m.starts.Inc() }
 
+// TaskPlaced counts the start of a task whose data are in a rack: whether it is near them, and whether
+// the task was held for a place there.
+func (m *Meter) TaskPlaced(near, held bool) {
+	place, waited := "far", "no"
+	if near {
+		place = "near"
+	}
+	if held {
+		waited = "yes"
+	}
+	m.rackStarts.WithLabelValues(place, waited).Inc()
+}
+
 // Answered counts an answer to a caller.
 func (m *Meter) Answered(result, ran string) { m.answers.WithLabelValues(result, ran).Inc() }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -17,6 +17,7 @@
 	registry *prometheus.Registry
 
 	starts       prometheus.Counter
+	rackStarts   *prometheus.CounterVec
 	answers      *prometheus.CounterVec
 	refusals     *prometheus.CounterVec
 	retries      *prometheus.CounterVec
@@ -58,6 +59,7 @@
 
 func (m *Meter) initCounters() {
 	m.starts = counter("task_starts_total", "Attempts at tasks sent to workers.")
+	m.rackStarts = counters("rack_task_starts_total", "Starts of tasks whose data are in a rack, by whether they run there, and by whether they were held for a place there.", "place", "held")
 	m.answers = counters("answers_total", "Answers to callers, by result and by whether a task ran.", "result", "ran")
 	m.refusals = counters("refusals_total", "Jobs refused before a task ran, by reason.", "reason")
 	m.retries = counters("retries_total", "Attempts after the first, by reason.", "reason")
@@ -84,6 +86,7 @@
 func (m *Meter) collectors() []prometheus.Collector {
 	return []prometheus.Collector{
 		m.starts,
+		m.rackStarts,
 		m.answers,
 		m.refusals,
 		m.retries,
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -17,6 +17,8 @@
 	m := meter.New("entry-1", "kochi")
 	m.TaskStarted()
 	m.TaskStarted()
+	m.TaskPlaced(true, false)
+	m.TaskPlaced(false, true)
 	m.Answered("failed", "no")
 	m.Refused("overloaded")
 	m.Retried("notRun")
@@ -56,6 +58,8 @@
 foxtailmux_queue_tasks{data_centre="kochi",instance_id="entry-1"} 7
 foxtailmux_queue_wait_seconds_sum{data_centre="kochi",instance_id="entry-1"} 0.003
 foxtailmux_queue_wait_seconds_count{data_centre="kochi",instance_id="entry-1"} 1
+foxtailmux_rack_task_starts_total{data_centre="kochi",held="no",instance_id="entry-1",place="near"} 1
+foxtailmux_rack_task_starts_total{data_centre="kochi",held="yes",instance_id="entry-1",place="far"} 1
 foxtailmux_refusals_total{data_centre="kochi",instance_id="entry-1",reason="overloaded"} 1
 foxtailmux_response_over_ideal_ratio_sum{data_centre="kochi",instance_id="entry-1"} 1.5
 foxtailmux_response_over_ideal_ratio_count{data_centre="kochi",instance_id="entry-1"} 1
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -92,12 +92,13 @@
 	Free     model.Resources
 	Health   HealthState
 	NearData bool // in the rack of the task's data
+	Wanted   bool // in a rack that tasks with data there wait for
 }
 
 // Place returns the index of the candidate for a task by best fit: the one with the least CPU
 // left afterwards, so that large gaps stay free for large tasks. Used for a mix of tasks with
 // different needs on workers of different sizes. Healthy workers come before suspect ones, and
-// among those of equal health the workers near the data come first. It returns -1 when no
+// among those of equal health the workers near the data come first and those in racks that other tasks wait for last. It returns -1 when no
 // candidate that is not ejected has enough free capacity.
 func Place(needs model.Resources, candidates []Candidate) int {
 	best := -1
@@ -119,6 +120,9 @@
 	if a.NearData != b.NearData {
 		return a.NearData
 	}
+	if a.Wanted != b.Wanted {
+		return b.Wanted
+	}
 	return a.Free.TotalMilliCores() < b.Free.TotalMilliCores()
 }
 
--- a/review/_stand/env.go
+++ b/review/_stand/env.go
@@ -128,7 +128,7 @@
 		"{{node-name}}", name, "{{zone}}", zone, "{{listen.front}}", in.front, "{{listen.ready}}", in.ready,
 		"{{listen.control}}", in.control, "{{ip}}", in.ip, "{{port-range.0}}", peersPort,
 		"{{platform.address}}", storeAddr, "{{bounds.hold-max-ms}}", "1000",
-		"{{limits.cpu-share}}", "0.4", "{{limits.link-mbps}}", "1000.0",
+		"{{bounds.far-x}}", "2", "{{limits.cpu-share}}", "0.4", "{{limits.link-mbps}}", "1000.0",
 	).Replace(string(template))
 	in.file = filepath.Join(e.tmp, name+".yaml")
 	if err := os.WriteFile(in.file, []byte(text), 0o600); err != nil {
--- a/setup/check.go
+++ b/setup/check.go
@@ -19,6 +19,7 @@
 	maxTicketsPerRequest = 100_000
 	maxCores             = 1024
 	maxLinkMegabits      = 1_000_000 // Mbit/s, faster than any network card
+	maxFarFactor         = 100       // beyond it no task should run far from its data
 	minDuration          = time.Millisecond
 	maxDuration          = time.Hour
 )
@@ -110,6 +111,7 @@
 		{"limits.ticketsPerRequest", checkInt(l.TicketsPerRequest, 1, maxTicketsPerRequest)},
 		{"limits.processor", checkCores(l.Cores)},
 		{"limits.link", checkLink(l.Link)},
+		{"placement.farFactor", checkFarFactor(s.Placement.FarFactor)},
 	}
 }
 
@@ -233,6 +235,13 @@
 	return nil
 }
 
+func checkFarFactor(factor float64) error {
+	if !(factor >= 0 && factor <= maxFarFactor) { // false for NaN too
+		return eris.Errorf("%v is not between 0 and %d", factor, maxFarFactor)
+	}
+	return nil
+}
+
 func checkLink(megabits float64) error {
 	if megabits < 0 || megabits > maxLinkMegabits {
 		return eris.Errorf("%v is not between 0 and %d", megabits, maxLinkMegabits)
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -42,6 +42,7 @@
 	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", s.Platform.Timeout, "time for a request to the platform")
 	fs.StringVar(&s.Platform.Adapter, "platform.adapter", s.Platform.Adapter, "plug-in that speaks a users' platform")
 	fs.DurationVar(&s.Platform.MaxLease, "platform.maxLease", s.Platform.MaxLease, "longest lease that workers grant")
+	fs.Float64Var(&s.Placement.FarFactor, "placement.farFactor", s.Placement.FarFactor, "run time of a task outside the rack of its data over that in it; 0 is no difference")
 	bindLimits(fs, &s.Limits)
 	fs.DurationVar(&s.Stop.DrainDelay, "stop.drainDelay", s.Stop.DrainDelay, "time for the balancer to notice a stop")
 	fs.DurationVar(&s.Stop.Limit, "stop.limit", s.Stop.Limit, "longest time of a stop")
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -14,6 +14,7 @@
 	Operators  Operators `yaml:"operators" json:"operators"`
 	Peers      Peers     `yaml:"peers" json:"peers"`
 	Platform   Platform  `yaml:"platform" json:"platform"`
+	Placement  Placement `yaml:"placement" json:"placement"`
 	Limits     Limits    `yaml:"limits" json:"limits"`
 	Stop       Stop      `yaml:"stop" json:"stop"`
 	Log        Log       `yaml:"log" json:"log"`
@@ -61,6 +62,13 @@
 	MaxLease time.Duration `yaml:"maxLease" json:"maxLease"`
 }
 
+// Placement configures the choice of workers for tasks.
+type Placement struct {
+	// FarFactor is how many times as long a task takes on a worker outside the rack that holds its data.
+	// 0 and 1 mean that it makes no difference.
+	FarFactor float64 `yaml:"farFactor" json:"farFactor"`
+}
+
 // Limits bound the jobs, tasks and tickets that this process holds, even if the
 // shared configuration allows more, and describe the machine.
 type Limits struct {
