--- a/home/bench_test.go
+++ b/home/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -65,3 +66,40 @@
 		b.StartTimer()
 	}
 }
+
+// BenchmarkHeldTasks measures the cost of a pass, together with a new list of workers, at a home with 183
+// workers, while no task or 32 tasks are held for places in a full rack of 8 workers.
+func BenchmarkHeldTasks(b *testing.B) {
+	for _, held := range []int{0, 32} {
+		b.Run(strconv.Itoa(held), func(b *testing.B) { benchmarkHeldTasks(b, held) })
+	}
+}
+
+func benchmarkHeldTasks(b *testing.B, held int) {
+	const workers, places = 183, 16
+	dc := newTestCentre(b, workers)
+	dc.farFactor = 3
+	for i := range workers {
+		id := fmt.Sprintf("w%d", i)
+		info := dc.listed[id]
+		info.Rack = fmt.Sprintf("r%d", i/8)
+		dc.listed[id] = info
+		dc.workers[id].RunTime = func(string) time.Duration { return time.Hour }
+	}
+	h := dc.readyHome(1)
+	defer dc.close(h)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i := range places + held {
+		s := submission(fmt.Sprintf("hot%d", i), 1)
+		s.Batch.Steps[0].Estimate, s.Batch.Steps[0].Rack, s.TimeLeft = time.Hour, "r0", 9*time.Hour
+		go h.Submit(ctx, s)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if n := h.Pending(quotes.Name); n != held {
+		b.Fatalf("%d tasks are held, want %d", n, held)
+	}
+	for b.Loop() {
+		h.SetWorkers(dc.listed, true)
+	}
+}
