--- a/home/near_test.go
+++ b/home/near_test.go
@@ -11,6 +11,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/home"
 	"foxtailmux/plan"
 )
@@ -209,34 +211,46 @@
 	})
 }
 
-// Tasks without data leave the places in a rack to those that wait for them.
+// Large tasks wait until two runs on the same worker have ended. Small tasks without data leave the gap of
+// the first one to them.
 func TestOtherTasksLeaveThePlacesOfAWantedRack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dc := newTestCentre(t, 6)
 		dc.farFactor = 3
-		withRacks(dc, 3, func(string) time.Duration { return runTime })
+		withRacks(dc, 3, func(job string) time.Duration {
+			if strings.HasSuffix(job, "odd") {
+				return 3 * runTime / 2
+			}
+			return runTime
+		})
 		h := dc.readyHome(1)
 		defer dc.close(h)
 
 		var callers sync.WaitGroup
-		for n := range 2 {
-			s := submission(fmt.Sprintf("hot%d", n), 6)
-			s.Batch.Steps[0].Rack = "r0"
+		call := func(id, rack string, needs int, estimate time.Duration) {
+			s := submission(id, 1)
+			s.Batch.Steps[0].Rack, s.Batch.Steps[0].Needs.MilliCores, s.Batch.Steps[0].Estimate = rack, needs, estimate
 			callers.Go(func() { submit(h, s) })
 			time.Sleep(time.Millisecond)
 		}
-		for n := range 4 {
-			time.Sleep(10 * time.Millisecond)
-			callers.Go(func() { submit(h, submission(fmt.Sprintf("cold%d", n), 1)) })
+		for n := range 3 {
+			call(fmt.Sprintf("hot%d-even", n), "r0", taskSize, runTime)
+			call(fmt.Sprintf("hot%d-odd", n), "r0", taskSize, 3*runTime/2)
+		}
+		for n := range 3 {
+			call(fmt.Sprintf("hot%d-large", n), "r0", 40*core, runTime)
+		}
+		time.Sleep(runTime)
+		for n := range 3 {
+			call(fmt.Sprintf("cold%d", n), "", taskSize, runTime)
 		}
 		callers.Wait()
-		for n := range 2 {
-			for k := range 6 {
-				task := fmt.Sprintf("hot%d.0.0.%d", n, k)
-				if w := dc.ledger.Runs(task)[0].Worker; w != "w0" && w != "w1" && w != "w2" {
-					t.Errorf("%s ran on %s", task, w)
-				}
-			}
+		got := map[string]bool{}
+		for n := range 3 {
+			got[dc.ledger.Runs(fmt.Sprintf("hot%d-large.0.0.0", n))[0].Worker] = true
+		}
+		if diff := cmp.Diff(map[string]bool{"w0": true, "w1": true, "w2": true}, got); diff != "" {
+			t.Error(diff)
 		}
 	})
 }
