home: hold only tasks that could start elsewhere

A task that fits on no worker waits in any case, and must not keep its job from being refused. The forecast of a rack is only made once it has no free place.

--- a/home/near.go
+++ b/home/near.go
@@ -120,17 +120,18 @@
 	if step.Rack == "" || factor == 1 || j.farSteps != nil && j.farSteps[t.step] {
 		return false
 	}
-	r := h.rack(step.Rack, p, now)
+	workers := h.workersInRack(step.Rack)
 	usable := func(i int) bool {
-		w := r.workers[i]
+		w := workers[i]
 		return w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(j.route, step) &&
 			!t.triedOn[w.info.ID] && !h.atLimit(j, t.step, step.MaxPerWorker, w)
 	}
-	for i, w := range r.workers {
+	for i, w := range workers {
 		if step.Needs.Within(w.tracker.Free()) && usable(i) {
 			return false
 		}
 	}
+	r := h.rack(step.Rack, p, now)
 	in, i, ok := r.forecast.Next(step.Needs, usable)
 	if !ok {
 		return false
@@ -143,6 +144,9 @@
 	if !near.Hold(near.Task{Run: run, FarFactor: factor, Held: held}, in) {
 		return false
 	}
+	if !t.held && h.place(j, t, p, now) == nil {
+		return false // it waits in any case
+	}
 	r.forecast.Take(i, step.Needs, in, run)
 	if p.heldRacks == nil {
 		p.heldRacks = map[string]bool{}
