--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -183,6 +183,7 @@
 		LastMessage:    in.lastMessage,
 		OriginTimeout:  beat.HeartbeatTimeout,
 		Drained:        func() (drain.Request, bool) { return in.drainOf(dataCentre) },
+		FarFactor:      in.settings.Placement.FarFactor,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -38,6 +38,7 @@
 func (noopObserver) TaskStarted()            {}
 func (noopObserver) Retried(string)          {}
 func (noopObserver) QueueWait(time.Duration) {}
+func (noopObserver) TaskPlaced(bool, bool)   {}
 
 // testCentre is a data centre with fake workers.
 type testCentre struct {
@@ -49,6 +50,7 @@
 	fenced         atomic.Int32
 	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
+	farFactor      float64 // set before the home
 	logWriter      io.Writer
 	lastMessage    func(instance, incarnation string) time.Time // set before the home
 	began          time.Time
@@ -87,6 +89,7 @@
 		OriginTimeout:  heartbeatTimeout,
 		Drained:        dc.drainRequest,
 		Link:           dc.link,
+		FarFactor:      dc.farFactor,
 		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
 		OnFenced:       func() { dc.fenced.Add(1) },
