speed, plan, home: learn how fast each worker runs tasks

Cause: a home took all workers for equal. Where they differ for good (0.7 and 1.7 times the usual run time) tasks with little slack went to slow workers, slow workers were held for sick, and long tasks were moved from workers at their usual pace.

Change: package speed learns a factor for each worker, by its kind and by its own runs. Placement puts a task on the slowest worker on which it ends well in time, or on the fastest; a task that would be late on all free workers waits for a faster one that becomes free. Expected ends, progress checks and health go by the run time on that worker.

--- a/home/activity.go
+++ b/home/activity.go
@@ -35,6 +35,7 @@
 	}
 	processorTime := processorTime()
 	h.activity = activity{reportedAt: now, processorTime: processorTime}
+	h.reportSpeeds()
 	if a.submissions+a.questions+a.starts+a.resends+a.renewals+a.stops == 0 {
 		return
 	}
--- a/home/backlog.go
+++ b/home/backlog.go
@@ -115,7 +115,7 @@
 	released := h.releasedBy(now.Add(plan.Slack(j.timing(now))))
 	n := 0
 	for _, w := range h.workers {
-		if w.canStart(now) && w.canServe(j.route, j.batch.Steps[0]) && !w.tracker.HasInherited() {
+		if w.canStart(now) && w.canServe(&j.route, &j.batch.Steps[0]) && !w.tracker.HasInherited() {
 			n += wholeFits(needs, w.tracker.Free().Plus(released[w]), len(j.tasks))
 		}
 	}
@@ -140,7 +140,7 @@
 		return 0
 	}
 	needs := j.batch.Steps[0].Needs
-	if !w.canServe(j.route, j.batch.Steps[0]) || needs.TotalMilliCores() <= 0 {
+	if !w.canServe(&j.route, &j.batch.Steps[0]) || needs.TotalMilliCores() <= 0 {
 		return 0
 	}
 	return wholeFits(needs, w.tracker.Free(), len(j.tasks)) * needs.TotalMilliCores()
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -55,6 +55,7 @@
 	runsKnown  bool                  // no worker can have an unreported run of an earlier home
 	unplaced   map[taskKind]struct{} // kinds of tasks that fit on no worker
 	candidates []plan.Candidate      // of the latest placement, kept to reuse the memory
+	awaited    int                   // expected ends that tasks wait for though another worker is free
 }
 
 // taskKind is what a worker must have for a task. Tasks of a kind fit on the same workers unless
@@ -192,6 +193,10 @@
 			fullStep, stillWaiting = t.step, true
 			continue
 		}
+		if h.awaitsFasterWorker(j, t, w, p, now) {
+			stillWaiting = true
+			continue
+		}
 		h.startTask(j, t, w, now)
 		p.recordStart(w)
 	}
@@ -212,19 +217,24 @@
 
 // place returns the best available worker for a task, nil if it fits on none.
 func (h *Home) place(j *job, t *task, p *pass, now time.Time) *worker {
-	step := j.batch.Steps[t.step]
+	step := &j.batch.Steps[t.step]
 	p.candidates = p.candidates[:0]
 	for _, w := range p.available {
-		c := plan.Candidate{Free: w.tracker.Free(), Health: w.health.State(now), NearData: step.Rack != "" && step.Rack == w.info.Rack}
+		c := plan.Candidate{
+			Free: w.tracker.Free(), Health: w.health.State(now), NearData: step.Rack != "" && step.Rack == w.info.Rack,
+		}
 		switch {
-		case !w.canServe(j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
+		case !w.canServe(&j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
 			c.Health = plan.Ejected
 		case t.triedOn[w.info.ID]:
 			c.Health = max(c.Health, plan.Suspect) // still better than not at all
 		}
+		if c.Health != plan.Ejected {
+			c.Run = scale(j.estimates[t.step], h.pace(w, step))
+		}
 		p.candidates = append(p.candidates, c)
 	}
-	if best := plan.Place(step.Needs, p.candidates); best >= 0 {
+	if best := plan.Place(step.Needs, j.timeFor(t.step, now), p.candidates); best >= 0 {
 		return p.available[best]
 	}
 	return nil
@@ -276,7 +286,7 @@
 }
 
 // canServe reports whether a worker is in the pool of a queue and carries the label of a step.
-func (w *worker) canServe(r model.Route, s model.Step) bool {
+func (w *worker) canServe(r *model.Route, s *model.Step) bool {
 	if w.info.Pool != r.Service {
 		return false
 	}
--- a/home/ends.go
+++ b/home/ends.go
@@ -43,10 +43,14 @@
 func (h *Home) taskDone(w *worker, j *job, t *task, now time.Time) {
 	ran := now.Sub(t.startedAt)
 	declared := j.batch.Steps[t.step].Estimate
-	w.health.RecordCompletion(ran, j.estimates[t.step])
-	h.meanRuns.Observe(j.route.Name, ran)
+	t.usualRun = time.Duration(float64(ran) / t.pace)
+	w.health.RecordCompletion(ran, assignment{j, t}.expectedRun())
+	if h.options.LearnSpeeds {
+		w.speed.Observe(ran, h.usualRunAt(w, j, t.step), now)
+	}
+	h.meanRuns.Observe(j.route.Name, t.usualRun)
 	if declared > 0 {
-		h.runRatios.Observe(j.route.Name, time.Duration(float64(ran)/float64(declared)*float64(ratioUnit)))
+		h.runRatios.Observe(j.route.Name, time.Duration(float64(t.usualRun)/float64(declared)*float64(ratioUnit)))
 	}
 	j.setDone(t)
 	if h.complete(j) {
--- a/home/finish.go
+++ b/home/finish.go
@@ -131,6 +131,9 @@
 	if j.transit != UnknownTransit {
 		l.Int64("transitMillis", j.transit.Milliseconds())
 	}
+	if o := j.measuredObjective(); o > 0 {
+		l.Int64("measuredObjectiveMillis", o.Milliseconds())
+	}
 	l.Str("verdict", string(j.outcome.Result)).Str("reason", j.outcome.Reason).Bool("resumed", j.resumed).
 		Str("home", h.options.DataCentre).Str("originIncarnation", j.lastSubmission.Incarnation).Str("queue", j.route.Name).
 		Int64("objectiveMillis", j.objective.Milliseconds()).Int("tasks", len(j.tasks)).Bool("started", j.started).Msg("job ended")
--- a/home/home.go
+++ b/home/home.go
@@ -24,6 +24,7 @@
 	"foxtailmux/model"
 	"foxtailmux/pause"
 	"foxtailmux/plan"
+	"foxtailmux/speed"
 )
 
 // Endpoint sends requests to one worker, each at most once. An error with a method Sent that
@@ -37,11 +38,14 @@
 }
 
 // Observer counts events of a home. Retried is called with the reason why a run is repeated, and
-// QueueWait with the time that a task waited for its start.
+// QueueWait with the time that a task waited for its start. WorkerFactors is called once a second
+// with the learned factors on the run times of the workers, by kind, and with nil when the home is
+// closed; it is not called by a home that learns none.
 type Observer interface {
 	TaskStarted()
 	Retried(reason string)
 	QueueWait(d time.Duration)
+	WorkerFactors(home string, factors map[string]float64)
 }
 
 // Options configure a Home. Token is its fencing token, and MaxLease the length of the leases
@@ -54,7 +58,7 @@
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
 // the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
-// cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
+// cancelled. LearnSpeeds makes the home learn how fast each worker runs tasks. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -65,6 +69,7 @@
 	RefreshWorkers func()
 	LastMessage    func(instance, incarnation string) time.Time
 	OriginTimeout  time.Duration
+	LearnSpeeds    bool
 	Link           *plan.Link
 	Clock          func() time.Duration
 	Observer       Observer
@@ -141,6 +146,8 @@
 	callerTimeouts    learn.Timeouts     // by queue
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
+	speeds            *speed.Model
+	uneven            bool // some worker is faster or slower than usual
 	activity          activity
 }
 
@@ -172,6 +179,7 @@
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
+		speeds:        speed.NewModel(),
 		activity:      activity{reportedAt: time.Now(), processorTime: processorTime()},
 	}
 	h.spawn(h.tickLoop)
@@ -205,6 +213,9 @@
 		return false
 	}
 	h.closed = true
+	if h.options.LearnSpeeds {
+		h.options.Observer.WorkerFactors(h.options.DataCentre, nil)
+	}
 	p := h.newPass(time.Now())
 	for _, j := range h.jobs {
 		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: "the workers have another home"}))
@@ -244,6 +255,7 @@
 			w.signal()
 		}
 		w.info, w.removed = info, false
+		w.speed.SetKind(speedKind(info))
 		w.tracker.SetCapacity(info.Capacity)
 	}
 	h.dispatch(now)
@@ -254,6 +266,7 @@
 	if old := h.workers[id]; old != nil {
 		h.handleEnds(old, old.tracker.EndAll(), time.Now())
 		old.cancel()
+		old.speed.Leave()
 	}
 	w := newWorker(h, info)
 	h.workers[id], h.sortedWorkers = w, nil
@@ -286,11 +299,14 @@
 	h.recordLag(now.Sub(due))
 	h.reportActivity(now)
 
+	h.uneven = false
 	for id, w := range h.workers {
+		h.uneven = h.uneven || w.speed.Factor() != 1
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
 		w.checkProgress(now)
 		if w.removed && w.tracker.Len() == 0 {
 			w.cancel()
+			w.speed.Leave()
 			delete(h.workers, id)
 			h.sortedWorkers = nil
 		}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -34,9 +34,10 @@
 // noopObserver is an observer without effect.
 type noopObserver struct{}
 
-func (noopObserver) TaskStarted()            {}
-func (noopObserver) Retried(string)          {}
-func (noopObserver) QueueWait(time.Duration) {}
+func (noopObserver) TaskStarted()                             {}
+func (noopObserver) Retried(string)                           {}
+func (noopObserver) QueueWait(time.Duration)                  {}
+func (noopObserver) WorkerFactors(string, map[string]float64) {}
 
 // testCentre is a data centre with fake workers.
 type testCentre struct {
@@ -48,6 +49,7 @@
 	fenced         atomic.Int32
 	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
+	played         []string // ids of jobs of playJobs
 	logWriter      io.Writer
 	lastMessage    func(instance, incarnation string) time.Time // set before the home
 	began          time.Time
@@ -83,6 +85,7 @@
 		Connect:        dc.connect,
 		LastMessage:    func(instance, incarnation string) time.Time { return dc.lastMessage(instance, incarnation) },
 		OriginTimeout:  heartbeatTimeout,
+		LearnSpeeds:    true,
 		Link:           dc.link,
 		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
 		FreeDataCentre: func(n int) (string, bool) { return dc.freeDataCentre(n) },
--- /dev/null
+++ b/home/pace_test.go
@@ -0,0 +1,105 @@
+package home_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"foxtailmux/home"
+	"foxtailmux/plan"
+)
+
+// A worker that takes three times as long as the others for good was held for sick, and its runs were
+// moved to other workers.
+func TestWorkerThatIsSlowForGoodIsNotTakenForSick(t *testing.T) {
+	withSlowWorker(t, func(t *testing.T, dc *testCentre, h *home.Home) {
+		playJobs(dc, h, 150, paceRun/7, nil)
+		got := h.State().Workers["w0"]
+		if got.Health != int(plan.Healthy) || got.Factor < 2 {
+			t.Errorf("the slow worker has the health %d and the factor %.2f", got.Health, got.Factor)
+		}
+		if n := dc.repeated(); n > 0 {
+			t.Errorf("%d tasks were started again", n)
+		}
+	})
+}
+
+// Tasks that take seven times as long by themselves were stopped and started again on other workers,
+// where they took as long.
+func TestLongTaskIsNotMovedFromAWorkerAtItsUsualPace(t *testing.T) {
+	withSlowWorker(t, func(t *testing.T, dc *testCentre, h *home.Home) {
+		playJobs(dc, h, 150, paceRun/7, nil)
+		playJobs(dc, h, 150, paceRun/3, func(n int) bool { return n%30 == 0 })
+		if n := dc.repeated(); n > 0 {
+			t.Errorf("%d tasks were started again", n)
+		}
+	})
+}
+
+// withSlowWorker runs a test with a home of four workers, the first of which is of an older kind and
+// takes three times as long.
+func withSlowWorker(t *testing.T, test func(t *testing.T, dc *testCentre, h *home.Home)) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 4)
+		for id, w := range dc.listed {
+			w.Labels = []string{"new"}
+			if id == "w0" {
+				w.Labels = []string{"old"}
+			}
+			dc.listed[id] = w
+		}
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		test(t, dc, h)
+		dc.checkLedger()
+	})
+}
+
+// paceRun is the run time of a task that is not long on a usual worker.
+const paceRun = 300 * time.Millisecond
+
+// playJobs submits jobs of one task; at seven in a run time the slow worker gets some of them. Tasks of long
+// jobs take seven times as long.
+func playJobs(dc *testCentre, h *home.Home, jobs int, gap time.Duration, long func(n int) bool) {
+	for id, w := range dc.workers {
+		w.SetRunTime(func(task string) time.Duration {
+			run := paceRun
+			if strings.HasPrefix(task, "long") {
+				run *= 7
+			}
+			if id == "w0" {
+				run *= 3
+			}
+			return run
+		})
+	}
+	var callers sync.WaitGroup
+	for n := range jobs {
+		id := fmt.Sprintf("usual%d", time.Since(dc.began))
+		if long != nil && long(n) {
+			id = fmt.Sprintf("long%d", time.Since(dc.began))
+		}
+		dc.played = append(dc.played, id)
+		callers.Go(func() {
+			s := submission(id, 1)
+			s.TimeLeft, s.Batch.Steps[0].Estimate = 10*time.Second, paceRun
+			submit(h, s)
+		})
+		time.Sleep(gap)
+	}
+	callers.Wait()
+}
+
+// repeated returns how many of the played tasks were started more than once.
+func (dc *testCentre) repeated() int {
+	n := 0
+	for _, id := range dc.played {
+		if dc.ledger.Starts(id+".0.0.0") > 1 {
+			n++
+		}
+	}
+	return n
+}
--- a/home/progress.go
+++ b/home/progress.go
@@ -30,7 +30,7 @@
 		if !ok || p.Stopping || a.task.run != p.Number {
 			continue
 		}
-		estimate := a.job.estimates[a.task.step]
+		estimate := a.expectedRun()
 		if now.Before(plan.ProgressCheckAt(p.StartedAt, estimate)) {
 			continue
 		}
@@ -55,6 +55,8 @@
 	}
 	h := w.home
 	switch {
+	case h.uneven && w.speed.WasUsualSince(p.StartedAt) && !plan.Stalled(now.Sub(p.PercentAt), estimate):
+		return // the task is long, not the worker slow
 	case plan.Stalled(now.Sub(p.PercentAt), estimate):
 		w.health.RecordStall(now)
 	case !a.job.attributeFailure(w, now):
@@ -88,7 +90,7 @@
 func (h *Home) fitsElsewhere(except *worker, a assignment, now time.Time) bool {
 	step := a.job.batch.Steps[a.task.step]
 	for _, w := range h.workers {
-		if w != except && w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(a.job.route, step) && step.Needs.Within(w.tracker.Free()) {
+		if w != except && w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(&a.job.route, &step) && step.Needs.Within(w.tracker.Free()) {
 			return true
 		}
 	}
--- a/home/release.go
+++ b/home/release.go
@@ -25,7 +25,7 @@
 
 // newExpectedEnd returns the expected end of the present run of a task.
 func newExpectedEnd(w *worker, a assignment) expectedEnd {
-	estimate := a.job.estimates[a.task.step]
+	estimate := a.expectedRun()
 	return expectedEnd{
 		at:       a.task.startedAt.Add(estimate),
 		run:      a.task.run,
--- a/home/renew.go
+++ b/home/renew.go
@@ -166,7 +166,7 @@
 	}
 	for p := range w.tracker.Progress() {
 		if a, ok := w.assignments[p.Task]; ok && !p.Stopping {
-			wait = min(wait, plan.LikelyEnd(p.StartedAt, a.job.estimates[a.task.step]).Sub(now))
+			wait = min(wait, plan.LikelyEnd(p.StartedAt, a.expectedRun()).Sub(now))
 		}
 	}
 	return max(wait, least)
@@ -218,6 +218,7 @@
 	w.home.options.Log.Info().Str("worker", w.info.ID).Int64("before", before).Int64("incarnation", w.tracker.Incarnation()).
 		Bool("described", w.isDescribed()).Msg("worker has restarted")
 	w.health = plan.Health{}
+	w.speed.Forget()
 	if !w.isDescribed() {
 		w.home.options.RefreshWorkers()
 	}
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -50,6 +50,8 @@
 	burst    float64       // factor on the rate from second 4 to 8
 	failing  float64       // share of the jobs whose tasks fail
 	long     float64       // share of the jobs that take six times as long as declared
+	paces    []float64     // factors on the run times of the workers, over and over
+	oneKind  bool          // workers of different paces have the same label
 	faults   func(dc *testCentre)
 	share    float64
 }
@@ -61,6 +63,15 @@
 	reviewDelay    = 80 * time.Millisecond
 )
 
+// pace returns the factor on the run times of a worker.
+func (pt loadPattern) pace(worker string) float64 {
+	var i int
+	if _, err := fmt.Sscanf(worker, "w%d", &i); err != nil || len(pt.paces) == 0 {
+		return 1
+	}
+	return pt.paces[i%len(pt.paces)]
+}
+
 // tally sums up the outcomes of the jobs of a pattern.
 type tally struct {
 	mu              sync.Mutex
@@ -99,6 +110,17 @@
 	dc := newTestCentre(t, cmp.Or(pt.workers, replayWorkers))
 	runs, failing := map[string]time.Duration{}, map[string]bool{}
 	var mu sync.Mutex
+	for i := range len(dc.workers) {
+		if len(pt.paces) == 0 {
+			break
+		}
+		w := dc.listed[fmt.Sprintf("w%d", i)]
+		w.Labels = []string{"same"}
+		if !pt.oneKind {
+			w.Labels[0] = fmt.Sprint(pt.paces[i%len(pt.paces)])
+		}
+		dc.listed[w.ID] = w
+	}
 	for i := range 4 {
 		id := fmt.Sprintf("w%d", i)
 		large := model.Resources{MilliCores: 96 * core, MemoryMB: 1500}
@@ -107,11 +129,12 @@
 		dc.listed[id] = w
 		dc.workers[id].Capacity = large
 	}
-	for _, w := range dc.workers {
+	for id, w := range dc.workers {
+		pace := pt.pace(id)
 		w.RunTime = func(task string) time.Duration {
 			mu.Lock()
 			defer mu.Unlock()
-			return runs[jobID(task)]
+			return time.Duration(pace * float64(runs[jobID(task)]))
 		}
 		w.Fails = func(task string) bool {
 			mu.Lock()
@@ -210,6 +233,9 @@
 	return func(dc *testCentre) { dc.workers["w5"].SetFaults(f) }
 }
 
+// uneven holds the paces of a data centre that bought machines at three times.
+var uneven = []float64{0.7, 0.7, 1.7}
+
 var patterns = []loadPattern{
 	{name: "calm", rate: 20, share: 0.98},
 	{name: "busy", rate: 30, share: 0.9},
@@ -226,6 +252,9 @@
 	{name: "a tenth of the jobs can never be done", rate: 26, failing: 0.1, share: 0.9},
 	{name: "a third of the jobs can never be done", rate: 26, failing: 0.33, share: 0.9},
 	{name: "a twentieth of the jobs takes six times as long", rate: 20, long: 0.05, share: 0.9},
+	{name: "workers of three paces", rate: 24, paces: uneven, share: 0.95},
+	{name: "workers of three paces and one kind", rate: 24, paces: uneven, oneKind: true, share: 0.9},
+	{name: "workers of three paces, long jobs", rate: 20, paces: uneven, long: 0.03, share: 0.95},
 	{name: "all workers are half as fast", rate: 20, faults: everyWorker(fakes.LeasedWorkerFaults{Slowdown: 2}), share: 0.4},
 }
 
--- a/home/state.go
+++ b/home/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/speed"
 )
 
 // State is the state dump of a home.
@@ -12,6 +13,7 @@
 	Token      int64                  `json:"token"`
 	Jobs       int                    `json:"jobs"`
 	Waiting    int                    `json:"waitingJobs"`
+	Speeds     []speed.Kind           `json:"speeds,omitempty"` // learned, by kind of worker
 	Workers    map[string]WorkerState `json:"workers"`
 }
 
@@ -22,7 +24,8 @@
 	Reported     bool              `json:"listed"`         // its runs
 	Removed      bool              `json:"gone,omitempty"` // from the list of workers
 	Health       int               `json:"trust"`          // value of plan.HealthState
-	Slowdown     float64           `json:"pace"`
+	Slowdown     float64           `json:"pace"`           // of the latest runs, over what is usual for the worker
+	Factor       float64           `json:"factor"`         // on the run times, learned; 1 is usual
 	Runs         int               `json:"runs"`
 	Stopping     int               `json:"stopping"` // part of Runs
 	Free         model.Resources   `json:"free"`
@@ -40,11 +43,14 @@
 		Waiting:    len(h.waiting),
 		Workers:    map[string]WorkerState{},
 	}
+	if h.options.LearnSpeeds {
+		s.Speeds = h.speeds.Kinds()
+	}
 	now := time.Now()
 	for id, w := range h.workers {
 		s.Workers[id] = WorkerState{
 			Addr: w.info.Addr, State: w.info.State, Reported: w.reported, Removed: w.removed,
-			Health: int(w.health.State(now)), Slowdown: w.health.Slowdown(),
+			Health: int(w.health.State(now)), Slowdown: w.health.Slowdown(), Factor: w.speed.Factor(),
 			Runs: w.tracker.Len(), Stopping: w.tracker.StoppingCount(), Free: w.tracker.Free(), LastResponse: w.tracker.LastResponse(),
 		}
 	}
--- a/home/submit.go
+++ b/home/submit.go
@@ -241,7 +241,7 @@
 	for i, s := range j.batch.Steps {
 		fits := false
 		for _, w := range h.workers {
-			if w.canServe(j.route, s) && s.Needs.Within(w.tracker.Capacity()) {
+			if w.canServe(&j.route, &s) && s.Needs.Within(w.tracker.Capacity()) {
 				fits = true
 				break
 			}
--- a/home/worker.go
+++ b/home/worker.go
@@ -7,6 +7,7 @@
 	"foxtailmux/lease"
 	"foxtailmux/model"
 	"foxtailmux/plan"
+	"foxtailmux/speed"
 )
 
 const (
@@ -73,6 +74,7 @@
 
 	tracker     *lease.Tracker
 	health      plan.Health
+	speed       *speed.Worker
 	assignments map[string]assignment
 	reported    bool // it has reported its runs
 	reportedAt  time.Time
@@ -93,6 +95,7 @@
 		asking:      make(chan struct{}, 1),
 		tracker:     lease.NewTracker(info.Capacity, h.options.MaxLease),
 		assignments: map[string]assignment{},
+		speed:       h.speeds.Join(speedKind(info)),
 	}
 	w.endpoint = h.options.Connect(info, w.handleLateResponse)
 	return w
@@ -101,6 +104,7 @@
 // assign assigns the run of a task on the worker to the task's job.
 func (w *worker) assign(j *job, t *task) {
 	a := assignment{job: j, task: t}
+	t.pace = w.home.pace(w, &j.batch.Steps[t.step])
 	w.assignments[t.name] = a
 	w.home.assigned[t.name] = struct{}{}
 	w.home.addExpectedEnd(newExpectedEnd(w, a))
--- a/meter/count.go
+++ b/meter/count.go
@@ -1,6 +1,10 @@
 package meter
 
-import "time"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Purposes of a message. A needed message moves a job towards its answer. A wasted
 // message turned out to be superfluous.
@@ -72,6 +76,14 @@
 // ConfigVersion sets the version of the configuration in force.
 func (m *Meter) ConfigVersion(n int64) { m.configVersion.Set(float64(n)) }
 
+// WorkerFactors replaces the learned run time factors of the workers of a home, by kind of worker.
+func (m *Meter) WorkerFactors(home string, factors map[string]float64) {
+	m.workerFactors.DeletePartialMatch(prometheus.Labels{"home": home})
+	for kind, f := range factors {
+		m.workerFactors.WithLabelValues(home, kind).Set(f)
+	}
+}
+
 // QueueWait records the time that a task waited for a slot.
 func (m *Meter) QueueWait(d time.Duration) { m.queueWait.Observe(d.Seconds()) }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -29,6 +29,7 @@
 
 	queue         prometheus.Gauge
 	configVersion prometheus.Gauge
+	workerFactors *prometheus.GaugeVec
 
 	queueWait prometheus.Histogram
 	response  prometheus.Histogram
@@ -73,6 +74,7 @@
 func (m *Meter) initGauges() {
 	m.queue = gauge("queue_tasks", "Tasks that wait for a slot.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
+	m.workerFactors = gauges("worker_run_time_ratio", "Run time of tasks on workers of a kind over that on usual workers of the same home, by home.", "home", "kind")
 }
 
 func (m *Meter) initHistograms() {
@@ -95,6 +97,7 @@
 		m.bytes,
 		m.queue,
 		m.configVersion,
+		m.workerFactors,
 		m.queueWait,
 		m.response,
 		m.overIdeal,
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -29,6 +29,8 @@
 	m.Bytes(meter.ToWorker)(meter.Sent, 300)
 	m.QueueLength(7)
 	m.ConfigVersion(12)
+	m.WorkerFactors("kochi", map[string]float64{"gone": 1})
+	m.WorkerFactors("kochi", map[string]float64{"desk/old": 1.5})
 	m.QueueWait(3 * time.Millisecond)
 	m.Response(300*time.Millisecond, 200*time.Millisecond)
 	m.Response(time.Second, 0)
@@ -64,6 +66,7 @@
 foxtailmux_retries_total{data_centre="kochi",instance_id="entry-1",reason="notRun"} 1
 foxtailmux_task_starts_total{data_centre="kochi",instance_id="entry-1"} 2
 foxtailmux_unauthorized_total{data_centre="kochi",instance_id="entry-1"} 1
+foxtailmux_worker_run_time_ratio{data_centre="kochi",home="kochi",instance_id="entry-1",kind="desk/old"} 1.5
 `
 
 func TestHandlerServesRecordedMetrics(t *testing.T) {
--- a/meter/metric.go
+++ b/meter/metric.go
@@ -25,6 +25,10 @@
 	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 }
 
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
 func histogram(name, help string, buckets []float64) prometheus.Histogram {
 	return prometheus.NewHistogram(prometheus.HistogramOpts{
 		Namespace: namespace,
--- a/plan/health.go
+++ b/plan/health.go
@@ -50,7 +50,7 @@
 	failedOrSlowJobs   []string // jobs whose runs failed or were slow since the last good run
 	ejectedForFailures bool     // because of failedOrSlowJobs
 	ignoredRequests    int      // requests in a row that were not carried out
-	slowdown           float64  // mean of run time over estimate, 0 is unknown
+	slowdown           float64  // mean of run time over that expected on this worker, 0 is unknown
 	ejectionTime       time.Duration
 	ejectedUntil       time.Time
 	lossyUntil         time.Time
@@ -87,7 +87,8 @@
 	}
 }
 
-// RecordCompletion records that a run succeeded after the time run; its estimate was expected.
+// RecordCompletion records that a run succeeded after the time run; on this worker it was expected to
+// take expected. A worker that is slow for good is no sick one.
 func (h *Health) RecordCompletion(run, expected time.Duration) {
 	ratio := 1.0
 	if expected > 0 {
@@ -187,7 +188,7 @@
 	return Healthy
 }
 
-// Slowdown returns the mean ratio of run time to estimate, 1 if unknown.
+// Slowdown returns the mean ratio of run time to that expected on this worker, 1 if unknown.
 func (h *Health) Slowdown() float64 {
 	if h.slowdown == 0 {
 		return 1
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -91,37 +91,64 @@
 type Candidate struct {
 	Free     model.Resources
 	Health   HealthState
-	NearData bool // in the rack of the task's data
+	NearData bool          // in the rack of the task's data
+	Run      time.Duration // expected run time of the task there, 0 if unknown
 }
 
-// Place returns the index of the candidate for a task by best fit: the one with the least CPU
-// left afterwards, so that large gaps stay free for large tasks. Used for a mix of tasks with
-// different needs on workers of different sizes. Healthy workers come before suspect ones, and
-// among those of equal health the workers near the data come first. It returns -1 when no
-// candidate that is not ejected has enough free capacity.
-func Place(needs model.Resources, candidates []Candidate) int {
+// comfortFactor is the multiple of its expected run time that a task must have left to be placed
+// by best fit; declared run times are off by half, and most of that is learned.
+const comfortFactor = 1.25
+
+// Place returns the index of the candidate for a task that has to end within left. Healthy
+// workers come before suspect ones, and those on which it is expected to end well in time before
+// the others. Among those, the workers near the data come first, then the slowest, then the one
+// with the least CPU left afterwards (best fit), so that fast workers and large gaps stay free
+// for the tasks that need them. Where the task does not end well in time anywhere, the fastest
+// worker comes first. Used for a mix of tasks with different needs and slack on workers of
+// different sizes and speeds. It returns -1 when no candidate that is not ejected has enough free
+// capacity.
+func Place(needs model.Resources, left time.Duration, candidates []Candidate) int {
+	easy := time.Duration(float64(left) / comfortFactor)
 	best := -1
-	for i, c := range candidates {
+	for i := range candidates {
+		c := &candidates[i]
 		if c.Health == Ejected || !needs.Within(c.Free) {
 			continue
 		}
-		if best < 0 || isBetter(c, candidates[best]) {
+		if best < 0 || isBetter(c, &candidates[best], easy) {
 			best = i
 		}
 	}
 	return best
 }
 
-func isBetter(a, b Candidate) bool {
+// isBetter compares two candidates for a task that ends well in time if it runs no longer than easy.
+func isBetter(a, b *Candidate, easy time.Duration) bool {
 	if a.Health != b.Health {
 		return a.Health < b.Health
 	}
+	easyA, easyB := a.Run <= easy, b.Run <= easy
+	if easyA != easyB {
+		return easyA
+	}
+	if !easyA && a.Run != b.Run {
+		return a.Run < b.Run
+	}
 	if a.NearData != b.NearData {
 		return a.NearData
 	}
+	if a.Run != b.Run {
+		return a.Run > b.Run
+	}
 	return a.Free.TotalMilliCores() < b.Free.TotalMilliCores()
 }
 
+// AwaitFaster reports whether a task that has to end within left does better to wait for a worker
+// that becomes free than to start on the best free one, where it takes run. Other is the time
+// until it would end on the other one. Used for moments in which only slow workers are free: a
+// short task leaves a fast one soon.
+func AwaitFaster(run, left, other time.Duration) bool { return run > left && other <= left }
+
 // ExpectedRelease is an amount of CPU, in thousandths of a core, and the time until a running
 // task is expected to release it.
 type ExpectedRelease struct {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -61,12 +61,47 @@
 		{"near the data", []plan.Candidate{{Free: cores(30)}, {Free: cores(64), NearData: true}}, 1},
 	}
 	for _, c := range cases {
-		if got := plan.Place(cores(27), c.candidates); got != c.want {
+		if got := plan.Place(cores(27), time.Minute, c.candidates); got != c.want {
 			t.Errorf("%s: candidate %d, want %d", c.name, got, c.want)
 		}
 	}
 }
 
+func TestPlaceLeavesFastWorkersToTasksWithLittleSlack(t *testing.T) {
+	slow, usual, fast := 170*ms, 100*ms, 70*ms
+	cases := []struct {
+		name       string
+		left       time.Duration
+		candidates []plan.Candidate
+		want       int
+	}{
+		{"much slack", 300 * ms, []plan.Candidate{{Free: cores(30), Run: fast}, {Free: cores(64), Run: slow}}, 1},
+		{"some slack", 180 * ms, []plan.Candidate{{Free: cores(30), Run: fast}, {Free: cores(64), Run: slow}, {Free: cores(40), Run: usual}}, 2},
+		{"no slack", 60 * ms, []plan.Candidate{{Free: cores(30), Run: slow}, {Free: cores(64), Run: fast}, {Free: cores(40), Run: usual}}, 1},
+		{"too late", -time.Second, []plan.Candidate{{Free: cores(30), Run: slow}, {Free: cores(64), Run: fast}}, 1},
+		{"equal and too late", -time.Second, []plan.Candidate{{Free: cores(64), Run: usual}, {Free: cores(30), Run: usual}}, 1},
+		{"healthy first", 100 * ms, []plan.Candidate{{Free: cores(30), Run: fast, Health: plan.Suspect}, {Free: cores(64), Run: slow}}, 1},
+		{"near the data if in time", 300 * ms, []plan.Candidate{{Free: cores(30), Run: slow}, {Free: cores(64), Run: fast, NearData: true}}, 1},
+		{"far if near is late", 100 * ms, []plan.Candidate{{Free: cores(30), Run: fast}, {Free: cores(64), Run: slow, NearData: true}}, 0},
+	}
+	for _, c := range cases {
+		if got := plan.Place(cores(27), c.left, c.candidates); got != c.want {
+			t.Errorf("%s: candidate %d, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+func TestTaskAwaitsAFasterWorkerOnlyIfItThenEndsInTime(t *testing.T) {
+	got := []bool{
+		plan.AwaitFaster(170*ms, 160*ms, 150*ms),
+		plan.AwaitFaster(170*ms, 180*ms, 150*ms), // in time on the free one
+		plan.AwaitFaster(170*ms, 160*ms, 165*ms), // late on both
+	}
+	if diff := cmp.Diff([]bool{true, false, false}, got); diff != "" {
+		t.Errorf("decisions (-want +got):\n%s", diff)
+	}
+}
+
 func TestWaitFollowsTheEndsOfRunningTasks(t *testing.T) {
 	b := plan.Backlog{
 		Capacity: 100, Free: 10, Ahead: 30, MeanRun: 200 * ms,
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -15,6 +15,7 @@
 	Peers      Peers     `yaml:"peers" json:"peers"`
 	Platform   Platform  `yaml:"platform" json:"platform"`
 	Limits     Limits    `yaml:"limits" json:"limits"`
+	Placement  Placement `yaml:"placement" json:"placement"`
 	Stop       Stop      `yaml:"stop" json:"stop"`
 	Log        Log       `yaml:"log" json:"log"`
 }
@@ -80,6 +81,13 @@
 	Link float64 `yaml:"link" json:"link"`
 }
 
+// Placement configures how a home chooses the workers of tasks.
+type Placement struct {
+	// Speeds makes a home learn how fast each worker runs tasks. It changes the
+	// placement only where workers differ in speed.
+	Speeds bool `yaml:"speeds" json:"speeds"`
+}
+
 // Stop configures a graceful shutdown. After it reports itself as not ready, the
 // process accepts connections for DrainDelay, so that the load balancer notices.
 // It exits after Limit even if requests are still in progress.
