loss: judge late answers by the measured length of jobs

Cause: losses took the objective that the home estimates before a job runs, from a declared run time that may be off by half.

Change: the line of a job's end holds the objective by the run times of its tasks, divided by the factors of their workers, and losses goes by it where it is known.

--- a/loss/line.go
+++ b/loss/line.go
@@ -16,14 +16,15 @@
 	DataCentre string    `json:"dataCentre"`
 	Message    string    `json:"message"`
 
-	Job             string `json:"job"`
-	Queue           string `json:"queue"`
-	Status          int    `json:"status"`
-	Result          string `json:"verdict"`
-	Reason          string `json:"reason"`
-	TookMillis      int64  `json:"tookMillis"`
-	ObjectiveMillis int64  `json:"objectiveMillis"`
-	LastStartMillis int64  `json:"lastStartMillis"` // from the arrival of a job to the latest start of a task
+	Job                     string `json:"job"`
+	Queue                   string `json:"queue"`
+	Status                  int    `json:"status"`
+	Result                  string `json:"verdict"`
+	Reason                  string `json:"reason"`
+	TookMillis              int64  `json:"tookMillis"`
+	ObjectiveMillis         int64  `json:"objectiveMillis"`
+	MeasuredObjectiveMillis int64  `json:"measuredObjectiveMillis"` // by the run times of its tasks
+	LastStartMillis         int64  `json:"lastStartMillis"`         // from the arrival of a job to the latest start of a task
 
 	Claim       int    `json:"claim"`     // CPU that a job needs, in thousandths of a core
 	Free        int    `json:"free"`      // CPU that is free at its home, in thousandths of a core
--- a/loss/report.go
+++ b/loss/report.go
@@ -17,7 +17,7 @@
 	Instance   string // that answered it
 	SentAt     time.Time
 	Held       time.Duration
-	Objective  time.Duration // as estimated by its home; 0 if no home accepted it
+	Objective  time.Duration // by the run times of its tasks, or as estimated by its home; 0 if no home accepted it
 	LastStart  time.Duration // from its arrival to the latest start of a task
 	Status     int
 	Cause      string // "" for an answer in time
@@ -82,7 +82,7 @@
 		held := time.Duration(a.TookMillis) * time.Millisecond
 		r := Request{
 			Job: id, Queue: a.Queue, DataCentre: a.DataCentre, Instance: a.Instance, SentAt: a.Time.Add(-held), Held: held,
-			Objective: time.Duration(b.ended[id].ObjectiveMillis) * time.Millisecond, Status: a.Status,
+			Objective: objective(b.ended[id]), Status: a.Status,
 			LastStart: time.Duration(b.ended[id].LastStartMillis) * time.Millisecond,
 			Needed:    b.refused[id].Claim, Free: b.refused[id].Free, Tasks: b.divided[id].Tasks, Startable: b.divided[id].Startable,
 		}
@@ -93,6 +93,12 @@
 	return list
 }
 
+// objective returns the objective of a job. A home estimates it before the job runs; its caller
+// counts it by the time that the tasks really take on workers of usual speed.
+func objective(ended Line) time.Duration {
+	return time.Duration(cmp.Or(ended.MeasuredObjectiveMillis, ended.ObjectiveMillis)) * time.Millisecond
+}
+
 // Outages returns the restarts of instances.
 func (b *Builder) Outages() []Outage { return slices.Clone(b.outages) }
 
--- a/loss/report_test.go
+++ b/loss/report_test.go
@@ -94,3 +94,18 @@
 	// 02 2 0.00
 	// 04 1 0.00
 }
+
+// A job whose task took seven times as long as declared counted as late, though its caller expects
+// it to take that long.
+func TestObjectiveFollowsTheMeasuredRunTimes(t *testing.T) {
+	const lines = `{"message":"job ended","job":"a","objectiveMillis":150,"measuredObjectiveMillis":700}
+{"message":"request answered","job":"a","queue":"q","status":200,"tookMillis":600}
+`
+	b := loss.NewBuilder()
+	if _, err := loss.Read(strings.NewReader(lines), b.Add); err != nil {
+		t.Fatal(err)
+	}
+	if got := b.Requests()[0].Cause; got != "" {
+		t.Errorf("cause %q, want none", got)
+	}
+}
