--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -184,6 +184,7 @@
 		OriginTimeout:  beat.HeartbeatTimeout,
 		Drained:        func() (drain.Request, bool) { return in.drainOf(dataCentre) },
 		FarFactor:      in.settings.Placement.FarFactor,
+		LearnSpeeds:    in.settings.Placement.Speeds,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -58,6 +58,7 @@
 	candidates []plan.Candidate      // of the latest placement, kept to reuse the memory
 	racks      map[string]*rackPass  // those that tasks with data there wanted a place in
 	heldRacks  map[string]bool       // those that tasks are held for
+	awaited    int                   // expected ends that tasks wait for though another worker is free
 }
 
 // taskKind is what a worker must have for a task. Tasks of a kind fit on the same workers unless
@@ -200,6 +201,10 @@
 			fullStep, stillWaiting = t.step, true
 			continue
 		}
+		if h.awaitsFasterWorker(j, t, w, p, now) {
+			stillWaiting = true
+			continue
+		}
 		h.startTask(j, t, w, now)
 		h.recordRackStart(j, t, w, p)
 		p.recordStart(w)
@@ -221,22 +226,25 @@
 
 // place returns the best available worker for a task, nil if it fits on none.
 func (h *Home) place(j *job, t *task, p *pass, now time.Time) *worker {
-	step := j.batch.Steps[t.step]
+	step := &j.batch.Steps[t.step]
 	p.candidates = p.candidates[:0]
 	for _, w := range p.available {
 		c := plan.Candidate{
-			Free: w.tracker.Free(), Health: w.health.State(now),
-			NearData: step.Rack != "" && step.Rack == w.info.Rack, Wanted: h.heldRacks[w.info.Rack],
+			Free: w.tracker.Free(), Health: w.health.State(now), NearData: step.Rack != "" && step.Rack == w.info.Rack,
+			Wanted: h.heldRacks[w.info.Rack],
 		}
 		switch {
-		case !w.canServe(j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
+		case !w.canServe(&j.route, step), h.atLimit(j, t.step, step.MaxPerWorker, w):
 			c.Health = plan.Ejected
 		case t.triedOn[w.info.ID]:
 			c.Health = max(c.Health, plan.Suspect) // still better than not at all
 		}
+		if c.Health != plan.Ejected {
+			c.Run = h.expectedRunOn(w, j, t.step)
+		}
 		p.candidates = append(p.candidates, c)
 	}
-	if best := plan.Place(step.Needs, p.candidates); best >= 0 {
+	if best := plan.Place(step.Needs, j.timeFor(t.step, now), p.candidates); best >= 0 {
 		return p.available[best]
 	}
 	return nil
@@ -289,7 +297,7 @@
 }
 
 // canServe reports whether a worker is in the pool of a queue and carries the label of a step.
-func (w *worker) canServe(r model.Route, s model.Step) bool {
+func (w *worker) canServe(r *model.Route, s *model.Step) bool {
 	if w.info.Pool != r.Service {
 		return false
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -25,6 +25,7 @@
 	"foxtailmux/model"
 	"foxtailmux/pause"
 	"foxtailmux/plan"
+	"foxtailmux/speed"
 )
 
 // Endpoint sends requests to one worker, each at most once. An error with a method Sent that
@@ -40,11 +41,14 @@
 // Observer counts events of a home. Retried is called with the reason why a run is repeated,
 // QueueWait with the time that a task waited for its start, and TaskPlaced for the start of each task
 // whose data are in a rack: whether it is near them, and whether it was held for such a place.
+// WorkerFactors is called once a second with the learned factors on the run times of the workers, by
+// kind, and with nil when the home is closed; it is not called by a home that learns none.
 type Observer interface {
 	TaskStarted()
 	Retried(reason string)
 	QueueWait(d time.Duration)
 	TaskPlaced(near, held bool)
+	WorkerFactors(home string, factors map[string]float64)
 }
 
 // Options configure a Home. Token is its fencing token, and MaxLease the length of the leases
@@ -59,7 +63,8 @@
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
 // cancelled. Drained, which may be nil, returns the operator's request to drain the data centre; it must
 // not call the home. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
-// and 1 mean that it makes no difference. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
+// and 1 mean that it makes no difference. LearnSpeeds makes the home learn how fast each worker runs tasks.
+// Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
@@ -72,6 +77,7 @@
 	OriginTimeout  time.Duration
 	Drained        func() (drain.Request, bool)
 	FarFactor      float64
+	LearnSpeeds    bool
 	Link           *plan.Link
 	Clock          func() time.Duration
 	Observer       Observer
@@ -150,6 +156,8 @@
 	callerTimeouts    learn.Timeouts     // by queue
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
+	speeds            *speed.Model
+	uneven            bool // some worker is faster or slower than usual
 	activity          activity
 	emptyReported     bool // that a drained data centre has no run left
 }
@@ -182,6 +190,7 @@
 		unclaimedEnds: map[string]lease.EndedRun{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
+		speeds:        speed.NewModel(),
 		activity:      activity{reportedAt: time.Now(), processorTime: processorTime()},
 	}
 	h.spawn(h.tickLoop)
@@ -215,6 +224,9 @@
 		return false
 	}
 	h.closed = true
+	if h.options.LearnSpeeds {
+		h.options.Observer.WorkerFactors(h.options.DataCentre, nil)
+	}
 	p := h.newPass(time.Now())
 	for _, j := range h.jobs {
 		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: "the workers have another home"}))
@@ -257,6 +269,7 @@
 			h.sortedWorkers = nil
 		}
 		w.info, w.removed = info, false
+		w.speed.SetKind(speedKind(info))
 		w.tracker.SetCapacity(info.Capacity)
 	}
 	h.dispatch(now)
@@ -267,6 +280,7 @@
 	if old := h.workers[id]; old != nil {
 		h.handleEnds(old, old.tracker.EndAll(), time.Now())
 		old.cancel()
+		old.speed.Leave()
 	}
 	w := newWorker(h, info)
 	h.workers[id], h.sortedWorkers = w, nil
@@ -300,11 +314,14 @@
 	h.reportActivity(now)
 	h.reportDrained(now)
 
+	h.uneven = false
 	for id, w := range h.workers {
+		h.uneven = h.uneven || w.speed.Factor() != 1
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
 		w.checkProgress(now)
 		if w.removed && w.tracker.Len() == 0 {
 			w.cancel()
+			w.speed.Leave()
 			delete(h.workers, id)
 			h.sortedWorkers = nil
 		}
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -35,10 +35,11 @@
 // noopObserver is an observer without effect.
 type noopObserver struct{}
 
-func (noopObserver) TaskStarted()            {}
-func (noopObserver) Retried(string)          {}
-func (noopObserver) QueueWait(time.Duration) {}
-func (noopObserver) TaskPlaced(bool, bool)   {}
+func (noopObserver) TaskStarted()                             {}
+func (noopObserver) Retried(string)                           {}
+func (noopObserver) QueueWait(time.Duration)                  {}
+func (noopObserver) TaskPlaced(bool, bool)                    {}
+func (noopObserver) WorkerFactors(string, map[string]float64) {}
 
 // testCentre is a data centre with fake workers.
 type testCentre struct {
@@ -50,7 +51,8 @@
 	fenced         atomic.Int32
 	refreshes      atomic.Int32 // of the list of workers, as requested by homes
 	link           *plan.Link
-	farFactor      float64 // set before the home
+	farFactor      float64  // set before the home
+	played         []string // ids of jobs of playJobs
 	logWriter      io.Writer
 	lastMessage    func(instance, incarnation string) time.Time // set before the home
 	began          time.Time
@@ -88,6 +90,7 @@
 		LastMessage:    func(instance, incarnation string) time.Time { return dc.lastMessage(instance, incarnation) },
 		OriginTimeout:  heartbeatTimeout,
 		Drained:        dc.drainRequest,
+		LearnSpeeds:    true,
 		Link:           dc.link,
 		FarFactor:      dc.farFactor,
 		Clock:          func() time.Duration { return time.Since(dc.began) + time.Duration(dc.stall.Load()) },
--- a/home/job.go
+++ b/home/job.go
@@ -55,6 +55,8 @@
 	far          bool // its run is outside the rack of its data
 	held         bool // it has waited for a place in that rack
 	heldSince    time.Time
+	pace         float64         // of its run: expected run time over that on a near worker of usual speed
+	usualRun     time.Duration   // measured run time at such a worker, once done
 	maybeRunning bool            // an earlier home may have left a run of it on a worker
 	triedOn      map[string]bool // workers on which a run failed, was too slow or did not start
 }
--- a/home/near.go
+++ b/home/near.go
@@ -16,12 +16,7 @@
 
 // isNear reports whether a worker is in the rack of the data of a step's tasks. Tasks of a step that
 // names no rack are near on all workers.
-func (w *worker) isNear(s model.Step) bool { return s.Rack == "" || s.Rack == w.info.Rack }
-
-// scale multiplies a duration.
-func scale(d time.Duration, factor float64) time.Duration {
-	return time.Duration(float64(d) * factor)
-}
+func (w *worker) isNear(s *model.Step) bool { return s.Rack == "" || s.Rack == w.info.Rack }
 
 // setFarSteps finds the steps of a new job whose tasks run far from their data on all workers, and
 // lengthens their estimates. The objective of the job is that of tasks near their data.
@@ -42,32 +37,18 @@
 	}
 }
 
-// expectedRun returns the run time that is expected of the present run of a task.
-func (h *Home) expectedRun(j *job, t *task) time.Duration {
-	if !t.far || j.farSteps != nil && j.farSteps[t.step] {
-		return j.estimates[t.step]
-	}
-	return scale(j.estimates[t.step], h.farFactor())
-}
+// isFarStep reports whether the estimate of a step is that of a run far from its data.
+func (j *job) isFarStep(step int) bool { return j.farSteps != nil && j.farSteps[step] }
 
 // expectedRunElsewhere returns the run time that is expected of a task if it is moved to another worker,
 // which may be in another rack.
 func (h *Home) expectedRunElsewhere(j *job, t *task) time.Duration {
-	if j.batch.Steps[t.step].Rack == "" || j.farSteps != nil && j.farSteps[t.step] {
+	if j.batch.Steps[t.step].Rack == "" || j.isFarStep(t.step) {
 		return j.estimates[t.step]
 	}
 	return scale(j.estimates[t.step], h.farFactor())
 }
 
-// nearTime returns how long a run would have lasted near its data. Run times are learned as such, since
-// the share of far runs changes with the load.
-func (h *Home) nearTime(t *task, ran time.Duration) time.Duration {
-	if !t.far {
-		return ran
-	}
-	return time.Duration(float64(ran) / h.farFactor())
-}
-
 // indexRacks sets the workers by rack.
 func (h *Home) indexRacks() {
 	h.racks = map[string][]*worker{}
@@ -99,7 +80,7 @@
 	for i, w := range r.workers {
 		free[i] = w.tracker.Free()
 		for _, a := range w.assignments {
-			if in, ok := near.ReleaseIn(now.Sub(a.task.startedAt), h.expectedRun(a.job, a.task)); ok {
+			if in, ok := near.ReleaseIn(now.Sub(a.task.startedAt), a.expectedRun()); ok {
 				releases = append(releases, near.Release{In: in, Worker: i, Resources: a.job.batch.Steps[a.task.step].Needs})
 			}
 		}
@@ -117,13 +98,13 @@
 func (h *Home) isHeldForRack(j *job, t *task, p *pass, now time.Time) bool {
 	step := j.batch.Steps[t.step]
 	factor := h.farFactor()
-	if step.Rack == "" || factor == 1 || j.farSteps != nil && j.farSteps[t.step] {
+	if step.Rack == "" || factor == 1 || j.isFarStep(t.step) {
 		return false
 	}
 	workers := h.workersInRack(step.Rack)
 	usable := func(i int) bool {
 		w := workers[i]
-		return w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(j.route, step) &&
+		return w.isUsable() && w.health.State(now) == plan.Healthy && w.canServe(&j.route, &step) &&
 			!t.triedOn[w.info.ID] && !h.atLimit(j, t.step, step.MaxPerWorker, w)
 	}
 	for i, w := range workers {
@@ -167,7 +148,7 @@
 	}
 	for i := range r.workers {
 		if r.workers[i] == w {
-			r.forecast.Take(i, j.batch.Steps[t.step].Needs, 0, h.expectedRun(j, t))
+			r.forecast.Take(i, j.batch.Steps[t.step].Needs, 0, assignment{j, t}.expectedRun())
 		}
 	}
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -32,6 +32,7 @@
 	configVersion prometheus.Gauge
 	drained       prometheus.Gauge
 	drainedRuns   prometheus.Gauge
+	workerFactors *prometheus.GaugeVec
 
 	queueWait prometheus.Histogram
 	response  prometheus.Histogram
@@ -79,6 +80,7 @@
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 	m.drained = gauge("drained_data_centres", "Data centres that an operator has drained.")
 	m.drainedRuns = gauge("drained_runs", "Runs left in drained data centres, at the homes of this instance.")
+	m.workerFactors = gauges("worker_run_time_ratio", "Run time of tasks on workers of a kind over that on usual workers of the same home, by home.", "home", "kind")
 }
 
 func (m *Meter) initHistograms() {
@@ -104,6 +106,7 @@
 		m.configVersion,
 		m.drained,
 		m.drainedRuns,
+		m.workerFactors,
 		m.queueWait,
 		m.response,
 		m.overIdeal,
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -62,11 +62,15 @@
 	MaxLease time.Duration `yaml:"maxLease" json:"maxLease"`
 }
 
-// Placement configures the choice of workers for tasks.
+// Placement configures how a home chooses the workers of tasks.
 type Placement struct {
 	// FarFactor is how many times as long a task takes on a worker outside the rack that holds its data.
 	// 0 and 1 mean that it makes no difference.
 	FarFactor float64 `yaml:"farFactor" json:"farFactor"`
+
+	// Speeds makes a home learn how fast each worker runs tasks. It changes the
+	// placement only where workers differ in speed.
+	Speeds bool `yaml:"speeds" json:"speeds"`
 }
 
 // Limits bound the jobs, tasks and tickets that this process holds, even if the
