--- a/setup/check.go
+++ b/setup/check.go
@@ -19,6 +19,7 @@
 	maxTicketsPerRequest = 100_000
 	maxCores             = 1024
 	maxLinkMegabits      = 1_000_000 // Mbit/s, faster than any network card
+	maxMemory            = 1 << 24   // MiB
 	minDuration          = time.Millisecond
 	maxDuration          = time.Hour
 )
@@ -110,6 +111,8 @@
 		{"limits.ticketsPerRequest", checkInt(l.TicketsPerRequest, 1, maxTicketsPerRequest)},
 		{"limits.processor", checkCores(l.Cores)},
 		{"limits.link", checkLink(l.Link)},
+		{"limits.memory", checkInt(l.Memory, 0, maxMemory)},
+		{"limits.descriptors", checkInt(l.Descriptors, 0, maxCount)},
 	}
 }
 
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -66,6 +66,8 @@
 	fs.IntVar(&l.TicketsPerRequest, "limits.ticketsPerRequest", l.TicketsPerRequest, "most tickets in one request")
 	fs.Float64Var(&l.Cores, "limits.processor", l.Cores, "cores of the machine")
 	fs.Float64Var(&l.Link, "limits.link", l.Link, "bandwidth of the machine's link, in Mbit/s; 0 is not known")
+	fs.IntVar(&l.Memory, "limits.memory", l.Memory, "memory of the machine for the process, in MiB; 0 is not known")
+	fs.IntVar(&l.Descriptors, "limits.descriptors", l.Descriptors, "most open files and sockets; 0 is not known")
 }
 
 // EnvVariable returns the name of the environment variable that sets the field
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -78,6 +78,12 @@
 	// not known. The timeout of a request to a worker is extended by the time
 	// that the request queues for the link.
 	Link float64 `yaml:"link" json:"link"`
+
+	// Memory is the memory of the machine that the process may use, in MiB, and
+	// Descriptors the number of files and sockets that it may have open. Both are
+	// 0 if they are not known.
+	Memory      int `yaml:"memory" json:"memory"`
+	Descriptors int `yaml:"descriptors" json:"descriptors"`
 }
 
 // Stop configures a graceful shutdown. After it reports itself as not ready, the
