--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -86,8 +86,10 @@
 type soak struct {
 	t             *testing.T
 	random        *rand.Rand
-	faultKinds    int // number of kinds of faults that are injected
-	linkMbits     int // bandwidth in the instances' settings in Mbit/s; 0 if not known
+	faultKinds    int    // number of kinds of faults that are injected
+	linkMbits     int    // bandwidth in the instances' settings in Mbit/s; 0 if not known
+	moreCallers   string // further settings of the instances, such as ", maxConnections: 9"
+	moreLimits    string
 	spec          string
 	store         *stand.Store
 	ledger        *fakes.Ledger
@@ -349,8 +351,8 @@
 	s.mu.Lock()
 	s.targets[peers] = name
 	s.mu.Unlock()
-	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nlimits: {link: %d}\nstop: {drainDelay: 300ms, limit: 3s}\n",
-		name, dc, i.callersAddr, reserveAddr(s.t), reserveAddr(s.t), peers, i.storeProxy.addr(), s.linkMbits)
+	text := fmt.Sprintf("instance: %s\ndataCentre: %s\ncallers: {addr: '%s', readyAddr: '%s'%s}\noperators: {addr: '%s'}\npeers: {addr: '%s'}\nplatform: {addr: '%s', adapter: users, timeout: 1s}\nlimits: {link: %d%s}\nstop: {drainDelay: 300ms, limit: 3s}\n",
+		name, dc, i.callersAddr, reserveAddr(s.t), s.moreCallers, reserveAddr(s.t), peers, i.storeProxy.addr(), s.linkMbits, s.moreLimits)
 	if err := os.WriteFile(i.settingsFile, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
