--- a/meter/count.go
+++ b/meter/count.go
@@ -66,6 +66,15 @@
 	return func(direction string, n int) { m.bytes.WithLabelValues(to, direction).Add(float64(n)) }
 }
 
+// Held sets the bytes that are reserved for requests of callers, and the number of their connections.
+func (m *Meter) Held(bytes int64, connections int) {
+	m.heldBytes.Set(float64(bytes))
+	m.connections.Set(float64(connections))
+}
+
+// Closed counts a connection of a caller that was closed or refused for lack of room.
+func (m *Meter) Closed(reason string) { m.closed.WithLabelValues(reason).Inc() }
+
 // QueueLength sets the number of tasks that wait for a slot.
 func (m *Meter) QueueLength(n int) { m.queue.Set(float64(n)) }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -27,6 +27,10 @@
 	peerBytes    *prometheus.CounterVec
 	bytes        *prometheus.CounterVec
 
+	closed *prometheus.CounterVec
+
+	heldBytes     prometheus.Gauge
+	connections   prometheus.Gauge
 	queue         prometheus.Gauge
 	configVersion prometheus.Gauge
 
@@ -67,10 +71,13 @@
 	m.unauthorized = counter("unauthorized_total", "Requests of operators without a valid key.")
 	m.controlBytes = counters("control_bytes_total", "Bytes of control traffic, sent and received, by kind.", "kind")
 	m.bytes = counters("bytes_total", "Bytes of all connections to workers and to the platform's store, by direction.", "to", "direction")
+	m.closed = counters("callers_closed_total", "Connections of callers closed or refused for lack of room, by reason.", "reason")
 	m.peerBytes = counters("peer_bytes_total", "Bytes of all connections with peers, data included, by direction.", "direction")
 }
 
 func (m *Meter) initGauges() {
+	m.heldBytes = gauge("callers_held_bytes", "Bytes reserved for requests of callers.")
+	m.connections = gauge("callers_connections", "Open connections of callers.")
 	m.queue = gauge("queue_tasks", "Tasks that wait for a slot.")
 	m.configVersion = gauge("config_version", "Version of the configuration in force.")
 }
@@ -93,6 +100,9 @@
 		m.controlBytes,
 		m.peerBytes,
 		m.bytes,
+		m.closed,
+		m.heldBytes,
+		m.connections,
 		m.queue,
 		m.configVersion,
 		m.queueWait,
--- a/meter/meter_test.go
+++ b/meter/meter_test.go
@@ -27,6 +27,8 @@
 	m.ControlBytes(meter.Heartbeat, 512)
 	m.PeerBytes(meter.Sent, 2048)
 	m.Bytes(meter.ToWorker)(meter.Sent, 300)
+	m.Held(4096, 3)
+	m.Closed("bytes")
 	m.QueueLength(7)
 	m.ConfigVersion(12)
 	m.QueueWait(3 * time.Millisecond)
@@ -47,6 +49,9 @@
 
 const want = `foxtailmux_answers_total{data_centre="kochi",instance_id="entry-1",ran="no",result="failed"} 1
 foxtailmux_bytes_total{data_centre="kochi",direction="sent",instance_id="entry-1",to="worker"} 300
+foxtailmux_callers_closed_total{data_centre="kochi",instance_id="entry-1",reason="bytes"} 1
+foxtailmux_callers_connections{data_centre="kochi",instance_id="entry-1"} 3
+foxtailmux_callers_held_bytes{data_centre="kochi",instance_id="entry-1"} 4096
 foxtailmux_config_version{data_centre="kochi",instance_id="entry-1"} 12
 foxtailmux_control_bytes_total{data_centre="kochi",instance_id="entry-1",kind="heartbeat"} 512
 foxtailmux_forwards_total{data_centre="kochi",instance_id="entry-1",outcome="accepted"} 1
