entry, fleet: keep callers within the machine's memory and descriptors

Cause: bodies were read whole before the limit of the configuration was checked, with buffers of up to callers.maxBodyBytes for each of callers.maxConnections; the library kept large buffers and decoded headers of a connection for its next request; and the memory and descriptors of the machine were not known.

Bodies are now streamed and read piece by piece, after route and limits of the configuration in force were checked. What goes beyond a request's free bytes is reserved in a budget of the process; connections have places. Both come from limits.memory and limits.descriptors. Decoded headers of many lines are reserved before they are decoded, and dropped after the response. The receive buffer of callers' sockets is bounded, the garbage collector runs before the memory of the machine is used up, and log lines of refusals are bounded.

--- a/entry/queue_job.go
+++ b/entry/queue_job.go
@@ -78,7 +78,7 @@
 // post runs the job that a request submits to a queue, and cancels it when the
 // caller's timeout ends or the caller disconnects. The timeout counts from the arrival of the
 // request: a job whose caller has left meanwhile is not run, since it may run elsewhere by now.
-func (s *QueueServer) post(c fiber.Ctx, route model.Route, id string) error {
+func (s *QueueServer) post(c fiber.Ctx, route model.Route, id string, body []byte, held *reservation) error {
 	began := time.Now()
 	if id == "" || len(id) > maxIDBytes || strings.ContainsAny(id, "/.") {
 		return s.refuse(c, http.StatusBadRequest, "the path names no job", 0)
@@ -90,7 +90,10 @@
 	if timeout <= 0 {
 		timeout = defaultCallerTimeout
 	}
-	batch, err := s.options.Protocol.DecodeBatch(id, route.Name, c.BodyRaw())
+	if err := held.grow(s.options.Protocol.DecodeBytes(body)); err != nil {
+		return s.refuse(c, http.StatusServiceUnavailable, err.Error(), time.Second)
+	}
+	batch, err := s.options.Protocol.DecodeBatch(id, route.Name, body)
 	if err == nil && batch.Tasks() > DefaultMaxTasks {
 		err = eris.Errorf("the job has %d tasks, allowed are %d", batch.Tasks(), DefaultMaxTasks)
 	}
--- a/entry/queue_reply.go
+++ b/entry/queue_reply.go
@@ -21,7 +21,10 @@
 	if errors.As(err, &unsupported) && unsupported.NotServed() {
 		status = http.StatusServiceUnavailable
 	}
-	s.options.Log.Info().Err(err).Str("job", id).Str("queue", route.Name).Int("status", status).Msg("job refused")
+	if line := s.refusals.next(status); line.logged {
+		s.options.Log.Info().Err(err).Str("job", id).Str("queue", route.Name).Int("status", status).
+			Int("suppressed", line.suppressed).Msg("job refused")
+	}
 	s.options.Observer.Refused("notServed")
 	return s.send(c, status, []byte(err.Error()))
 }
@@ -52,7 +55,10 @@
 // refuse refuses a request of which nothing ran. With retryAfter 0, the response has
 // no Retry-After header.
 func (s *QueueServer) refuse(c fiber.Ctx, status int, reason string, retryAfter time.Duration) error {
-	s.options.Log.Info().Str("path", truncatePath(c.Path())).Int("status", status).Str("reason", reason).Msg("request refused")
+	if line := s.refusals.next(status); line.logged {
+		s.options.Log.Info().Str("path", truncatePath(c.Path())).Int("status", status).Str("reason", reason).
+			Int("suppressed", line.suppressed).Msg("request refused")
+	}
 	s.options.Observer.Refused("request")
 	setRetryAfterHeader(c, retryAfter)
 	return c.Status(status).SendString(reason)
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -14,6 +14,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"foxtailmux/home"
+	"foxtailmux/memory"
 	"foxtailmux/model"
 )
 
@@ -28,6 +29,9 @@
 	TimeoutHeader() string
 	DecodeTimeout(text string) (time.Duration, error)
 
+	// DecodeBytes returns an upper bound of the memory that DecodeBatch takes for a body.
+	DecodeBytes(body []byte) int64
+
 	// DecodeBatch decodes the body of a job. If its error has a method NotServed()
 	// bool that returns true, the job is well formed but of a kind that is not served.
 	DecodeBatch(id, queue string, body []byte) (model.Batch, error)
@@ -63,6 +67,7 @@
 	CallerListener   net.Listener
 	BalancerListener net.Listener // serves the readiness checks of the load balancer
 	Limits           Limits
+	Budget           *memory.Budget // for the requests of callers
 	Protocol         Protocol
 	Dispatcher       Dispatcher
 	Pauses           PauseSource
@@ -80,9 +85,20 @@
 	requests sync.Map     // those of them that have submitted a job, by *jobRequest
 	draining atomic.Bool
 	closesAt atomic.Pointer[time.Time] // set while the server drains
+	refusals refusalLines
 	done     chan struct{}
 }
 
+const (
+	// closingConnections is the number of connections above the limit that may still be closing.
+	closingConnections = 64
+
+	// maxReadyConnections and maxReadyBytes bound the load balancer's connections and bodies. It opens a
+	// connection for each of its checks, and sends no body.
+	maxReadyConnections = 64
+	maxReadyBytes       = 1 << 10
+)
+
 // NewQueueServer returns a server that is not yet started.
 func NewQueueServer(o QueueOptions) *QueueServer {
 	s := &QueueServer{options: o, done: make(chan struct{})}
@@ -90,17 +106,23 @@
 		Immutable:      true,
 		BodyLimit:      o.Limits.MaxBodyBytes,
 		ReadBufferSize: o.Limits.MaxHeaderBytes,
-		Concurrency:    o.Limits.MaxConnections,
+		Concurrency:    o.Limits.MaxConnections + closingConnections,
 		ReadTimeout:    o.Limits.ReadTimeout,
 		WriteTimeout:   o.Limits.ReadTimeout,
 		IdleTimeout:    o.Limits.IdleTimeout,
 		ErrorHandler:   s.onError,
 
+		StreamRequestBody:            true, // so that readBody decides whether a body is read
 		DisablePreParseMultipartForm: true,
 	})
 	s.app.Use(s.serveRecovered)
 	s.app.Server().ConnState = recordState
-	s.readyApp = fiber.New(fiber.Config{ReadTimeout: o.Limits.ReadTimeout, IdleTimeout: o.Limits.IdleTimeout})
+	s.app.Server().ErrorHandler = s.refuseUnreadable // that of the library calls the handlers, too
+	s.readyApp = fiber.New(fiber.Config{
+		BodyLimit:   maxReadyBytes,
+		Concurrency: maxReadyConnections,
+		ReadTimeout: o.Limits.ReadTimeout, WriteTimeout: o.Limits.ReadTimeout, IdleTimeout: o.Limits.IdleTimeout,
+	})
 	s.readyApp.Get(o.Protocol.ReadyPath(), s.serveReady)
 	return s
 }
@@ -112,7 +134,7 @@
 	}()
 	go func() {
 		defer close(s.done)
-		_ = s.app.Listener(arrivalListener{s.options.CallerListener, s.options.Pauses}, fiber.ListenConfig{DisableStartupMessage: true})
+		_ = s.app.Listener(arrivalListener{s.options.CallerListener, s.options.Pauses, s.options.Budget}, fiber.ListenConfig{DisableStartupMessage: true})
 	}()
 	return nil
 }
@@ -159,13 +181,16 @@
 	if errors.As(err, &known) {
 		status = known.Code
 	}
-	s.options.Log.Warn().Err(err).Int("status", status).Msg("request refused by the HTTP library")
+	if line := s.refusals.next(status); line.logged {
+		s.options.Log.Warn().Err(err).Int("status", status).Int("suppressed", line.suppressed).Msg("request refused by the HTTP library")
+	}
 	return c.Status(status).SendString(err.Error())
 }
 
 // serveRecovered serves a request and recovers from a panic. It then responds with
 // status 504, as parts of the job may have run.
 func (s *QueueServer) serveRecovered(c fiber.Ctx) (err error) {
+	defer dropLargeHeader(c.Request())
 	recovered := panics.Try(func() { err = s.serve(c) })
 	if recovered == nil {
 		return err
@@ -177,8 +202,6 @@
 
 // serve routes a request to its queue.
 func (s *QueueServer) serve(c fiber.Ctx) error {
-	s.open.Add(1)
-	defer s.open.Add(-1)
 	if s.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
@@ -194,13 +217,21 @@
 	if limit := routing.Limits.MaxHeader; limit > 0 && headerSize(c) > limit {
 		return s.refuse(c, http.StatusRequestHeaderFieldsTooLarge, "the header is above the limit", 0)
 	}
-	if limit := routing.Limits.MaxBody; limit > 0 && len(c.BodyRaw()) > limit {
-		return s.refuse(c, http.StatusRequestEntityTooLarge, "the body is above the limit", 0)
+	held := reservationFor(c.RequestCtx().Conn())
+	defer held.release()
+	body, err := readBody(c, s.bodyLimit(routing), held)
+	if err != nil {
+		return s.refuseBody(c, err)
+	}
+	if err := held.whole(); err != nil {
+		return s.refuseBody(c, err)
 	}
 
+	s.open.Add(1)
+	defer s.open.Add(-1)
 	switch c.Method() {
 	case http.MethodPost:
-		return s.post(c, route, id)
+		return s.post(c, route, id, body, held)
 	case http.MethodGet:
 		if id == "" {
 			return s.send(c, http.StatusOK, s.options.Protocol.PendingBody(s.options.Dispatcher.Pending(c.Context(), route.Name)))
@@ -233,6 +264,14 @@
 	return s.options.Dispatcher.Routing()
 }
 
+// bodyLimit returns the largest size of a body, in bytes, under the settings and the configuration in force.
+func (s *QueueServer) bodyLimit(r *model.Routing) int {
+	if r.Limits.MaxBody > 0 {
+		return min(r.Limits.MaxBody, s.options.Limits.MaxBodyBytes)
+	}
+	return s.options.Limits.MaxBodyBytes
+}
+
 // headerSize is the size of a request's first line and fields, in bytes.
 func headerSize(c fiber.Ctx) int {
 	h := &c.Request().Header
--- a/entry/queues_test.go
+++ b/entry/queues_test.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"foxtailmux/home"
+	"foxtailmux/memory"
 	"foxtailmux/model"
 )
 
@@ -37,6 +38,8 @@
 func (plainProtocol) FailedBody() []byte       { return []byte("failed") }
 func (plainProtocol) PendingBody(n int) []byte { return []byte(strings.Repeat("p", n)) }
 
+func (plainProtocol) DecodeBytes([]byte) int64 { return 0 }
+
 func (plainProtocol) DecodeBatch(id, queue string, body []byte) (model.Batch, error) {
 	switch string(body) {
 	case "bad":
@@ -95,6 +98,8 @@
 type ignoringObserver struct{}
 
 func (ignoringObserver) Answered(string, string)               {}
+func (ignoringObserver) Held(int64, int)                       {}
+func (ignoringObserver) Closed(string)                         {}
 func (ignoringObserver) Refused(string)                        {}
 func (ignoringObserver) Response(time.Duration, time.Duration) {}
 
@@ -135,6 +140,7 @@
 	s = NewQueueServer(QueueOptions{
 		CallerListener: wrap(listeners[0]), BalancerListener: listeners[1], Protocol: plainProtocol{}, Dispatcher: d, Pauses: p, Observer: ignoringObserver{},
 		Limits: Limits{MaxBodyBytes: 1 << 20, MaxHeaderBytes: 4096, MaxConnections: 100, ReadTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second},
+		Budget: memory.NewBudget(memory.Limits{Connections: 100, Bytes: 1 << 20}, ignoringObserver{}),
 		Log:    &log.Logger{Writer: log.IOWriter{Writer: w}},
 	})
 	if err := s.Start(t.Context()); err != nil {
--- a/entry/unread.go
+++ b/entry/unread.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"io"
 	"net"
 	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"foxtailmux/memory"
 	"foxtailmux/pause"
 	"foxtailmux/socket"
 )
@@ -43,19 +45,38 @@
 	return sinceEnd + last.Length
 }
 
-// arrivalListener is a listener whose connections record when their requests began to arrive.
+// arrivalListener is a listener whose connections record when their requests began to arrive. Each of them
+// has an account in the budget; the listener refuses those for which there is no place.
 type arrivalListener struct {
 	net.Listener
 	pauses PauseSource
+	budget *memory.Budget
 }
 
 // Accept returns the next connection, an *arrivalConn.
 func (l arrivalListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		account := l.budget.Open(func() { _ = c.Close() })
+		if account != nil {
+			return &arrivalConn{Conn: c, raw: socket.Raw(c), pauses: l.pauses, account: account}, nil
+		}
+		refuseConnection(c)
 	}
-	return &arrivalConn{Conn: c, raw: socket.Raw(c), pauses: l.pauses}, nil
+}
+
+// noPlace is the response to a connection for which there is no place.
+const noPlace = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuseConnection responds to a new connection and closes it. The write does not block, as the send
+// buffer of a new socket is empty.
+func refuseConnection(c net.Conn) {
+	_ = c.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	_, _ = io.WriteString(c, noPlace) // the caller may have left already
+	_ = c.Close()
 }
 
 // arrivalConn is a connection that is read and served by one goroutine.
@@ -65,6 +86,11 @@
 	pauses  PauseSource
 	readAt  time.Time // when the bytes that were read last had arrived
 	beganAt time.Time // when the request that was read last began to arrive
+
+	account   *memory.Account
+	lines     int   // read since the request began
+	lastLines int   // read last, which may belong to the next request
+	lineBytes int64 // reserved for lines
 }
 
 // SyscallConn returns the socket of the connection.
@@ -75,20 +101,44 @@
 	return c.raw, nil
 }
 
-// Read records when the bytes had arrived.
+// Read records when the bytes had arrived, and reserves the memory of the lines among them.
 func (c *arrivalConn) Read(p []byte) (int, error) {
+	c.account.Change(memory.Serving, memory.Receiving) // the rest of a request that was answered before its end
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.readAt = time.Now().Add(-unreadTime(c.raw, c.pauses.Last()))
+		if err := c.reserveLines(p[:n]); err != nil {
+			return 0, err
+		}
+	}
+	if err != nil && c.account.Phase() == memory.Evicted {
+		err = errEvicted // so that the server drops the request, which it does not for a closed connection
 	}
 	return n, err
 }
 
-// recordState records the begin of a request: a connection is active as soon as a byte of a request was
-// read, which may have come with the bytes of the request before.
+// Close closes the connection and its account.
+func (c *arrivalConn) Close() error {
+	err := c.Conn.Close()
+	c.account.Close()
+	return err
+}
+
+// recordState records the begin and the end of a request: a connection is active as soon as a byte of a
+// request was read, which may have come with the bytes of the request before, and idle when its response
+// was sent.
 func recordState(conn net.Conn, state fasthttp.ConnState) {
-	if c, ok := conn.(*arrivalConn); ok && state == fasthttp.StateActive {
+	c, ok := conn.(*arrivalConn)
+	if !ok {
+		return
+	}
+	switch state {
+	case fasthttp.StateActive:
 		c.beganAt = c.readAt
+		c.account.Change(memory.Idle, memory.Receiving)
+	case fasthttp.StateIdle:
+		c.releaseLines()
+		_ = c.account.Change(memory.Serving, memory.Idle) || c.account.Change(memory.Receiving, memory.Idle)
 	}
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"foxtailmux/entry"
 	"foxtailmux/home"
 	"foxtailmux/logger"
+	"foxtailmux/memory"
 	"foxtailmux/meter"
 	"foxtailmux/model"
 	"foxtailmux/pause"
@@ -202,6 +203,7 @@
 			ReadTimeout:    in.settings.Callers.ReadTimeout,
 			IdleTimeout:    in.settings.Callers.IdleTimeout,
 		},
+		Budget:     memory.NewBudget(callerLimits(in.settings), in.meter),
 		Protocol:   in.adapter.Callers(),
 		Dispatcher: in,
 		Pauses:     in.pauses,
@@ -217,6 +219,11 @@
 	in.peers.Handle(methodRouting, in.serveRouting)
 }
 
+// callerLimits returns the bounds of what callers can make the process hold.
+func callerLimits(s setup.Settings) memory.Limits {
+	return memory.Share(int64(s.Limits.Memory)<<20, s.Limits.Descriptors, s.Callers.MaxConnections)
+}
+
 // Start starts the servers and the background work, which registers the instance. Every
 // error is an *Error.
 func (in *Instance) Start(ctx context.Context) error {
--- a/fleet/listen.go
+++ b/fleet/listen.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"foxtailmux/memory"
 	"foxtailmux/setup"
 )
 
@@ -49,6 +53,10 @@
 		if t.addr == "" {
 			continue
 		}
+		config.Control = nil
+		if t.into == &l.callers {
+			config.Control = boundReceiveBuffer
+		}
 		opened, err := config.Listen(context.Background(), "tcp", t.addr)
 		if err != nil {
 			l.close()
@@ -66,6 +74,15 @@
 	return l, nil
 }
 
+// boundReceiveBuffer sets the size of the receive buffer of a listener's socket, which the connections that it
+// accepts inherit. Without it the kernel lets the buffer of a connection that is not read grow to megabytes.
+// A system that does not allow that keeps its own bound.
+func boundReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, memory.ReceiveBuffer)
+	})
+}
+
 func (l *listeners) close() {
 	for _, opened := range []net.Listener{l.callers, l.balancer, l.operators, l.metrics, l.peers} {
 		if opened != nil {
--- a/fleet/run.go
+++ b/fleet/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -16,12 +17,16 @@
 	"foxtailmux/admin"
 	"foxtailmux/config"
 	"foxtailmux/logger"
+	"foxtailmux/memory"
 	"foxtailmux/setup"
 )
 
 // Run runs an instance until the context ends or the process receives SIGTERM or SIGINT. On
 // SIGHUP it reloads the settings file. Every error is an *Error.
 func Run(ctx context.Context, s setup.Settings, _ io.Writer) error {
+	if s.Limits.Memory > 0 {
+		debug.SetMemoryLimit(memory.CollectAt(int64(s.Limits.Memory) << 20))
+	}
 	out := logger.NewDroppingWriter(os.Stdout)
 	defer out.Close()
 	in, err := New(s, out)
