--- a/entry/body.go
+++ b/entry/body.go
@@ -61,7 +61,7 @@
 // dropLargeHeader drops the decoded header of a request that was answered or refused, if it is large.
 // Otherwise the server would keep its memory for the next request.
 func dropLargeHeader(r *fasthttp.Request) {
-	if r.Header.Len() > freeLines {
+	if bytes.Count(r.Header.RawHeaders(), []byte{'\n'}) > freeLines {
 		r.Header = fasthttp.RequestHeader{}
 	}
 }
