memory: keep the age of a connection that goes on sending

A change of phase that did not take place still renewed the time since which the phase lasts, so each read made an incomplete request the newest one, and a whole one gave way to it.

--- a/memory/budget.go
+++ b/memory/budget.go
@@ -190,6 +190,9 @@
 // Change changes the phase of the connection from one to another, and reports whether it was in the first
 // one. It never is if the connection was evicted.
 func (a *Account) Change(from, to Phase) bool {
+	if a.Phase() != from {
+		return false
+	}
 	if to != Serving {
 		a.since.Store(time.Now().UnixNano()) // first, so that the new phase is never taken for an old one
 	}
--- a/memory/memory_test.go
+++ b/memory/memory_test.go
@@ -178,3 +178,20 @@
 		}
 	})
 }
+
+// A connection that goes on sending its incomplete request does not become a newer one by that.
+func TestChangeFromAnotherPhaseKeepsTheAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := memory.NewBudget(memory.Limits{Connections: 2, Bytes: 100}, &usage{})
+		var evicted []string
+		older := b.Open(func() { evicted = append(evicted, "older") })
+		time.Sleep(time.Second)
+		b.Open(func() { evicted = append(evicted, "newer") })
+		time.Sleep(time.Second)
+		older.Change(memory.Serving, memory.Receiving)
+		b.Open(func() {})
+		if diff := cmp.Diff([]string{"older"}, evicted); diff != "" {
+			t.Errorf("evicted (-want +got):\n%s", diff)
+		}
+	})
+}
