--- a/setup/check.go
+++ b/setup/check.go
@@ -20,6 +20,7 @@
 	maxCores             = 1024
 	maxLinkMegabits      = 1_000_000 // Mbit/s, faster than any network card
 	maxFarFactor         = 100       // beyond it no task should run far from its data
+	maxMemory            = 1 << 24   // MiB
 	minDuration          = time.Millisecond
 	maxDuration          = time.Hour
 )
@@ -112,6 +113,8 @@
 		{"limits.processor", checkCores(l.Cores)},
 		{"limits.link", checkLink(l.Link)},
 		{"placement.farFactor", checkFarFactor(s.Placement.FarFactor)},
+		{"limits.memory", checkInt(l.Memory, 0, maxMemory)},
+		{"limits.descriptors", checkInt(l.Descriptors, 0, maxCount)},
 	}
 }
 
