share, home: divide short capacity over the queues of a service

While the queues of a service offer more work than its workers can begin, waiting jobs go by the share that their queue has used and by priority, before slack. Off unless placement.shares is set.

--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -178,6 +178,7 @@
 		RefreshWorkers: in.workerTable.Refresh,
 		LastMessage:    in.lastMessage,
 		OriginTimeout:  beat.HeartbeatTimeout,
+		Shares:         in.settings.Placement.Shares,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/home/backlog.go
+++ b/home/backlog.go
@@ -63,9 +63,9 @@
 // aheadOf returns the CPU, in thousandths of a core, that the waiting tasks of more urgent jobs
 // need.
 func (h *Home) aheadOf(j *job, now time.Time) int {
-	mine, total := j.asWaiting(), 0
+	mine, total := h.waitingJob(j), 0
 	for other := range h.waiting {
-		if plan.Compare(other.asWaiting(), mine, now) <= 0 {
+		if plan.Compare(h.waitingJob(other), mine, now) <= 0 {
 			total += other.waitingMilliCores()
 		}
 	}
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -145,7 +145,7 @@
 	}
 	list := make([]ranked, 0, len(h.waiting))
 	for j := range h.waiting {
-		list = append(list, ranked{j, j.asWaiting()})
+		list = append(list, ranked{j, h.waitingJob(j)})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
 		if c := plan.Compare(a.entry, b.entry, now); c != 0 {
@@ -250,6 +250,7 @@
 func (h *Home) startTask(j *job, t *task, w *worker, now time.Time) {
 	t.state, t.worker, t.run, t.startedAt = taskRunning, w, h.nextRunNumber(), now
 	j.started = true
+	h.recordBegin(j, t.step, now)
 	j.trail.addRun(t, false)
 	h.activity.starts++
 	step := j.batch.Steps[t.step]
--- a/home/home.go
+++ b/home/home.go
@@ -24,6 +24,7 @@
 	"foxtailmux/model"
 	"foxtailmux/pause"
 	"foxtailmux/plan"
+	"foxtailmux/share"
 )
 
 // Endpoint sends requests to one worker, each at most once. An error with a method Sent that
@@ -52,7 +53,8 @@
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
 // that there is a later home or the home has stood still, and besides whenever a goroutine of the
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
-// the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
+// the home. Shares makes the home divide the capacity of a service over its queues while it is
+// short. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
 // cancelled. Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
@@ -67,6 +69,7 @@
 	OriginTimeout  time.Duration
 	Link           *plan.Link
 	Clock          func() time.Duration
+	Shares         bool
 	Observer       Observer
 	Log            *log.Logger
 }
@@ -142,6 +145,7 @@
 	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
 	resendBudget      *budget.Budget     // of starts without a response
 	activity          activity
+	ledgers           map[string]*share.Ledger // by service
 }
 
 // finishedJob is the kept outcome of a job.
@@ -170,6 +174,7 @@
 		finished:      map[Key]finishedJob{},
 		cancelled:     map[SubmissionID]time.Time{},
 		unclaimedEnds: map[string]lease.EndedRun{},
+		ledgers:       map[string]*share.Ledger{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
 		activity:      activity{reportedAt: time.Now(), processorTime: processorTime()},
@@ -301,6 +306,7 @@
 	}
 	if now.Sub(h.reviewedAt) >= reviewInterval {
 		h.reviewedAt = now
+		h.divideCapacity(now)
 		h.reviewWaitingJobs(now)
 	}
 	for id, f := range h.finished {
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -51,6 +51,7 @@
 	logWriter      io.Writer
 	lastMessage    func(instance, incarnation string) time.Time // set before the home
 	began          time.Time
+	shares         bool
 	stall          atomic.Int64 // nanoseconds for which the process has stood still
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
 }
@@ -90,6 +91,7 @@
 		RefreshWorkers: func() { dc.refreshes.Add(1) },
 		Observer:       noopObserver{},
 		Log:            &log.Logger{Writer: log.IOWriter{Writer: dc.logWriter}},
+		Shares:         dc.shares,
 	})
 	h.SetWorkers(dc.listed, true)
 	return h
--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -28,12 +28,14 @@
 	run    time.Duration
 	worth  float64
 	widest int
+
+	priority int
 }
 
 var mix = []jobKind{
-	{"price-check", 34.4 / 140.65, 8, 60 * time.Millisecond, 0.0291, 32},
-	{"bundle-quote", 6.25 / 140.65, 4, 900 * time.Millisecond, 0.16, 16},
-	{"stock-peek", 100 / 140.65, 2, 200 * time.Millisecond, 0.01, 8},
+	{"price-check", 34.4 / 140.65, 8, 60 * time.Millisecond, 0.0291, 32, 0},
+	{"bundle-quote", 6.25 / 140.65, 4, 900 * time.Millisecond, 0.16, 16, 2},
+	{"stock-peek", 100 / 140.65, 2, 200 * time.Millisecond, 0.01, 8, 1},
 }
 
 // lateShare is the worth of a late answer relative to one in time.
@@ -48,6 +50,9 @@
 	duration time.Duration // replayDuration if it is 0
 	rate     float64       // jobs per second; 36 keep 0.75 of replayWorkers busy
 	burst    float64       // factor on the rate from second 4 to 8
+	burstOf  string        // the only kind whose rate it raises, all if empty
+	lost     int           // workers that are away from second 4 to 8
+	shares   bool          // home.Options.Shares
 	failing  float64       // share of the jobs whose tasks fail
 	long     float64       // share of the jobs that take six times as long as declared
 	faults   func(dc *testCentre)
@@ -71,6 +76,7 @@
 	maxRefusalDelay time.Duration // longest time from the objective of a job to its refusal
 	abandoned       int           // jobs that their callers gave up before all tasks had started
 	arrivals        []arrival     // jobs that count
+	served          map[string]served
 }
 
 func (t *tally) add(k jobKind, o home.Outcome, took, objective time.Duration, started bool) {
@@ -119,6 +125,7 @@
 			return failing[jobID(task)]
 		}
 	}
+	dc.shares = pt.shares
 	h := dc.readyHome(1)
 	defer dc.close(h)
 	if pt.faults != nil {
@@ -130,15 +137,21 @@
 	var callers sync.WaitGroup
 	began := time.Now()
 	for n := 0; time.Since(began) < cmp.Or(pt.duration, replayDuration); n++ {
-		rate := pt.rate
+		rate, extra := pt.rate, jobKind{}
 		if now := time.Since(began); pt.burst > 0 && now > 4*time.Second && now < 8*time.Second {
-			rate *= pt.burst
+			if extra = kindNamed(pt.burstOf); extra.name == "" {
+				rate *= pt.burst
+			}
+		}
+		added := pt.rate * extra.share * (pt.burst - 1)
+		time.Sleep(time.Duration(draw.ExpFloat64() / (rate + added) * float64(time.Second)))
+		k := extra
+		if added == 0 || draw.Float64()*(rate+added) >= added {
+			k = pickKind(draw)
 		}
-		time.Sleep(time.Duration(draw.ExpFloat64() / rate * float64(time.Second)))
-		k := pickKind(draw)
 		run := time.Duration(float64(k.run) * (0.6 + 0.8*draw.Float64()))
 		s := submission(fmt.Sprintf("j%d", n), min(max(1, int(k.tasks*(0.4+1.2*draw.Float64())+0.5)), k.widest))
-		s.Batch.Queue, s.Route.Name = k.name, k.name
+		s.Batch.Queue, s.Route.Name, s.Route.Priority = k.name, k.name, k.priority
 		s.Batch.Steps[0].Estimate = time.Duration(float64(run) * (0.6 + 0.8*draw.Float64()))
 		fails := draw.Float64() < pt.failing
 		if draw.Float64() < pt.long {
@@ -158,6 +171,7 @@
 				return // counts for nothing
 			}
 			r.add(k, o, time.Since(sent), objective, dc.allStarted(s.Batch))
+			r.addServed(k, s, sent.Sub(began), o, time.Since(sent), objective)
 		})
 	}
 	callers.Wait()
@@ -170,7 +184,7 @@
 func submitLikeOrigin(h *home.Home, s home.Submission) home.Outcome {
 	o := submit(h, s)
 	if o.Result == home.NoCapacity && o.AcceptedWhole {
-		s.Whole = true
+		s.Whole, s.NoRedirect = true, true
 		o = submit(h, s)
 	}
 	return o
@@ -188,6 +202,16 @@
 
 func jobID(task string) string { return task[:strings.Index(task, ".")] }
 
+// kindNamed returns the kind of that name, the zero value if there is none.
+func kindNamed(name string) jobKind {
+	for _, k := range mix {
+		if k.name == name {
+			return k
+		}
+	}
+	return jobKind{}
+}
+
 func pickKind(draw *rand.Rand) jobKind {
 	at := draw.Float64()
 	for _, k := range mix {
--- a/home/state.go
+++ b/home/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/share"
 )
 
 // State is the state dump of a home.
@@ -13,6 +14,7 @@
 	Jobs       int                    `json:"jobs"`
 	Waiting    int                    `json:"waitingJobs"`
 	Workers    map[string]WorkerState `json:"workers"`
+	Shares     map[string]share.State `json:"shares,omitempty"` // by service
 }
 
 // WorkerState is the state dump of one worker.
@@ -39,6 +41,7 @@
 		Jobs:       len(h.jobs),
 		Waiting:    len(h.waiting),
 		Workers:    map[string]WorkerState{},
+		Shares:     h.shareStates(time.Now()),
 	}
 	now := time.Now()
 	for id, w := range h.workers {
--- a/home/submit.go
+++ b/home/submit.go
@@ -163,6 +163,7 @@
 	h.callerTimeouts.Observe(s.Route.Name, s.Age+s.TimeLeft)
 	j := h.newJob(s, now)
 	h.updateTypicalTask(j)
+	h.recordOffer(j, s, now)
 	j.restoreTaskStates(s)
 	h.adoptRuns(j, h.inheritingWorkers(), now)
 	if !j.started && !j.resumed {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/share"
 )
 
 // lateFactor is the number of objectives after which an answer is of no use to its caller, as
@@ -51,7 +52,8 @@
 	Objective time.Duration
 	Remaining time.Duration // run time of the critical path of its unfinished steps
 	Priority  int
-	Started   bool // at least one of its tasks has started
+	Started   bool       // at least one of its tasks has started
+	Rank      share.Rank // zero while the capacity suffices
 }
 
 // latestStart returns the time by which the waiting tasks must start to meet the objective.
@@ -69,7 +71,8 @@
 // bursts of mixed jobs: a short job with little slack goes before a long job with much slack.
 // Jobs that are already late come last, so that they use only the capacity that the others
 // leave. Late jobs that have started keep their place: otherwise the remaining tasks of a wide
-// job would wait until its caller gives up, and the finished ones would be wasted. Of two jobs
+// job would wait until its caller gives up, and the finished ones would be wasted. While the
+// capacity is short, the ranks of the jobs come before their slack. Of two jobs
 // with the same latest start, the one with the lower Priority goes first, then the one that
 // arrived first.
 func Compare(a, b WaitingJob, now time.Time) int {
@@ -81,6 +84,7 @@
 		return -1
 	}
 	return cmp.Or(
+		share.Compare(a.Rank, b.Rank),
 		a.latestStart().Compare(b.latestStart()),
 		cmp.Compare(a.Priority, b.Priority),
 		a.Arrived.Compare(b.Arrived),
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -15,6 +15,7 @@
 	Peers      Peers     `yaml:"peers" json:"peers"`
 	Platform   Platform  `yaml:"platform" json:"platform"`
 	Limits     Limits    `yaml:"limits" json:"limits"`
+	Placement  Placement `yaml:"placement" json:"placement"`
 	Stop       Stop      `yaml:"stop" json:"stop"`
 	Log        Log       `yaml:"log" json:"log"`
 }
@@ -80,6 +81,12 @@
 	Link float64 `yaml:"link" json:"link"`
 }
 
+// Placement configures which jobs a home starts where and when. With Shares, the capacity of a
+// service with several queues is divided over them while it is short.
+type Placement struct {
+	Shares bool `yaml:"shares" json:"shares"`
+}
+
 // Stop configures a graceful shutdown. After it reports itself as not ready, the
 // process accepts connections for DrainDelay, so that the load balancer notices.
 // It exits after Limit even if requests are still in progress.
