--- a/home/replay_test.go
+++ b/home/replay_test.go
@@ -51,7 +51,6 @@
 	rate     float64       // jobs per second; 36 keep 0.75 of replayWorkers busy
 	burst    float64       // factor on the rate from second 4 to 8
 	burstOf  string        // the only kind whose rate it raises, all if empty
-	lost     int           // workers that are away from second 4 to 8
 	shares   bool          // home.Options.Shares
 	failing  float64       // share of the jobs whose tasks fail
 	long     float64       // share of the jobs that take six times as long as declared
@@ -73,10 +72,10 @@
 	earned          float64
 	refused         int
 	jobs            int
-	maxRefusalDelay time.Duration // longest time from the objective of a job to its refusal
-	abandoned       int           // jobs that their callers gave up before all tasks had started
-	arrivals        []arrival     // jobs that count
-	served          map[string]served
+	maxRefusalDelay time.Duration     // longest time from the objective of a job to its refusal
+	abandoned       int               // jobs that their callers gave up before all tasks had started
+	arrivals        []arrival         // jobs that count
+	served          map[string]served // during the burst, by queue and for its large jobs
 }
 
 func (t *tally) add(k jobKind, o home.Outcome, took, objective time.Duration, started bool) {
@@ -171,7 +170,7 @@
 				return // counts for nothing
 			}
 			r.add(k, o, time.Since(sent), objective, dc.allStarted(s.Batch))
-			r.addServed(k, s, sent.Sub(began), o, time.Since(sent), objective)
+			r.addServed(k, s.Batch.Steps[0].Replicas, sent.Sub(began), o.Result == home.Succeeded && time.Since(sent) <= objective)
 		})
 	}
 	callers.Wait()
