--- a/setup/flags.go
+++ b/setup/flags.go
@@ -43,6 +43,7 @@
 	fs.StringVar(&s.Platform.Adapter, "platform.adapter", s.Platform.Adapter, "plug-in that speaks a users' platform")
 	fs.DurationVar(&s.Platform.MaxLease, "platform.maxLease", s.Platform.MaxLease, "longest lease that workers grant")
 	bindLimits(fs, &s.Limits)
+	fs.BoolVar(&s.Placement.Shares, "placement.shares", s.Placement.Shares, "divide short capacity over the queues of a service")
 	fs.DurationVar(&s.Stop.DrainDelay, "stop.drainDelay", s.Stop.DrainDelay, "time for the balancer to notice a stop")
 	fs.DurationVar(&s.Stop.Limit, "stop.limit", s.Stop.Limit, "longest time of a stop")
 	fs.StringVar(&s.Log.Level, "log.level", s.Log.Level, "debug, info, warn or error")
