--- a/share/share.go
+++ b/share/share.go
@@ -1,6 +1,6 @@
 // Package share decides which jobs give way while the workers of a service have too little
-// capacity. It divides the capacity over the queues of the service, so that the jobs of a burst give
-// way to those of the other queues, and orders queues within their shares by priority. Its functions
+// capacity. It divides the capacity over the queues of the service, so that the jobs of a queue that
+// has more than the others give way to theirs, and orders queues within their shares by priority. Its functions
 // neither block nor do I/O. Work is in core-seconds, capacity in cores.
 package share
 
