--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -185,6 +185,7 @@
 		Drained:        func() (drain.Request, bool) { return in.drainOf(dataCentre) },
 		FarFactor:      in.settings.Placement.FarFactor,
 		LearnSpeeds:    in.settings.Placement.Speeds,
+		Shares:         in.settings.Placement.Shares,
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
--- a/home/home.go
+++ b/home/home.go
@@ -25,6 +25,7 @@
 	"foxtailmux/model"
 	"foxtailmux/pause"
 	"foxtailmux/plan"
+	"foxtailmux/share"
 	"foxtailmux/speed"
 )
 
@@ -59,7 +60,8 @@
 // for an amount of CPU in thousandths of a core. OnFenced is called once when a worker reports
 // that there is a later home or the home has stood still, and besides whenever a goroutine of the
 // home panics. RefreshWorkers requests that SetWorkers be called soon, and must not block or call
-// the home. LastMessage returns when an incarnation of an instance was last heard, and the zero time
+// the home. Shares makes the home divide the capacity of a service over its queues while it is
+// short. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
 // cancelled. Drained, which may be nil, returns the operator's request to drain the data centre; it must
 // not call the home. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
@@ -80,6 +82,7 @@
 	LearnSpeeds    bool
 	Link           *plan.Link
 	Clock          func() time.Duration
+	Shares         bool
 	Observer       Observer
 	Log            *log.Logger
 }
@@ -159,7 +162,8 @@
 	speeds            *speed.Model
 	uneven            bool // some worker is faster or slower than usual
 	activity          activity
-	emptyReported     bool // that a drained data centre has no run left
+	emptyReported     bool                     // that a drained data centre has no run left
+	ledgers           map[string]*share.Ledger // by service
 }
 
 // finishedJob is the kept outcome of a job.
@@ -188,6 +192,7 @@
 		finished:      map[Key]finishedJob{},
 		cancelled:     map[SubmissionID]time.Time{},
 		unclaimedEnds: map[string]lease.EndedRun{},
+		ledgers:       map[string]*share.Ledger{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
 		speeds:        speed.NewModel(),
@@ -332,6 +337,7 @@
 	}
 	if now.Sub(h.reviewedAt) >= reviewInterval {
 		h.reviewedAt = now
+		h.divideCapacity(now)
 		h.reviewWaitingJobs(now)
 	}
 	for id, f := range h.finished {
--- a/home/state.go
+++ b/home/state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"foxtailmux/model"
+	"foxtailmux/share"
 	"foxtailmux/speed"
 )
 
@@ -17,6 +18,7 @@
 	Drained    bool                   `json:"drained,omitempty"`
 	Speeds     []speed.Kind           `json:"speeds,omitempty"` // learned, by kind of worker
 	Workers    map[string]WorkerState `json:"workers"`
+	Shares     map[string]share.State `json:"shares,omitempty"` // by service
 }
 
 // WorkerState is the state dump of one worker.
@@ -46,6 +48,7 @@
 		Runs:       h.runCount(),
 		Drained:    h.isDrained(),
 		Workers:    map[string]WorkerState{},
+		Shares:     h.shareStates(time.Now()),
 	}
 	if h.options.LearnSpeeds {
 		s.Speeds = h.speeds.Kinds()
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -45,6 +45,7 @@
 	fs.Float64Var(&s.Placement.FarFactor, "placement.farFactor", s.Placement.FarFactor, "run time of a task outside the rack of its data over that in it; 0 is no difference")
 	bindLimits(fs, &s.Limits)
 	fs.BoolVar(&s.Placement.Speeds, "placement.speeds", s.Placement.Speeds, "learn how fast each worker runs tasks")
+	fs.BoolVar(&s.Placement.Shares, "placement.shares", s.Placement.Shares, "divide short capacity over the queues of a service")
 	fs.DurationVar(&s.Stop.DrainDelay, "stop.drainDelay", s.Stop.DrainDelay, "time for the balancer to notice a stop")
 	fs.DurationVar(&s.Stop.Limit, "stop.limit", s.Stop.Limit, "longest time of a stop")
 	fs.StringVar(&s.Log.Level, "log.level", s.Log.Level, "debug, info, warn or error")
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -62,7 +62,7 @@
 	MaxLease time.Duration `yaml:"maxLease" json:"maxLease"`
 }
 
-// Placement configures how a home chooses the workers of tasks.
+// Placement configures which jobs a home starts where and when.
 type Placement struct {
 	// FarFactor is how many times as long a task takes on a worker outside the rack that holds its data.
 	// 0 and 1 mean that it makes no difference.
@@ -71,6 +71,10 @@
 	// Speeds makes a home learn how fast each worker runs tasks. It changes the
 	// placement only where workers differ in speed.
 	Speeds bool `yaml:"speeds" json:"speeds"`
+
+	// Shares makes a home divide the capacity of a service with several queues
+	// over them while it is short.
+	Shares bool `yaml:"shares" json:"shares"`
 }
 
 // Limits bound the jobs, tasks and tickets that this process holds, even if the
