home, fleet: keep a begun job that a drained home hands back from being refused

Cause, found in review: an origin took a job that was handed back for begun only by its finished tasks. A job whose run had failed, or was lost with its worker, has none; the next home could refuse it as not run. The home says now that tasks may have run.

The two tests failed before (Begun false; failure "refused" in place of "lost").

--- a/fleet/drain_test.go
+++ b/fleet/drain_test.go
@@ -230,6 +230,12 @@
 			home.Submission{Resumed: true, TasksReported: true, Done: []string{"a"}},
 			home.Lost,
 		},
+		"begun, without a task that is done": {
+			nil,
+			[]attempt{{outcome: home.Outcome{Result: home.Drained, Begun: true}}},
+			home.Submission{Resumed: true, TasksReported: true},
+			home.Lost,
+		},
 		"a part, of which others may have begun": {
 			&home.Part{Count: 2},
 			[]attempt{{outcome: handedBack}},
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -60,7 +60,7 @@
 		j.maybeRunning, j.tasksReported = outcome.MaybeRunning, err == nil
 		return retryAtLaterHome
 	case outcome.Result == home.Drained:
-		j.handOver(dataCentre, outcome.Done)
+		j.handOver(dataCentre, outcome)
 		return tryTarget
 	case outcome.Result == home.Redirected:
 		j.target, j.immediate = outcome.DataCentre, true
@@ -80,9 +80,9 @@
 // handOver frees the job for other data centres after the home of a drained one has handed it back. That
 // home has made sure that none of its tasks runs there. A job of which tasks may have run must not be
 // refused any more.
-func (j *forwarding) handOver(dataCentre string, done []string) {
-	j.mustRun = j.mustRun || j.resumed || j.part != nil || len(done) > 0
-	j.doneTasks = append(j.doneTasks, done...)
+func (j *forwarding) handOver(dataCentre string, o home.Outcome) {
+	j.mustRun = j.mustRun || j.resumed || j.part != nil || o.Begun || len(o.Done) > 0
+	j.doneTasks = append(j.doneTasks, o.Done...)
 	j.resumed, j.maybeRunning, j.tasksReported = false, nil, j.mustRun
 	j.unreachable[dataCentre] = true
 	j.target, j.immediate = j.localDC, false
--- a/home/drain.go
+++ b/home/drain.go
@@ -41,7 +41,7 @@
 	for j := range h.waiting {
 		switch request.Decide(drain.Job{Begun: j.started, MayRun: h.mayHaveRun(j, p)}, now) {
 		case drain.HandBack:
-			h.finish(j, h.withTaskStates(j, p, Outcome{Result: Drained, Reason: drainedReason}))
+			h.finish(j, h.withTaskStates(j, p, Outcome{Result: Drained, Reason: drainedReason, Begun: j.started || j.resumed}))
 			handedBack++
 		case drain.Start:
 			mayStart = true
--- a/home/drain_test.go
+++ b/home/drain_test.go
@@ -104,6 +104,28 @@
 	}
 }
 
+// Guards against a refusal as not run of a job that has run: its run was lost with its worker, and the job is
+// handed back without a task that is done.
+func TestJobWhoseRunWasLostIsHandedBackAsBegun(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		for _, w := range dc.workers {
+			w.RunTime = func(string) time.Duration { return time.Minute }
+		}
+		s := submission("job", 1)
+		s.TimeLeft, s.Route.Allowance = 10*time.Second, 10*time.Second
+		result := submitAfter(h, s)
+		dc.drained.Store(&drain.Request{Version: 7})
+		h.SetWorkers(map[string]model.Worker{}, true)
+		for _, w := range dc.workers {
+			w.Crash()
+		}
+		want := home.Outcome{Result: home.Drained, Reason: "the data centre is drained", Begun: true}
+		if diff := cmp.Diff(want, <-result); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // The next home continues what was begun elsewhere: only the rest of the tasks is started.
 func TestHomeContinuesAJobOfADrainedDataCentre(t *testing.T) {
 	withHome(t, 2, func(t *testing.T, dc *testCentre, h *home.Home) {
--- a/home/submit.go
+++ b/home/submit.go
@@ -43,6 +43,7 @@
 	AcceptedWhole  bool          `json:"whole,omitempty"`      // the home accepts the job as a whole, but late, with NoCapacity
 	DataCentre     string        `json:"dataCentre,omitempty"` // with Redirected
 	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved and Drained
+	Begun          bool          `json:"hasBegun,omitempty"`   // tasks may have run, with Drained
 	MaybeRunning   []string      `json:"begun,omitempty"`      // tasks that may still run, with Moved
 }
 
