fleet: send the starts of a home that knows that its data centre is drained

Cause, found in review: an origin declined starts also of a home with the same requests as its own, which starts the rest of begun jobs for a second. The home sent each declined start again at once, at the peer's round trip. Older requests are declined as before. The test expected the declined start; its new expectation failed before.

--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -120,10 +120,11 @@
 }
 
 // declineStart returns the requests to drain data centres if an origin must not send a start for a
-// home: the data centre is drained, and the home had no newer requests.
+// home: the data centre is drained, and the home has older requests. One with the same requests has
+// decided by them.
 func (in *Instance) declineStart(r startRequest) *drain.Set {
 	requests := in.drains.Load()
-	if _, ok := requests.Of(r.DataCentre); !ok || r.DrainVersion > requests.Version() {
+	if _, ok := requests.Of(r.DataCentre); !ok || r.DrainVersion >= requests.Version() {
 		return nil
 	}
 	set := requests.Set()
