home: learn the speeds of each pool by itself

Cause, found in review: one model compared the workers of all pools, but a pool runs the tasks of its own service only, so that slower workers and longer tasks can't be told apart. After a time in which the tasks of one service took four times as long, equal workers kept factors of 0.58 to 1.72 (TestPoolsOfEqualWorkersAreNotCompared before the change), by which estimates, order and admission went. With a model for each pool all factors are 1.

--- a/home/home.go
+++ b/home/home.go
@@ -153,14 +153,14 @@
 	unclaimedEndsAt   time.Time // when the last of them was reported
 	lastRun           int64
 	reviewedAt        time.Time
-	typicalMilliCores int                // mean need of CPU of a task, in thousandths of a core
-	runRatios         learn.Estimator    // run time over the declared one, by queue
-	meanRuns          learn.Estimator    // run time, by queue
-	callerTimeouts    learn.Timeouts     // by queue
-	responseTimes     plan.ResponseTimes // of starts, and of other requests if they were late
-	resendBudget      *budget.Budget     // of starts without a response
-	speeds            *speed.Model
-	uneven            bool // some worker is faster or slower than usual
+	typicalMilliCores int                     // mean need of CPU of a task, in thousandths of a core
+	runRatios         learn.Estimator         // run time over the declared one, by queue
+	meanRuns          learn.Estimator         // run time, by queue
+	callerTimeouts    learn.Timeouts          // by queue
+	responseTimes     plan.ResponseTimes      // of starts, and of other requests if they were late
+	resendBudget      *budget.Budget          // of starts without a response
+	speeds            map[string]*speed.Model // by pool; only its workers run the same tasks
+	uneven            bool                    // some worker is faster or slower than usual
 	activity          activity
 	emptyReported     bool                     // that a drained data centre has no run left
 	ledgers           map[string]*share.Ledger // by service
@@ -195,7 +195,7 @@
 		ledgers:       map[string]*share.Ledger{},
 		lastRun:       o.Token << runNumberBits,
 		resendBudget:  budget.New(resendsPerResponse),
-		speeds:        speed.NewModel(),
+		speeds:        map[string]*speed.Model{},
 		activity:      activity{reportedAt: time.Now(), processorTime: processorTime()},
 	}
 	h.spawn(h.tickLoop)
@@ -273,6 +273,10 @@
 		if w.info.Rack != info.Rack {
 			h.sortedWorkers = nil
 		}
+		if w.info.Pool != info.Pool {
+			w.speed.Leave()
+			w.speed = h.joinSpeeds(info)
+		}
 		w.info, w.removed = info, false
 		w.speed.SetKind(speedKind(info))
 		w.tracker.SetCapacity(info.Capacity)
--- a/home/pace.go
+++ b/home/pace.go
@@ -1,10 +1,13 @@
 package home
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"foxtailmux/model"
 	"foxtailmux/plan"
+	"foxtailmux/speed"
 )
 
 // speedKind returns the kind by which workers are taken for equally fast until more is known: its
@@ -129,8 +132,28 @@
 		return
 	}
 	factors := map[string]float64{}
-	for _, k := range h.speeds.Kinds() {
+	for _, k := range h.speedKinds() {
 		factors[k.Name] = k.Factor
 	}
 	h.options.Observer.WorkerFactors(h.options.DataCentre, factors)
 }
+
+// joinSpeeds adds a worker to what is learned of the speeds in its pool. Pools are not compared: their
+// workers run tasks of different services, whose estimates are learned at the same time.
+func (h *Home) joinSpeeds(info model.Worker) *speed.Worker {
+	m := h.speeds[info.Pool]
+	if m == nil {
+		m = speed.NewModel()
+		h.speeds[info.Pool] = m
+	}
+	return m.Join(speedKind(info))
+}
+
+// speedKinds sums up the workers of all pools by kind.
+func (h *Home) speedKinds() []speed.Kind {
+	var list []speed.Kind
+	for _, pool := range slices.Sorted(maps.Keys(h.speeds)) {
+		list = append(list, h.speeds[pool].Kinds()...)
+	}
+	return list
+}
--- a/home/pace_test.go
+++ b/home/pace_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+
 	"foxtailmux/home"
 	"foxtailmux/plan"
 )
@@ -103,3 +106,54 @@
 	}
 	return n
 }
+
+// Guards against factors that remain when the tasks of one service have taken four times as long for a while:
+// the workers of its pool run no tasks of other services, so that workers and tasks can't be told apart.
+func TestPoolsOfEqualWorkersAreNotCompared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 8)
+		for id, w := range dc.listed {
+			if id >= "w4" {
+				w.Pool = "other"
+				dc.listed[id] = w
+			}
+		}
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		draw := rand.New(rand.NewPCG(1, 2))
+		play := func(jobs int, slower time.Duration) {
+			for id, w := range dc.workers {
+				w.SetRunTime(func(string) time.Duration {
+					run := time.Duration((0.6 + 0.8*draw.Float64()) * float64(paceRun))
+					if id >= "w4" {
+						run *= slower
+					}
+					return run
+				})
+			}
+			var callers sync.WaitGroup
+			for n := range jobs {
+				callers.Go(func() {
+					s := submission(fmt.Sprintf("j%d", time.Since(dc.began)), 1)
+					s.TimeLeft, s.Batch.Steps[0].Estimate = 10*time.Second, paceRun
+					if n%2 == 0 {
+						s.Batch.Queue, s.Route.Name, s.Route.Service = "others", "others", "other"
+					}
+					submit(h, s)
+				})
+				time.Sleep(paceRun / 4)
+			}
+			callers.Wait()
+		}
+		play(1000, 1)
+		play(3000, 4)
+		play(3000, 1)
+		got, want := map[string]float64{}, map[string]float64{}
+		for id, w := range h.State().Workers {
+			got[id], want[id] = w.Factor, 1
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Errorf("factors (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/home/state.go
+++ b/home/state.go
@@ -51,7 +51,7 @@
 		Shares:     h.shareStates(time.Now()),
 	}
 	if h.options.LearnSpeeds {
-		s.Speeds = h.speeds.Kinds()
+		s.Speeds = h.speedKinds()
 	}
 	now := time.Now()
 	for id, w := range h.workers {
--- a/home/worker.go
+++ b/home/worker.go
@@ -95,7 +95,7 @@
 		asking:      make(chan struct{}, 1),
 		tracker:     lease.NewTracker(info.Capacity, h.options.MaxLease),
 		assignments: map[string]assignment{},
-		speed:       h.speeds.Join(speedKind(info)),
+		speed:       h.joinSpeeds(info),
 	}
 	w.endpoint = h.options.Connect(info, w.handleLateResponse)
 	return w
