home: move runs off a worker that has just turned slow

Cause, found in review: a run counted as long, and its worker as sound, if any other run had ended there at the usual pace since it began, also one that was nearly done when the worker turned slow. The other run has to end after this one should have.

--- a/home/pace_test.go
+++ b/home/pace_test.go
@@ -157,3 +157,42 @@
 		}
 	})
 }
+
+// Guards against runs that are left on a worker that has just turned slow, since another run that was nearly done
+// has ended there in its usual time.
+func TestRunIsMovedFromAWorkerThatTurnsSlow(t *testing.T) {
+	withSlowWorker(t, func(t *testing.T, dc *testCentre, h *home.Home) {
+		playJobs(dc, h, 150, paceRun/7, nil)
+		for id, w := range dc.workers {
+			w.SetRunTime(func(task string) time.Duration {
+				switch {
+				case id == "w0":
+					return 3 * paceRun
+				case strings.HasPrefix(task, "slow") && dc.ledger.Starts(task) <= 1:
+					return 10 * paceRun
+				}
+				return paceRun
+			})
+		}
+		var callers sync.WaitGroup
+		one := func(id string) {
+			dc.played = append(dc.played, id)
+			callers.Go(func() {
+				s := submission(id, 1)
+				s.TimeLeft, s.Batch.Steps[0].Estimate = 10*time.Second, paceRun
+				submit(h, s)
+			})
+		}
+		for n := range 3 {
+			one(fmt.Sprintf("usual%d", n))
+		}
+		time.Sleep(paceRun / 3)
+		for n := range 3 {
+			one(fmt.Sprintf("slow%d", n))
+		}
+		callers.Wait()
+		if n := dc.repeated(); n < 3 {
+			t.Errorf("%d of 3 slow runs were moved", n)
+		}
+	})
+}
--- a/home/progress.go
+++ b/home/progress.go
@@ -55,7 +55,7 @@
 	}
 	h := w.home
 	switch {
-	case h.uneven && w.speed.WasUsualSince(p.StartedAt) && !plan.Stalled(now.Sub(p.PercentAt), estimate):
+	case h.uneven && w.speed.WasUsualSince(p.StartedAt.Add(estimate)) && !plan.Stalled(now.Sub(p.PercentAt), estimate):
 		return // the task is long, not the worker slow
 	case plan.Stalled(now.Sub(p.PercentAt), estimate):
 		w.health.RecordStall(now)
