home: learn nothing from runs that an earlier home started

Cause, found in review: the start of an adopted run is not known, and its run time was taken from its adoption. So a handover made tasks look short, a sick worker usual, and `losses` count an answer in time as late. The log of such a job has no measured objective now (TestAdoptedRunsAreNotLearned, failed before).

--- a/home/adopt.go
+++ b/home/adopt.go
@@ -56,7 +56,7 @@
 			if !ok {
 				continue
 			}
-			t.state, t.worker, t.run, t.startedAt, t.maybeRunning = taskRunning, w, run, now, false
+			t.state, t.worker, t.run, t.startedAt, t.maybeRunning, t.adopted = taskRunning, w, run, now, false, true
 			w.assign(j, t)
 			j.trail.addRun(t, true)
 			j.started = true
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -268,7 +268,7 @@
 
 // startTask records the start of a task on a worker and sends it.
 func (h *Home) startTask(j *job, t *task, w *worker, now time.Time) {
-	t.state, t.worker, t.run, t.startedAt = taskRunning, w, h.nextRunNumber(), now
+	t.state, t.worker, t.run, t.startedAt, t.adopted = taskRunning, w, h.nextRunNumber(), now, false
 	j.started = true
 	h.recordBegin(j, t.step, now)
 	j.trail.addRun(t, false)
--- a/home/ends.go
+++ b/home/ends.go
@@ -42,15 +42,9 @@
 // taskDone records the run time of a task that succeeded, and finishes the job after its last task.
 func (h *Home) taskDone(w *worker, j *job, t *task, now time.Time) {
 	ran := now.Sub(t.startedAt)
-	declared := j.batch.Steps[t.step].Estimate
-	t.usualRun = h.usualTime(t, j, ran)
 	w.health.RecordCompletion(ran, assignment{j, t}.expectedRun())
-	if h.options.LearnSpeeds {
-		w.speed.Observe(ran, h.usualRunAt(w, j, t.step), now)
-	}
-	h.meanRuns.Observe(j.route.Name, t.usualRun)
-	if declared > 0 {
-		h.runRatios.Observe(j.route.Name, time.Duration(float64(t.usualRun)/float64(declared)*float64(ratioUnit)))
+	if !t.adopted {
+		h.learnRun(w, j, t, ran, now)
 	}
 	j.setDone(t)
 	if h.complete(j) {
@@ -62,6 +56,18 @@
 	}
 }
 
+// learnRun learns from the run time of a task that succeeded.
+func (h *Home) learnRun(w *worker, j *job, t *task, ran time.Duration, now time.Time) {
+	t.usualRun = h.usualTime(t, j, ran)
+	if h.options.LearnSpeeds {
+		w.speed.Observe(ran, h.usualRunAt(w, j, t.step), now)
+	}
+	h.meanRuns.Observe(j.route.Name, t.usualRun)
+	if declared := j.batch.Steps[t.step].Estimate; declared > 0 {
+		h.runRatios.Observe(j.route.Name, time.Duration(float64(t.usualRun)/float64(declared)*float64(ratioUnit)))
+	}
+}
+
 // attributeFailure records a failed or slow run against its worker, unless the job had such
 // runs on other workers too. It reports whether the worker is probably at fault.
 func (j *job) attributeFailure(w *worker, now time.Time) bool {
--- a/home/job.go
+++ b/home/job.go
@@ -57,6 +57,7 @@
 	heldSince    time.Time
 	pace         float64         // of its run: expected run time over that on a near worker of usual speed
 	usualRun     time.Duration   // measured run time at such a worker, once done
+	adopted      bool            // an earlier home has started its run, at a time that is not known
 	maybeRunning bool            // an earlier home may have left a run of it on a worker
 	triedOn      map[string]bool // workers on which a run failed, was too slow or did not start
 }
--- a/home/pace_test.go
+++ b/home/pace_test.go
@@ -1,6 +1,8 @@
 package home_test
 
 import (
+	"bytes"
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"strings"
@@ -196,3 +198,35 @@
 		}
 	})
 }
+
+// Guards against run times that are measured from when a later home took a run over.
+func TestAdoptedRunsAreNotLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 2)
+		var lines bytes.Buffer
+		dc.logWriter = &lines
+		for _, w := range dc.workers {
+			w.SetRunTime(func(string) time.Duration { return paceRun })
+		}
+		first := dc.readyHome(1)
+		s := submission("job", 1)
+		s.TimeLeft, s.Batch.Steps[0].Estimate = 10*time.Second, paceRun
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go first.Submit(ctx, s)
+		time.Sleep(paceRun / 3)
+		first.Close()
+		later := dc.newHome(2)
+		defer dc.close(later)
+		time.Sleep(paceRun / 3)
+		s.Resumed, s.Age = true, 2*paceRun/3
+		if o := submit(later, s); o.Result != home.Succeeded {
+			t.Fatalf("%+v", o)
+		}
+		for line := range strings.SplitSeq(lines.String(), "\n") {
+			if strings.Contains(line, `"job ended"`) && strings.Contains(line, `"verdict":"succeeded"`) && strings.Contains(line, "measuredObjectiveMillis") {
+				t.Errorf("an objective from a part of a run: %s", line)
+			}
+		}
+	})
+}
