home: spare jobs that wait for a faster worker in the review, and not for one they failed on

Two faults found in review by reading, without a test that fails: the review could refuse a job as not in time that had had a place and waited for a faster worker, as it could not for one held for a rack; and a task could wait for a worker on which it had failed, which placement passes over.

--- a/home/job.go
+++ b/home/job.go
@@ -30,7 +30,7 @@
 	trail          trail
 	placements     placements
 	farSteps       []bool // steps without a worker in the rack of their data, nil if there are none
-	hadPlace       bool   // a task was held for a place near its data when it could have started elsewhere
+	hadPlace       bool   // a task was held for a place near its data, or on a faster worker, when it could have started elsewhere
 
 	estimates      []time.Duration // run time of one task, by step
 	tasks          []task
--- a/home/pace.go
+++ b/home/pace.go
@@ -113,13 +113,14 @@
 		if in < 0 {
 			in = -in // a run that takes longer than expected is probably a long one
 		}
-		if e.worker == w || e.worker.health.State(now) != plan.Healthy || !e.worker.isUsable() || !e.worker.canServe(&j.route, step) ||
+		if e.worker == w || t.triedOn[e.worker.info.ID] || e.worker.health.State(now) != plan.Healthy || !e.worker.isUsable() || !e.worker.canServe(&j.route, step) ||
 			!step.Needs.Within(e.worker.tracker.Free().Plus(e.needs)) ||
 			!plan.AwaitFaster(run, left, in+h.expectedRunOn(e.worker, j, t.step)) {
 			continue
 		}
 		if passedOver++; passedOver > p.awaited {
 			p.awaited++
+			j.hadPlace = true
 			return true
 		}
 	}
