--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -128,10 +128,18 @@
 		t.Error(diff)
 	}
 
-	added := audit.Diff(routing(7, route("root", "h", "/")), routing(8, route("root", "h", "/"), route("a", "h", "/a/")))
-	want = []audit.Change{{Action: audit.Added, Target: "h/a/", Effect: "requests after it no longer go to h/"}}
-	if diff := cmp.Diff(want, added); diff != "" {
-		t.Error(diff)
+	root, middle, other := route("root", "h", "/"), route("a", "h", "/a/"), route("other", "i", "/a/b/")
+	few, all := routing(7, root, middle, other), routing(8, root, middle, other, route("b", "h", "/a/b/"))
+	for _, c := range []struct {
+		inForce, next model.Routing
+		want          audit.Change
+	}{
+		{few, all, audit.Change{Action: audit.Added, Target: "h/a/b/", Effect: "requests after it no longer go to h/a/"}},
+		{all, few, audit.Change{Action: audit.Removed, Target: "h/a/b/", Effect: "requests after it go to h/a/"}},
+	} {
+		if diff := cmp.Diff([]audit.Change{c.want}, audit.Diff(c.inForce, c.next)); diff != "" {
+			t.Error(diff)
+		}
 	}
 }
 
