--- a/home/pace_test.go
+++ b/home/pace_test.go
@@ -123,9 +123,12 @@
 		h := dc.readyHome(1)
 		defer dc.close(h)
 		draw := rand.New(rand.NewPCG(1, 2))
+		var mu sync.Mutex // of draw
 		play := func(jobs int, slower time.Duration) {
 			for id, w := range dc.workers {
 				w.SetRunTime(func(string) time.Duration {
+					mu.Lock()
+					defer mu.Unlock()
 					run := time.Duration((0.6 + 0.8*draw.Float64()) * float64(paceRun))
 					if id >= "w4" {
 						run *= slower
@@ -216,6 +219,7 @@
 		go first.Submit(ctx, s)
 		time.Sleep(paceRun / 3)
 		first.Close()
+		<-first.Done() // so that the homes don't log at the same time
 		later := dc.newHome(2)
 		defer dc.close(later)
 		time.Sleep(paceRun / 3)
