--- a/home/pace.go
+++ b/home/pace.go
@@ -95,9 +95,11 @@
 const maxAwaitedEnds = 64
 
 // awaitsFasterWorker reports whether a task that is placed on w waits instead for a faster worker
-// that becomes free in time, and counts that worker's place as taken for the rest of the pass.
+// that becomes free in time, and counts that worker's place as taken for the rest of the pass. Behind a
+// backlog no task waits: all of them would be considered again at each event, when the processor of the
+// home is what limits the starts.
 func (h *Home) awaitsFasterWorker(j *job, t *task, w *worker, p *pass, now time.Time) bool {
-	if !h.uneven {
+	if !h.uneven || len(h.waiting) > batchingThreshold {
 		return false
 	}
 	run, left := h.expectedRunOn(w, j, t.step), j.timeFor(t.step, now)
