--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -72,12 +73,7 @@
 
 // isKnown reports whether a data centre has workers or a home row.
 func (in *Instance) isKnown(dataCentre string) bool {
-	for _, dc := range in.dataCentres() {
-		if dc == dataCentre {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(in.dataCentres(), dataCentre)
 }
 
 // drainOf returns the request to drain a data centre, and false if there is none.
