--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -29,7 +30,7 @@
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	Note("case %s, trouble %t", name, trouble)
-	ok := map[string]func(*Fleet, bool) bool{"flap": flap, "rack": rack, "cancel": cancelRunning}[name](f, trouble)
+	ok := map[string]func(*Fleet, bool) bool{"flap": flap, "isolated": isolated, "cancel": cancelRunning}[name](f, trouble)
 	for _, i := range f.Instances {
 		if i.Ends > 0 {
 			ok = false // it could not start, such as since a port was taken
@@ -87,39 +88,52 @@
 	}
 }
 
-// rack cuts the home of a zone and one worker off from all others and from the store, as the loss of a switch does.
-func rack(f *Fleet, trouble bool) bool {
+// isolated cuts the home of a zone off from the other instances and the store, while the next home has no path to one
+// worker.
+func isolated(f *Fleet, trouble bool) bool {
 	if !smallFleet(f) {
 		return false
 	}
-	home := f.HomeOf("kochi")
-	inside := map[string]bool{home.Name: true, "w1": true}
+	home, next := f.HomeOf("kochi"), f.Instances[0]
+	if next == home {
+		next = f.Instances[1]
+	}
 	Note("home of kochi: %s", home.Name)
 	var g sync.WaitGroup
-	for n := range 8 {
+	for n := range 4 {
 		j := &Job{
-			ID: fmt.Sprintf("%016x", 0xc0de00+n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: "quote", Timeout: 12 * time.Second,
-			Steps: []Step{{Replicas: 1, CPU: 6000, MemMB: 64, Estimate: 7000, RunTime: 7 * time.Second}},
+			ID: fmt.Sprintf("%016x", 0xc0de00+n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: "quote", Timeout: 15 * time.Second,
+			Steps: []Step{{Replicas: 1, CPU: 6000, MemMB: 64, Estimate: 6000, RunTime: 6 * time.Second}},
 		}
 		f.Ledger.Register(j)
 		g.Go(func() {
-			list := f.SubmitUntilAnswered(context.Background(), j, 3, func(try int) *Instance {
-				if try == 0 {
-					return home
-				}
-				return f.Instances[try%len(f.Instances)]
-			})
-			f.Check(j, list)
+			f.Check(j, []Answer{home.Submit(context.Background(), j)})
 			f.logRuns(j)
 		})
 	}
 	time.Sleep(700 * time.Millisecond)
 	if trouble {
-		Note("%s and w1 are cut off", home.Name)
-		f.CutZone(inside, true)
-		time.Sleep(4 * time.Second)
-		f.CutZone(inside, false)
-		Note("the cut ends")
+		const workerCut, homeCut = 5 * time.Second, 2600 * time.Millisecond
+		others := f.Links(func(from, to string) bool {
+			return strings.HasPrefix(to, "entry") && (from == home.Name) != (to == home.Name)
+		})
+		path := f.Links(func(from, to string) bool { return from == next.Name && to == "w1" })
+		Note("w1 loses the path to %s, %s is cut off from the other instances and the store", next.Name, home.Name)
+		cut := func(links []*PeerProxy, on bool) {
+			for _, l := range links {
+				l.Cut(on)
+			}
+		}
+		cut(path, true)
+		cut(others, true)
+		home.StoreLink.held.Store(true)
+		time.Sleep(homeCut)
+		cut(others, false)
+		home.StoreLink.held.Store(false)
+		Note("%s is back", home.Name)
+		time.Sleep(workerCut - homeCut)
+		cut(path, false)
+		Note("w1 has its path to %s again", next.Name)
 	}
 	g.Wait()
 	return true
--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -23,7 +23,7 @@
 		}
 		notes = record
 		os.Exit(soak(binary, seed, length, os.Args[4]))
-	case "flap", "rack", "cancel":
+	case "flap", "isolated", "cancel":
 		os.Exit(runCase(os.Args[1], binary, os.Args[2]))
 	}
 	fmt.Fprintln(os.Stderr, "unknown case", os.Args[1])
--- a/review/_stand2/proxy.go
+++ b/review/_stand2/proxy.go
@@ -15,6 +15,8 @@
 	held   atomic.Bool // no byte passes, in both directions
 	refuse atomic.Bool // new connections are reset
 
+	silent atomic.Int64 // connections of earlier generations swallow all bytes
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
 }
@@ -68,9 +70,10 @@
 	p.mu.Lock()
 	p.conns[c], p.conns[d] = struct{}{}, struct{}{}
 	p.mu.Unlock()
+	generation := p.silent.Load()
 	var g sync.WaitGroup
 	for _, pair := range [][2]net.Conn{{c, d}, {d, c}} {
-		g.Go(func() { p.copy(pair[0], pair[1]) })
+		g.Go(func() { p.copy(pair[0], pair[1], generation) })
 	}
 	g.Wait()
 	p.mu.Lock()
@@ -80,11 +83,17 @@
 	_, _ = c.Close(), d.Close()
 }
 
-func (p *Proxy) copy(from, to net.Conn) {
+func (p *Proxy) copy(from, to net.Conn, generation int64) {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		p.wait()
+		if p.silent.Load() != generation {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		if n > 0 {
 			if _, e := to.Write(buffer[:n]); e != nil {
 				reset(from)
--- a/review/_stand2/soak.go
+++ b/review/_stand2/soak.go
@@ -80,13 +80,13 @@
 }
 
 func newSoakJob(seed uint64, n int) *Job {
-	j := &Job{ID: fmt.Sprintf("%08x%08x", seed, n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: fmt.Sprintf("spec %d <&> \u2028 %d", n, random.IntN(1000)), Timeout: random.Between(1500, 6000)}
+	j := &Job{ID: fmt.Sprintf("%08x%08x", seed, n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: fmt.Sprintf("spec %d <&> \u2028 %d", n, random.IntN(1000)), Timeout: random.Between(400, 6000)}
 	if random.Float64() < 0.3 {
 		j.Prefix = "/p/"
 	}
 	steps := 1 + random.IntN(4)
 	for i := range steps {
-		s := Step{Replicas: 1 + random.IntN(6), CPU: 1000 + random.IntN(9000), MemMB: 64, RunTime: random.Between(20, 700)}
+		s := Step{Replicas: 1 + random.IntN(6), CPU: 500 + random.IntN(5000), MemMB: 64, RunTime: random.Between(20, []int{200, 700, 2500}[random.IntN(3)])}
 		s.Estimate = int(float64(s.RunTime.Milliseconds()) * (0.6 + 0.8*random.Float64()))
 		if i > 0 && random.Float64() < 0.8 {
 			s.After = []int{random.IntN(i)}
@@ -276,6 +276,18 @@
 		for _, i := range f.Instances {
 			i.StoreLink.held.Store(false)
 		}
+	case 'S':
+		part := random.IntN(3)
+		Note("open connections go silent %d", part)
+		for _, l := range f.Links(func(a, b string) bool { return part == 0 || part == 1 && b[0] == 'e' || part == 2 && b[0] != 'e' }) {
+			l.silent.Add(1)
+		}
+		if part == 0 {
+			for _, i := range f.Instances {
+				i.StoreLink.silent.Add(1)
+			}
+		}
+		time.Sleep(2 * time.Second)
 	case 'r':
 		Note("reset the connections of %s", i.Name)
 		for _, l := range f.Links(func(a, b string) bool { return a == i.Name || b == i.Name }) {
