--- a/review/7/run.sh
+++ b/review/6/run.sh
@@ -6,4 +6,4 @@
 for program in target/foxtailmux target/review-2/stand2; do
 	[ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec timeout --signal=TERM 110 target/review-2/stand2 cancel "$here/record.txt"
+exec timeout --signal=TERM 110 target/review-2/stand2 scaled "$here/record.txt"
--- a/review/_stand2/cases.go
+++ b/review/_stand2/cases.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"strings"
@@ -20,6 +20,7 @@
 	}
 	defer out.Close()
 	notes = out
+	random.r = rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0))
 	f := NewFleet(binary)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -30,7 +31,7 @@
 	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	Note("case %s, trouble %t", name, trouble)
-	ok := map[string]func(*Fleet, bool) bool{"flap": flap, "isolated": isolated, "cancel": cancelRunning}[name](f, trouble)
+	ok := map[string]func(*Fleet, bool) bool{"isolated": isolated, "scaled": scaled}[name](f, trouble)
 	for _, i := range f.Instances {
 		if i.Ends > 0 {
 			ok = false // it could not start, such as since a port was taken
@@ -139,114 +140,61 @@
 	return true
 }
 
-// flap cuts a zone off whose link comes back for a moment.
-func flap(f *Fleet, trouble bool) bool {
-	if !smallFleet(f) {
+// scaled stops the only instance of a zone, as planned, while workers are added there.
+func scaled(f *Fleet, trouble bool) bool {
+	const base, added = 24, 8
+	for k := range base {
+		f.AddWorker(fmt.Sprintf("w%02d", k), "kochi", "desk", 64000, "a", fmt.Sprintf("r1-%d", k/6))
+		f.AddWorker(fmt.Sprintf("v%02d", k), "tvm", "desk", 64000, "a", fmt.Sprintf("r2-%d", k/6))
+	}
+	f.Routes = []Route{{"q", "q.example", "/q/", "desk", 2}}
+	f.PutConfig()
+	f.AddInstance("entry-kochi-1", "kochi", "1000")
+	time.Sleep(random.Between(0, 300))
+	f.AddInstance("entry-tvm-1", "tvm", "1000")
+	if !f.AwaitReady("kochi", "tvm") {
+		Note("the fleet is not ready")
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 80*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 88*time.Second)
 	defer cancel()
 	var g sync.WaitGroup
 	n := 0
 	g.Go(func() {
 		for ctx.Err() == nil {
-			time.Sleep(120 * time.Millisecond)
+			time.Sleep(18 * time.Millisecond)
 			n++
-			at := f.Instances[n%2] // of kochi
+			at := f.Instances[n%3/2] // two of three jobs come to kochi
 			j := &Job{
-				ID: fmt.Sprintf("%016x", 0xf1a900+n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: "quote", Timeout: 6 * time.Second,
-				Steps: []Step{{Replicas: 4, CPU: 4000, MemMB: 64, Estimate: 900, RunTime: 900 * time.Millisecond}},
+				ID: fmt.Sprintf("%016x", 0x5ca1e000+n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: "quote", Timeout: 5 * time.Second,
+				Steps: []Step{{Replicas: 4, CPU: 27000, MemMB: 64, Estimate: 1100, RunTime: random.Between(800, 1500)}},
 			}
 			f.Ledger.Register(j)
-			g.Go(func() {
-				f.Check(j, f.SubmitUntilAnswered(context.Background(), j, 2, func(try int) *Instance {
-					if try == 0 {
-						return at
-					}
-					return f.Instances[(n+try)%len(f.Instances)]
-				}))
-			})
+			g.Go(func() { f.Check(j, []Answer{at.Submit(context.Background(), j)}) })
 		}
 	})
-	inside := f.Inside("kochi")
-	for trouble && ctx.Err() == nil && len(f.Ledger.Broken()) == 0 {
-		for _, cut := range []time.Duration{2 * time.Second, 5500 * time.Millisecond} {
-			Note("kochi is cut off")
-			f.CutZone(inside, true)
-			time.Sleep(cut)
-			f.CutZone(inside, false)
-			Note("kochi is back")
-			time.Sleep(300 * time.Millisecond)
-		}
-		time.Sleep(2700 * time.Millisecond)
-	}
-	if len(f.Ledger.Broken()) > 0 {
-		cancel()
-	}
-	g.Wait()
-	return true
-}
-
-// cancelRunning cancels a job that runs, and looks what runs of it later than the platform's bounds allow.
-func cancelRunning(f *Fleet, trouble bool) bool {
-	const cancelBound, stopBound = 3 * time.Second, 50 * time.Millisecond
-	if !smallFleet(f) {
-		return false
-	}
-	var g sync.WaitGroup
-	for n, at := range f.Instances {
-		j := &Job{
-			ID: fmt.Sprintf("%016x", 0xca0ce1+n), Host: "q.example", Prefix: "/q/", Service: "desk", Spec: "session", Timeout: 15 * time.Second,
-			Steps: []Step{
-				{Replicas: 2, CPU: 6000, MemMB: 64, Estimate: 5000, RunTime: 5 * time.Second},
-				{Replicas: 2, CPU: 6000, MemMB: 64, Estimate: 1000, After: []int{0}, RunTime: time.Second},
-			},
-		}
-		f.Ledger.Register(j)
-		g.Go(func() { f.Check(j, []Answer{at.Submit(context.Background(), j)}); f.logRuns(j) })
-		if !trouble {
-			continue
+	home := f.Instances[0]
+	time.Sleep(16 * time.Second) // the instances have known the workers for long
+	for round := 0; trouble && ctx.Err() == nil && len(f.Ledger.Broken()) == 0; round++ {
+		time.Sleep(time.Second)
+		for f.HomeOf("kochi") != home && ctx.Err() == nil {
+			time.Sleep(50 * time.Millisecond)
 		}
+		time.Sleep(random.Between(0, 700))
+		Note("%s is stopped, %d workers are added", home.Name, added)
 		g.Go(func() {
-			time.Sleep(time.Second)
-			if f.Ledger.Running(j.ID) == 0 {
-				Note("%s does not run", j.ID)
-				return
-			}
-			status := at.Delete(j)
-			if status != 410 && status/100 != 2 {
-				return
-			}
-			acked := time.Now()
-			time.Sleep(cancelBound + stopBound + 200*time.Millisecond)
-			if k := f.Ledger.Running(j.ID); k > 0 {
-				f.Ledger.Break("UNASKED", "%d tasks of %s run %d ms after its cancelling was acknowledged with %d", k, j.ID, time.Since(acked).Milliseconds(), status)
-			}
-			before := f.Ledger.Started(j.ID)
-			time.Sleep(2500 * time.Millisecond)
-			if k := f.Ledger.Started(j.ID) - before; k > 0 {
-				f.Ledger.Break("UNASKED", "%d tasks of %s start later than %v after its cancelling was acknowledged with %d", k, j.ID, cancelBound, status)
-			}
+			home.Terminate(6 * time.Second)
+			Note("%s has ended", home.Name)
+			time.Sleep(random.Between(200, 900))
+			home.Start()
 		})
+		for k := range added {
+			f.AddWorker(fmt.Sprintf("n%02d%02d", round, k), "kochi", "desk", 64000, "a", "r1-9")
+			time.Sleep(2 * time.Second / added)
+		}
+		time.Sleep(4 * time.Second)
 	}
+	cancel()
 	g.Wait()
 	return true
 }
-
-// Delete cancels a job, and returns the status, 0 without an answer.
-func (i *Instance) Delete(j *Job) int {
-	req, err := http.NewRequest(http.MethodDelete, "http://"+i.Callers+j.Prefix+j.ID, nil)
-	if err != nil {
-		panic(err)
-	}
-	req.Host = j.Host
-	Note("cancel %s at %s", j.ID, i.Name)
-	resp, err := (&http.Client{Timeout: 3 * time.Second}).Do(req)
-	if err != nil {
-		Note("cancel %s: %v", j.ID, err)
-		return 0
-	}
-	_ = resp.Body.Close()
-	Note("cancel %s: %d", j.ID, resp.StatusCode)
-	return resp.StatusCode
-}
--- a/review/_stand2/fleet.go
+++ b/review/_stand2/fleet.go
@@ -16,7 +16,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -50,7 +49,6 @@
 	binary    string
 	dir       string
 
-	herd  atomic.Bool
 	mu    sync.Mutex
 	links map[[2]string]*PeerProxy // between instances, and from instances to workers
 }
@@ -435,28 +433,6 @@
 	return a
 }
 
-// retryDelay is retry-ms of the settings.
-const retryDelay = 1300 * time.Millisecond
-
-// SubmitUntilAnswered hands a job in as the platform's clients do: again after no answer, 502 or 504.
-func (f *Fleet) SubmitUntilAnswered(ctx context.Context, j *Job, tries int, pick func(try int) *Instance) []Answer {
-	var list []Answer
-	for try := range tries {
-		if try > 0 {
-			time.Sleep(retryDelay)
-		}
-		a := pick(try).Submit(ctx, j)
-		list = append(list, a)
-		if a.Status != 0 && a.Status != 502 && a.Status != 504 {
-			break
-		}
-		if ctx.Err() != nil {
-			break
-		}
-	}
-	return list
-}
-
 // Check compares the answers of a job with what ran, after the end of the job.
 func (f *Fleet) Check(j *Job, answers []Answer) {
 	rejected := len(answers) > 0
@@ -470,27 +446,3 @@
 		f.Ledger.Break("REFUSED", "%s was rejected and ran", j.ID)
 	}
 }
-
-// Inside returns the names of the instances and workers of a zone.
-func (f *Fleet) Inside(zone string) map[string]bool {
-	names := map[string]bool{}
-	for _, i := range f.Instances {
-		names[i.Name] = i.Zone == zone
-	}
-	for _, w := range f.Workers {
-		names[w.ID] = w.Zone == zone
-	}
-	return names
-}
-
-// CutZone cuts those inside off from all others and from the store, or heals the cut.
-func (f *Fleet) CutZone(inside map[string]bool, cut bool) {
-	for _, l := range f.Links(func(from, to string) bool { return inside[from] != inside[to] }) {
-		l.Cut(cut)
-	}
-	for _, i := range f.Instances {
-		if inside[i.Name] {
-			i.StoreLink.held.Store(cut)
-		}
-	}
-}
