home, fleet: name the runs that a home leaves to the next one

Cause: the home that stops had read of a worker since the next one read the list, up to 1 s before, and had started tasks there. The next home took its list for complete, so that all its workers had reported within milliseconds (allRunsKnown), and started the tasks again that the earlier home had said may run. The earlier home knew worker and lease of each run and did not say them.

Change: a closed home names each run that it leaves: worker, incarnation, and the time until the lease has ended. Such a task is held back until that incarnation of that worker has reported, or until then; an unknown worker has the list read at once. Tasks whose runs were elsewhere are no longer held back by workers that are silent. A home that is replaced before it has seen these runs passes them on. A list counts as complete only if its reading was requested after the home had started; a worker that leaves the list before it has reported goes on being asked. A closed home extends no lease.

--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return !notAccepted(err)
 	}
-	return o.Result == home.Moved || o.Result == home.Cancelled
+	return o.Result == home.Moved && !o.NotTaken || o.Result == home.Cancelled
 }
 
 // homeWaitLimit returns how long a job of the given age waits for a home, when no home has been
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -64,6 +64,7 @@
 	in.openJobs.RemoveExpired(time.Now())
 	in.leftRuns.RemoveExpired(time.Now())
 	in.reviewHomes()
+	in.completeHomeWorkers()
 	in.recordHome()
 	in.recordDrains()
 }
@@ -189,11 +190,12 @@
 		Observer:       in.meter,
 		Log:            &in.log.Logger,
 	})
-	h.SetWorkers(in.workersFor(dataCentre))
+	in.setHomeWorkers(dataCentre, h)
 	in.mu.Lock()
 	in.localHomes[dataCentre] = h
 	in.mu.Unlock()
-	in.log.Info().Str("home", dataCentre).Int64("token", token).Msg("home taken")
+	in.workerTable.Refresh() // for the workers that the earlier home knows and this instance does not
+	in.log.Info().Str("home", dataCentre).Int64("token", token).Int64("listMillisAgo", time.Since(in.workerTable.AsOf()).Milliseconds()).Msg("home taken")
 	in.heartbeats.Announce()
 	in.changed.notify()
 }
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -17,12 +17,13 @@
 type forwarding struct {
 	localDC       string // data centre of this instance
 	target        string
-	resumed       bool     // a home may have begun the job
-	immediate     bool     // the next home starts the job at once or declines it
-	noRedirect    bool     // the next home must not send the job elsewhere
-	doneTasks     []string // tasks that earlier homes reported as done
-	maybeRunning  []string // tasks that the last home may have left running
-	tasksReported bool     // maybeRunning was reported by the last home
+	resumed       bool           // a home may have begun the job
+	immediate     bool           // the next home starts the job at once or declines it
+	noRedirect    bool           // the next home must not send the job elsewhere
+	doneTasks     []string       // tasks that earlier homes reported as done
+	maybeRunning  []string       // tasks that the last home may have left running
+	leftRuns      []home.LeftRun // of those of which all runs are known
+	tasksReported bool           // maybeRunning and leftRuns were reported by the last home
 	part          *home.Part
 	unreachable   map[string]bool // data centres whose home could not be reached or has handed the job back
 	mustRun       bool            // tasks of the job may have run, none runs now, and any home may continue it
@@ -36,7 +37,7 @@
 // annotate fills in what the next home has to know about the earlier attempts.
 func (j *forwarding) annotate(s *home.Submission) {
 	s.Resumed, s.Immediate, s.NoRedirect = j.resumed || j.mustRun, j.immediate, j.noRedirect
-	s.Done, s.MaybeRunning, s.TasksReported, s.Part = j.doneTasks, j.maybeRunning, j.tasksReported, j.part
+	s.Done, s.MaybeRunning, s.LeftRuns, s.TasksReported, s.Part = j.doneTasks, j.maybeRunning, j.leftRuns, j.tasksReported, j.part
 }
 
 // decision is the next step after an attempt at a home.
@@ -54,10 +55,13 @@
 	switch {
 	case err != nil && notAccepted(err):
 		return j.decideUnreachable(dataCentre)
+	case err == nil && outcome.Result == home.Moved && outcome.NotTaken:
+		j.immediate, j.target = false, dataCentre // what earlier homes reported still holds
+		return retryAtLaterHome
 	case err != nil, outcome.Result == home.Moved:
 		j.resumed, j.immediate, j.target = true, false, dataCentre
 		j.doneTasks = append(j.doneTasks, outcome.Done...)
-		j.maybeRunning, j.tasksReported = outcome.MaybeRunning, err == nil
+		j.maybeRunning, j.leftRuns, j.tasksReported = outcome.MaybeRunning, outcome.LeftRuns, err == nil
 		return retryAtLaterHome
 	case outcome.Result == home.Drained:
 		j.handOver(dataCentre, outcome)
@@ -83,7 +87,7 @@
 func (j *forwarding) handOver(dataCentre string, o home.Outcome) {
 	j.mustRun = j.mustRun || j.resumed || j.part != nil || o.Begun || len(o.Done) > 0
 	j.doneTasks = append(j.doneTasks, o.Done...)
-	j.resumed, j.maybeRunning, j.tasksReported = false, nil, j.mustRun
+	j.resumed, j.maybeRunning, j.leftRuns, j.tasksReported = false, nil, nil, j.mustRun
 	j.unreachable[dataCentre] = true
 	j.target, j.immediate = j.localDC, false
 }
--- a/fleet/route_test.go
+++ b/fleet/route_test.go
@@ -84,3 +84,35 @@
 		t.Error(diff)
 	}
 }
+
+// Guards against a task that runs twice: a submission that arrived at a home as that was closed made its origin
+// forget what an earlier home had left running, and against a job that counts as begun without having been.
+func TestHomeThatTakesNoSubmissionEndsNoReport(t *testing.T) {
+	left := []home.LeftRun{{Task: "b", Worker: "w"}}
+	notTaken := home.Outcome{Result: home.Moved, NotTaken: true}
+	cases := map[string]struct {
+		before []home.Outcome
+		want   home.Submission
+	}{
+		"new":    {nil, home.Submission{}},
+		"begun":  {[]home.Outcome{{Result: home.Moved, MaybeRunning: []string{"b"}, LeftRuns: left}}, home.Submission{Resumed: true, TasksReported: true, MaybeRunning: []string{"b"}, LeftRuns: left}},
+		"handed": {[]home.Outcome{{Result: home.Drained, Begun: true}}, home.Submission{Resumed: true, TasksReported: true}},
+	}
+	for name, c := range cases {
+		j := newForwarding("kochi")
+		for _, o := range c.before {
+			j.decide("kochi", o, nil)
+		}
+		if got := j.decide("kochi", notTaken, nil); got != retryAtLaterHome {
+			t.Errorf("%s: decision %d", name, got)
+		}
+		var s home.Submission
+		j.annotate(&s)
+		if diff := cmp.Diff(c.want, s); diff != "" {
+			t.Errorf("%s (-want +got):\n%s", name, diff)
+		}
+	}
+	if mayHaveBegun(notTaken, nil) {
+		t.Error("a submission that was not taken counts as begun")
+	}
+}
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -66,8 +66,29 @@
 // with its own lock held, so mu must not be held when a home is called.
 func (in *Instance) updateHomeWorkers() {
 	for dc, h := range in.homesByCentre() {
-		workers, complete := in.workersFor(dc)
-		h.SetWorkers(workers, complete)
+		in.setHomeWorkers(dc, h)
+	}
+}
+
+// setHomeWorkers passes the workers of a data centre to its home.
+func (in *Instance) setHomeWorkers(dataCentre string, h *home.Home) {
+	workers, complete := in.workersFor(dataCentre, h)
+	if complete && h.AwaitsWorkers() {
+		in.log.Info().Str("home", dataCentre).Int64("token", h.Token()).Int("workers", len(workers)).
+			Int64("homeMillis", time.Since(h.StartedAt()).Milliseconds()).Msg("list of workers is complete")
+	}
+	h.SetWorkers(workers, complete)
+}
+
+// completeHomeWorkers passes the workers to the homes of this instance that wait for a complete list of them.
+func (in *Instance) completeHomeWorkers() {
+	for dc, h := range in.homesByCentre() {
+		if !h.AwaitsWorkers() {
+			continue
+		}
+		if _, complete := in.workersFor(dc, h); complete {
+			in.setHomeWorkers(dc, h)
+		}
 	}
 }
 
@@ -78,11 +99,11 @@
 	return maps.Clone(in.localHomes)
 }
 
-// workersFor returns the workers of a data centre and whether the list is complete.
-func (in *Instance) workersFor(dataCentre string) (map[string]model.Worker, bool) {
+// workersFor returns the workers of a data centre for a home, and whether the list is complete.
+func (in *Instance) workersFor(dataCentre string, h *home.Home) (map[string]model.Worker, bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	return in.workersOf(dataCentre), in.listComplete(dataCentre)
+	return in.workersOf(dataCentre), in.listComplete(dataCentre, h.StartedAt())
 }
 
 // incompleteAfterLoss is how long the list of a data centre's workers counts as incomplete
@@ -91,9 +112,10 @@
 const incompleteAfterLoss = 15 * time.Second
 
 // listComplete reports whether the list of a data centre's workers names every worker on
-// which an earlier home can have started a task.
-func (in *Instance) listComplete(dataCentre string) bool {
-	return in.workerTable.StoreReachable() && in.workerTable.Staleness() < maxTableAge &&
+// which a home before the one that started at a time can have started a task. Until then the
+// earlier home may have read of workers that the list has if it was read later. The caller holds the lock.
+func (in *Instance) listComplete(dataCentre string, homeStartedAt time.Time) bool {
+	return in.workerTable.AsOf().After(homeStartedAt) &&
 		in.workerTable.LoadedFor() > incompleteAfterLoss && time.Since(in.workerLeftAt[dataCentre]) > incompleteAfterLoss
 }
 
--- a/fleet/workers_test.go
+++ b/fleet/workers_test.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"io"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -13,6 +15,7 @@
 	"foxtailmux/logger"
 	"foxtailmux/model"
 	"foxtailmux/table"
+	"foxtailmux/watch"
 )
 
 // rowAdapter is an adapter that decodes a worker's data centre only, and no row "odd".
@@ -48,3 +51,45 @@
 		t.Errorf("workers known (-want +got):\n%s", diff)
 	}
 }
+
+// slowSource is a store whose responses take a second and have no rows.
+type slowSource struct{}
+
+func (slowSource) List(context.Context, string) (table.Changes, error) {
+	time.Sleep(time.Second)
+	return table.Changes{Version: 1}, nil
+}
+
+func (slowSource) Watch(context.Context, string, int64, time.Duration) (table.Changes, error) {
+	time.Sleep(time.Second)
+	return table.Changes{Version: 1}, nil
+}
+
+// Guards against a task that runs twice: a list of workers that was read up to a second before a home was taken
+// counted as complete, though the earlier home had read of a worker since and used it.
+func TestListOfWorkersIsCompleteIfItIsReadSinceTheHomeWasTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		in := &Instance{workerLeftAt: map[string]time.Time{}}
+		in.workerTable = watch.New("workers", slowSource{}, func() time.Duration { return time.Hour }, func([]table.Row) {}, &l)
+		ctx, cancel := context.WithCancel(t.Context())
+		go in.workerTable.Run(ctx)
+		time.Sleep(incompleteAfterLoss + time.Second)
+		in.workerTable.Refresh()
+		time.Sleep(500 * time.Millisecond)
+		taken := time.Now() // while a request is under way
+		in.workerTable.Refresh()
+		var got []bool
+		for range 2 {
+			time.Sleep(time.Second)
+			got = append(got, in.listComplete("kochi", taken))
+		}
+		in.workerLeftAt["kochi"] = time.Now()
+		got = append(got, in.listComplete("kochi", taken))
+		if diff := cmp.Diff([]bool{false, true, false}, got); diff != "" {
+			t.Errorf("complete after the response to the request before, to the one since, and after a loss (-want +got):\n%s", diff)
+		}
+		cancel()
+		<-in.workerTable.Done()
+	})
+}
--- a/home/adopt.go
+++ b/home/adopt.go
@@ -16,7 +16,7 @@
 	if now.Sub(h.startedAt) > h.options.MaxLease+LeaseMargin {
 		return true
 	}
-	if h.incompleteList {
+	if !h.listComplete {
 		return false
 	}
 	for _, w := range h.workers {
@@ -27,6 +27,13 @@
 	return len(h.workers) > 0
 }
 
+// AwaitsWorkers reports whether a complete list of workers is of use to the home.
+func (h *Home) AwaitsWorkers() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.closed && !h.listComplete && !h.allRunsKnown(time.Now())
+}
+
 // inheritingWorkers returns the workers with runs of an earlier home that are not adopted yet.
 func (h *Home) inheritingWorkers() []*worker {
 	var list []*worker
@@ -57,6 +64,7 @@
 				continue
 			}
 			t.state, t.worker, t.run, t.startedAt, t.maybeRunning, t.adopted = taskRunning, w, run, now, false, true
+			t.leftRuns = nil
 			w.assign(j, t)
 			j.trail.addRun(t, true)
 			j.started = true
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -50,6 +50,7 @@
 // event leads to a pass, so it checks a full worker once and not for each waiting task, and looks
 // for a worker once for all tasks of a kind that fits on none.
 type pass struct {
+	now        time.Time
 	least      int                   // least need of CPU of a waiting job's tasks, in thousandths of a core
 	available  []*worker             // usable workers with at least that much free CPU, by id
 	otherRuns  []*worker             // workers with runs that are assigned to no job
@@ -75,7 +76,7 @@
 
 // newPass returns a pass over the present waiting jobs and workers.
 func (h *Home) newPass(now time.Time) *pass {
-	p := &pass{least: h.leastWaitingMilliCores(), runsKnown: h.allRunsKnown(now), unplaced: map[taskKind]struct{}{}}
+	p := &pass{now: now, least: h.leastWaitingMilliCores(), runsKnown: h.allRunsKnown(now), unplaced: map[taskKind]struct{}{}}
 	for _, w := range h.workersByID() {
 		if w.tracker.Len() > len(w.assignments) {
 			p.otherRuns = append(p.otherRuns, w)
@@ -168,10 +169,10 @@
 // isHeldBack reports whether a task may still run on a worker, so that it has to wait until that
 // run is known and has ended. The end of the run triggers the next pass.
 func (h *Home) isHeldBack(t *task, p *pass) bool {
-	if t.maybeRunning && !p.runsKnown || h.hasOtherRun(t.name, p) {
+	if t.maybeRunning && !p.runsKnown || h.hasLeftRun(t, p.now) || h.hasOtherRun(t.name, p) {
 		return true
 	}
-	t.maybeRunning = false
+	t.maybeRunning, t.leftRuns = false, nil
 	return false
 }
 
--- a/home/finish.go
+++ b/home/finish.go
@@ -195,8 +195,11 @@
 		switch t := &j.tasks[i]; {
 		case t.state == taskDone:
 			o.Done = append(o.Done, t.name)
-		case t.state == taskRunning, t.maybeRunning, h.hasOtherRun(t.name, p):
+		case t.state == taskRunning, t.maybeRunning, h.hasLeftRun(t, p.now), h.hasOtherRun(t.name, p):
 			o.MaybeRunning = append(o.MaybeRunning, t.name)
+			if !t.maybeRunning {
+				o.LeftRuns = append(o.LeftRuns, h.leftRunsOf(t, p.now)...)
+			}
 		}
 	}
 	return o
--- a/home/home.go
+++ b/home/home.go
@@ -133,7 +133,7 @@
 	mu                sync.Mutex
 	closed            bool
 	fenced            bool
-	incompleteList    bool // a list lacked workers that may have runs of an earlier home
+	listComplete      bool // a list had all workers that may have runs of an earlier home
 	workers           map[string]*worker
 	sortedWorkers     []*worker            // by id, nil after a change of workers
 	racks             map[string][]*worker // sortedWorkers by rack
@@ -205,9 +205,15 @@
 // Token returns the fencing token of the home.
 func (h *Home) Token() int64 { return h.options.Token }
 
+// StartedAt returns when the home was started.
+func (h *Home) StartedAt() time.Time { return h.startedAt }
+
 // Done is closed when all goroutines of a closed home have ended.
 func (h *Home) Done() <-chan struct{} { return h.done }
 
+// movedReason is the reason of the result Moved.
+const movedReason = "the workers have another home"
+
 // Close gives the workers up at once. Unfinished jobs end as Moved; their runs are left to the
 // next home or to the expiry of their leases.
 func (h *Home) Close() {
@@ -234,7 +240,7 @@
 	}
 	p := h.newPass(time.Now())
 	for _, j := range h.jobs {
-		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: "the workers have another home"}))
+		h.finish(j, h.withTaskStates(j, p, Outcome{Result: Moved, Reason: movedReason}))
 	}
 	return true
 }
@@ -249,7 +255,7 @@
 	}
 
 	now := time.Now()
-	h.incompleteList = h.incompleteList || !complete
+	h.listComplete = complete
 	for id, w := range h.workers {
 		if _, ok := workers[id]; !ok && !w.removed {
 			w.removed = true
@@ -328,7 +334,7 @@
 		h.uneven = h.uneven || w.speed.Factor() != 1
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
 		w.checkProgress(now)
-		if w.removed && w.tracker.Len() == 0 {
+		if w.removed && w.tracker.Len() == 0 && (w.reported || h.allRunsKnown(now)) {
 			w.cancel()
 			w.speed.Leave()
 			delete(h.workers, id)
--- a/home/job.go
+++ b/home/job.go
@@ -58,7 +58,8 @@
 	pace         float64         // of its run: expected run time over that on a near worker of usual speed
 	usualRun     time.Duration   // measured run time at such a worker, once done
 	adopted      bool            // an earlier home has started its run, at a time that is not known
-	maybeRunning bool            // an earlier home may have left a run of it on a worker
+	maybeRunning bool            // an earlier home may have left a run of it on any worker
+	leftRuns     []LeftRun       // runs of it that an earlier home has left
 	triedOn      map[string]bool // workers on which a run failed, was too slow or did not start
 }
 
@@ -116,7 +117,7 @@
 			j.setDone(t)
 			j.started = true
 		case s.Resumed && (!s.TasksReported || slices.Contains(s.MaybeRunning, t.name)):
-			t.maybeRunning = true
+			t.addLeftRuns(s)
 		}
 	}
 }
@@ -129,6 +130,7 @@
 	}
 	j.resumed = true
 	j.restoreTaskStates(s)
+	h.findLeftRuns(s)
 	if h.complete(j) {
 		h.finish(j, Outcome{Result: Succeeded})
 	}
--- a/home/renew.go
+++ b/home/renew.go
@@ -135,7 +135,8 @@
 	if !w.reported || w.health.IsUnresponsive(now) {
 		return request
 	}
-	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop() || w.home.isGivenUp()
+	// A closed home has told its successor when its leases end.
+	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop() || w.home.closed || w.home.isGivenUp()
 	if !expires {
 		request.Until = w.tracker.GrantLease(now)
 	}
--- a/home/resubmit_test.go
+++ b/home/resubmit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -223,6 +224,21 @@
 		got := <-outcome
 		slices.Sort(got.MaybeRunning)
 		want := home.Outcome{Result: home.Moved, Reason: got.Reason, MaybeRunning: []string{"a.0.0.0", "a.0.0.1"}}
+		for i, r := range got.LeftRuns {
+			if at := dc.ledger.WorkerOf(r.Task); r.Worker != at && at != "" {
+				t.Errorf("run of %s is on %s and said to be on %s", r.Task, at, r.Worker)
+			}
+			if left := time.Until(r.Until.Time); left <= 0 || left > maxLease+home.LeaseMargin {
+				t.Errorf("lease of %s ends in %v", r.Task, left)
+			}
+			if want := fmt.Sprintf("a.0.0.%d", i); r.Task != want {
+				t.Errorf("run %d is of %s, want %s", i, r.Task, want)
+			}
+		}
+		if diff := cmp.Diff(2, len(got.LeftRuns)); diff != "" {
+			t.Errorf("runs that are left (-want +got):\n%s", diff)
+		}
+		got.LeftRuns = nil // their workers are drawn
 		if diff := cmp.Diff(want, got); diff != "" {
 			t.Errorf("outcome (-want +got):\n%s", diff)
 		}
--- a/home/submit.go
+++ b/home/submit.go
@@ -45,6 +45,8 @@
 	Done           []string      `json:"done,omitempty"`       // finished tasks, with Moved and Drained
 	Begun          bool          `json:"hasBegun,omitempty"`   // tasks may have run, with Drained
 	MaybeRunning   []string      `json:"begun,omitempty"`      // tasks that may still run, with Moved
+	LeftRuns       []LeftRun     `json:"leftRuns,omitempty"`   // of those tasks of which all runs are known, with Moved
+	NotTaken       bool          `json:"notTaken,omitempty"`   // the home has not begun the submission, with Moved
 }
 
 // Submission is a job that its origin, the instance that holds the caller's connection, submits
@@ -72,10 +74,12 @@
 	// Part is the share of the tasks that is run, nil for all.
 	Part *Part `json:"part,omitempty"`
 	// Done lists the tasks that finished at an earlier home, and MaybeRunning those that it may
-	// have left running. Without TasksReported, any other task may run too.
-	Done          []string `json:"done,omitempty"`
-	MaybeRunning  []string `json:"begun,omitempty"`
-	TasksReported bool     `json:"told,omitempty"`
+	// have left running, on any worker if LeftRuns does not name their runs. Without TasksReported,
+	// any other task may run too.
+	Done          []string  `json:"done,omitempty"`
+	MaybeRunning  []string  `json:"begun,omitempty"`
+	LeftRuns      []LeftRun `json:"leftRuns,omitempty"`
+	TasksReported bool      `json:"told,omitempty"`
 
 	// SpecBytes is the length in bytes of the specification if the origin keeps it and sends
 	// the start requests itself, through OriginStarter; 0 otherwise.
@@ -139,8 +143,9 @@
 // acceptLocked is accept for callers that hold the lock.
 func (h *Home) acceptLocked(s Submission) (*job, Outcome) {
 	h.activity.submissions++
-	if h.closed || h.isGivenUp() {
-		return nil, Outcome{Result: Moved, Reason: "the workers have another home"}
+	givenUp := h.isGivenUp() || h.closed
+	if f, ok := h.finished[s.Key()]; ok && givenUp && f.outcome.Result == Moved {
+		return nil, f.outcome // submitted again
 	}
 	if _, ok := h.cancelled[s.ID()]; ok {
 		return nil, Outcome{Result: Cancelled, Reason: callerLeft}
@@ -155,6 +160,9 @@
 		h.joinTaskStates(j, s)
 		return j, Outcome{}
 	}
+	if givenUp {
+		return nil, Outcome{Result: Moved, Reason: movedReason, NotTaken: true}
+	}
 	if f, ok := h.finished[s.Key()]; ok && f.outcome.Result == Succeeded {
 		return nil, f.outcome
 	}
@@ -168,6 +176,7 @@
 	h.updateTypicalTask(j)
 	h.recordOffer(j, s, now)
 	j.restoreTaskStates(s)
+	h.findLeftRuns(s)
 	h.adoptRuns(j, h.inheritingWorkers(), now)
 	if !j.started && !j.resumed {
 		if refusal, ok := h.admit(j, s, now); !ok {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -63,6 +63,7 @@
 	version     int64
 	loadedAt    time.Time // first complete read of the table
 	currentAt   time.Time // last response after which no further changes were pending
+	asOf        time.Time // the cache holds all changes that the store had then
 	reachable   bool      // the last request to the store succeeded
 	outageSince time.Time // start of the last outage of the store
 }
@@ -99,6 +100,14 @@
 	return time.Since(c.currentAt)
 }
 
+// AsOf returns a time at which the store had no changes that the cache does not hold, the latest that is known.
+// A response may be under way for any time, so only the request counts.
+func (c *Cache) AsOf() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.asOf
+}
+
 // Done is closed when Run has returned.
 func (c *Cache) Done() <-chan struct{} { return c.done }
 
@@ -254,7 +263,7 @@
 		c.loadedAt = time.Now()
 	}
 	c.mu.Unlock()
-	c.apply(table.Changes{Rows: changes, Version: l.Version}, first)
+	c.apply(table.Changes{Rows: changes, Version: l.Version}, began, first)
 	return nil
 }
 
@@ -271,11 +280,15 @@
 	}
 	c.mu.Unlock()
 
+	asOf := time.Now()
 	changes, err := c.watch(ctx, after, wait)
 	if err != nil {
 		return false, err
 	}
-	c.apply(changes, false)
+	if len(changes.Rows) == 0 && time.Since(asOf) >= wait {
+		asOf = asOf.Add(wait) // the store has waited for a change in vain
+	}
+	c.apply(changes, asOf, false)
 	return changes.More, nil
 }
 
@@ -311,12 +324,13 @@
 // change feed delivers it. It calls onChange if the row is newer than the cached
 // one.
 func (c *Cache) ApplyWrite(row table.Row) {
-	c.apply(table.Changes{Rows: []table.Row{row}}, false)
+	c.apply(table.Changes{Rows: []table.Row{row}}, time.Time{}, false)
 }
 
 // apply stores the rows that are newer than the cached ones, and calls onChange
-// with them. NotifyIfEmpty calls it also when no row changed.
-func (c *Cache) apply(changes table.Changes, notifyIfEmpty bool) {
+// with them. AsOf is when the store had no further changes unless more are pending, or zero.
+// NotifyIfEmpty calls onChange also when no row changed.
+func (c *Cache) apply(changes table.Changes, asOf time.Time, notifyIfEmpty bool) {
 	c.mu.Lock()
 	var changed []table.Row
 	for _, row := range changes.Rows {
@@ -332,6 +346,9 @@
 		changed = append(changed, row)
 	}
 	c.version = max(c.version, changes.Version)
+	if !changes.More && asOf.After(c.asOf) {
+		c.asOf = asOf
+	}
 	c.mu.Unlock()
 
 	if len(changed) == 0 && !notifyIfEmpty {
