fleet: judge whether a data centre is reachable by recent checks only

Cause: an instance elsewhere claims the home of a data centre whose instances it does not hear if it could dial workers there for 0.7 s. Checks are made only while the instances are suspected. One that succeeded while the link was back still counted when the second cut was noticed, 1.05 s later: the answer was forgotten after 1.4 s without a check, and no check had to have succeeded lately.

Change: a successful check counts for 0.5 s, and checks that are further apart than that don't count as checks in a row. The decision stands apart from the dialling.

--- a/fleet/reachability.go
+++ b/fleet/reachability.go
@@ -21,13 +21,49 @@
 	// instance claims its home. When a network partition heals, the heartbeats of the
 	// instances in it arrive within this time.
 	minReachableTime = 700 * time.Millisecond
+
+	// maxCheckAge is the age up to which a successful check counts, and the longest time between
+	// two checks in a row. Checks end with the suspicion that led to them, and the next one may follow
+	// another cut.
+	maxCheckAge = 2 * reachCheckInterval
 )
 
-// reachability is whether workers of another data centre accept connections.
+// reachability is whether workers of another data centre accept connections, as far as checks in a row tell.
 type reachability struct {
 	checking       bool
 	checkedAt      time.Time // start of the last check
-	reachableSince time.Time // zero while unreachable
+	succeededAt    time.Time // start of the last successful check
+	reachableSince time.Time // end of the first one of those in a row, zero while unreachable
+}
+
+// begin reports whether a check is due, and records its start.
+func (r *reachability) begin(now time.Time) bool {
+	if r.checking || now.Sub(r.checkedAt) <= reachCheckInterval {
+		return false
+	}
+	if now.Sub(r.checkedAt) > maxCheckAge {
+		r.reachableSince = time.Time{}
+	}
+	r.checking, r.checkedAt = true, now
+	return true
+}
+
+// end records the result of the check in progress.
+func (r *reachability) end(now time.Time, ok bool) {
+	r.checking = false
+	if !ok {
+		r.reachableSince = time.Time{}
+		return
+	}
+	r.succeededAt = r.checkedAt
+	if r.reachableSince.IsZero() {
+		r.reachableSince = now
+	}
+}
+
+// holds reports whether the data centre has been reachable for minReachableTime and still is.
+func (r *reachability) holds(now time.Time) bool {
+	return !r.reachableSince.IsZero() && now.Sub(r.reachableSince) > minReachableTime && now.Sub(r.succeededAt) <= maxCheckAge
 }
 
 // reachable reports whether workers of another data centre have been reachable for
@@ -43,15 +79,11 @@
 		r = &reachability{}
 		in.reachability[dataCentre] = r
 	}
-	if now.Sub(r.checkedAt) > 2*minReachableTime {
-		r.reachableSince = time.Time{} // not checked for a while
-	}
-	if !r.checking && now.Sub(r.checkedAt) > reachCheckInterval {
-		r.checking, r.checkedAt = true, now
+	if r.begin(now) {
 		workers := in.workersOf(dataCentre)
 		in.background.Go(func() { in.checkReachability(r, workers) })
 	}
-	return !r.reachableSince.IsZero() && now.Sub(r.reachableSince) > minReachableTime
+	return r.holds(now)
 }
 
 // checkReachability dials the workers of a data centre and records the result.
@@ -59,13 +91,7 @@
 	ok := dialAny(workers)
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	r.checking = false
-	switch {
-	case !ok:
-		r.reachableSince = time.Time{}
-	case r.reachableSince.IsZero():
-		r.reachableSince = time.Now()
-	}
+	r.end(time.Now(), ok)
 }
 
 // dialAny reports whether one of up to maxDials workers accepts a connection.
