lease: grant no lease by an unknown clock

Callers saw: TestLateRequestsAndCrashesRunNoTaskTwiceAtATime, two runs of a task at once, in 10 of 4,500 plays of (race build, three processes).

Cause: in the home, not in the stand-in worker. A worker that has restarted answers starts, which don't name its incarnation, by a clock that has gone back. After four such responses in a row the home drops its estimate of the clock, and takes the lock again to record the response.

TestNoLeaseIsGrantedByAnUnknownClock fails before.

Change: the response that corrects the clock is recorded under the same lock. An unknown clock reads 0, by which a worker refuses a lease as over.

--- a/home/origin.go
+++ b/home/origin.go
@@ -94,12 +94,17 @@
 	return w.tracker.Clock.Earliest(at)
 }
 
-// checkReply returns errOutdated for the reply to a request sent at sentAt that belongs to an earlier
+// checkReply records the reply to a request, so that no lease is granted by a clock that the reply has shown to be
+// wrong. It returns errOutdated for the reply to a request sent at sentAt that belongs to an earlier
 // request.
 func (w *worker) checkReply(r lease.Reply, sentAt time.Time) error {
 	w.home.mu.Lock()
 	defer w.home.mu.Unlock()
-	return w.checkOutdated(w.tracker.IsOutdated(r.Clock, sentAt))
+	if err := w.checkOutdated(w.tracker.IsOutdated(r.Clock, sentAt)); err != nil {
+		return err
+	}
+	w.tracker.RecordResponse(r.Clock, time.Now())
+	return nil
 }
 
 // checkOutdated returns errOutdated for an outdated response. Its connection, which is idle now, would
--- a/home/resolve.go
+++ b/home/resolve.go
@@ -42,7 +42,6 @@
 		w.startResolving()
 		return false
 	}
-	w.tracker.RecordResponse(reply.Clock, now)
 	switch reply.Refusal {
 	case lease.Accepted, lease.Outdated:
 		w.tracker.MarkStopping(task, run, now)
--- a/home/start.go
+++ b/home/start.go
@@ -115,7 +115,6 @@
 		return
 	}
 
-	w.tracker.RecordResponse(reply.Clock, now)
 	switch reply.Refusal {
 	case lease.Accepted:
 		w.recordResponse(now)
--- a/lease/clock.go
+++ b/lease/clock.go
@@ -33,8 +33,14 @@
 // Known reports whether any response carried the worker's clock.
 func (c *Clock) Known() bool { return !c.at.IsZero() }
 
-// At returns the worker's clock at a local time, in milliseconds.
-func (c *Clock) At(now time.Time) int64 { return c.millis + now.Sub(c.at).Milliseconds() }
+// At returns the worker's clock at a local time, in milliseconds. It returns 0 for an unknown clock, by which
+// every lease is over on arrival.
+func (c *Clock) At(now time.Time) int64 {
+	if !c.Known() {
+		return 0
+	}
+	return c.millis + now.Sub(c.at).Milliseconds()
+}
 
 // Earliest returns the least value that the worker's clock can have had at a local time, in
 // milliseconds.
--- a/lease/outdated.go
+++ b/lease/outdated.go
@@ -8,7 +8,8 @@
 
 // IsOutdated reports whether the response to a request that was sent at a local time was made before
 // that, by the worker's clock in milliseconds: it belongs to an earlier request. Used for workers that
-// answer a request twice, the second time late, on a connection that is used again.
+// answer a request twice, the second time late, on a connection that is used again. After several in a row
+// the clock is unknown until the response is recorded.
 func (t *Tracker) IsOutdated(clock int64, sentAt time.Time) bool {
 	if clock == 0 || !t.Clock.Known() || clock >= t.Clock.Earliest(sentAt) {
 		t.outdatedResponses = 0
--- a/lease/outdated_test.go
+++ b/lease/outdated_test.go
@@ -52,6 +52,22 @@
 	}
 }
 
+// Guards against a task that runs twice: a lease that was granted before the corrected clock was known ended in
+// 292 million years, which counted as over.
+func TestNoLeaseIsGrantedByAnUnknownClock(t *testing.T) {
+	tr := newTracker()
+	tr.RecordStart(lease.Run{Task: "a", Number: 1}, tr.GrantLease(at(0)), at(0))
+	for i := range 4 {
+		tr.IsOutdated(int64(1000+10*i), at(10*i))
+	}
+	until := tr.GrantLease(at(35))
+	tr.RecordResponse(1030, at(40))
+	ended := tr.ExpireRuns(at(40))
+	if until > 1035+1000 || len(ended) > 0 {
+		t.Errorf("lease until %d of a clock at 1035, ended runs %v", until, ended)
+	}
+}
+
 // The clock of another incarnation starts anew. A report of the earlier one that is read after it
 // must not bring the earlier one back.
 func TestReportsOfAnotherIncarnation(t *testing.T) {
