home: let a third of the workers confirm a home

Change: a third of the workers is enough, and the successor waits for four fifths. A worker that left the list before it reported counts for 15 s, so that a lost worker holds no task back for good.

--- a/home/home.go
+++ b/home/home.go
@@ -269,7 +269,7 @@
 	h.listComplete = complete
 	for id, w := range h.workers {
 		if _, ok := workers[id]; !ok && !w.removed {
-			w.removed = true
+			w.removed, w.removedAt = true, now
 			h.options.Log.Info().Str("worker", id).Int("runs", w.tracker.Len()).Msg("worker left the list")
 			w.signal()
 		}
@@ -346,7 +346,7 @@
 		h.uneven = h.uneven || w.speed.Factor() != 1
 		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
 		w.checkProgress(now)
-		if w.removed && w.tracker.Len() == 0 && (w.reported || h.allRunsKnown(now)) {
+		if w.removed && w.tracker.Len() == 0 && (w.reported || h.allRunsKnown(now) || now.Sub(w.removedAt) > maxUnreported) {
 			w.cancel()
 			w.speed.Leave()
 			delete(h.workers, id)
--- a/home/left_test.go
+++ b/home/left_test.go
@@ -201,3 +201,64 @@
 		}
 	})
 }
+
+// A worker that has reported in an earlier incarnation than the one with the run tells nothing of that.
+func TestRunOnALaterIncarnationOfAWorkerIsHeldBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 2)
+		h := dc.readyHome(2)
+		defer dc.close(h)
+		s := submission("a", 1)
+		s.Resumed, s.TasksReported, s.MaybeRunning, s.TimeLeft = true, true, []string{"a.0.0.0"}, 4*time.Second
+		s.Batch.Steps[0].Estimate = time.Second
+		until := time.Now().Add(time.Second)
+		s.LeftRuns = []home.LeftRun{{Task: "a.0.0.0", Worker: "w0", Incarnation: dc.workers["w0"].Incarnation() + 1, Until: home.LeaseEnd{Time: until}}}
+		go submit(h, s)
+		time.Sleep(900 * time.Millisecond)
+		if diff := cmp.Diff(0, dc.ledger.Starts("a.0.0.0")); diff != "" {
+			t.Errorf("starts before the lease has ended (-want +got):\n%s", diff)
+		}
+		time.Sleep(time.Until(until) + 50*time.Millisecond)
+		if diff := cmp.Diff(1, dc.ledger.Starts("a.0.0.0")); diff != "" {
+			t.Errorf("starts after that (-want +got):\n%s", diff)
+		}
+	})
+}
+
+// A task that is held back until its caller gives up does not keep the others of its job from running, and its job
+// is not answered as one that did not run.
+func TestJobWithARunThatIsHeldBackIsNotRefused(t *testing.T) {
+	for name, named := range map[string]bool{"named": true, "not named": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dc := newTestCentre(t, 3)
+				s, o := handOver(t, dc, 3)
+				silent := o.LeftRuns[0].Worker
+				dc.workers[silent].SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+				for id, w := range dc.workers {
+					if id != silent {
+						w.Crash()
+					}
+					w.SetRunTime(func(string) time.Duration { return 100 * time.Millisecond })
+				}
+				later := dc.newHome(2)
+				defer dc.close(later)
+				s = resume(s, o)
+				s.TimeLeft, s.Batch.Steps[0].Estimate, s.TasksReported = 700*time.Millisecond, 100*time.Millisecond, named
+				got := submit(later, s)
+				if got.Result != home.Lost && got.Result != home.Cancelled {
+					t.Errorf("outcome %+v", got)
+				}
+				for _, r := range o.LeftRuns {
+					want := 1
+					if r.Worker != silent && named {
+						want = 2
+					}
+					if diff := cmp.Diff(want, dc.ledger.Starts(r.Task)); diff != "" {
+						t.Errorf("starts of %s, left on %s (-want +got):\n%s", r.Task, r.Worker, diff)
+					}
+				}
+			})
+		})
+	}
+}
--- a/home/renew.go
+++ b/home/renew.go
@@ -66,7 +66,7 @@
 	if w.isLossy(time.Now()) {
 		limit = minRenewalRetry
 	}
-	if w.reported && w.tracker.Len() == 0 {
+	if (w.reported || w.removed) && w.tracker.Len() == 0 {
 		limit = maxIdleRetry
 	}
 	pause := min(max(2*before, minRenewalRetry), limit)
--- a/home/tenure.go
+++ b/home/tenure.go
@@ -12,10 +12,10 @@
 // confirmationValidity after the last confirmation that there is no later home. A confirmation is
 //
 //   - a response of the store that names the home, or
-//   - responses of half of its workers, since the successor's first request makes a worker refuse the home.
+//   - responses of a third of its workers, since the successor's first request makes a worker refuse the home.
 //
-// The successor takes the leases for expired SuccessionTime after its own start and after the moment by which
-// successorQuorum of its workers had reported to it: any half of the workers has one of these.
+// The successor takes the leases for expired SuccessionTime after its own start and after the moment by which four
+// fifths of its workers had reported to it: any third of the workers has one of these, even if half as many were added.
 const (
 	// confirmationValidity is longer than the store withholds a response for want of changes by the time of a slow
 	// response.
@@ -28,11 +28,18 @@
 	// askInterval is the time between two requests to an idle worker while workers are asked.
 	askInterval = time.Second
 
-	// successorQuorum is the share of the workers, in quarters. It is above one half by as much as the list of the
-	// successor may be longer than that of the earlier home.
-	successorQuorum = 3
+	// maxUnreported is how long a worker that has left the list before it has reported counts for the quorum. Workers
+	// that were partitioned with their data centre are back in the list within this time.
+	maxUnreported = 15 * time.Second
 )
 
+// confirmationQuorum returns how many of a home's workers confirm that it has no successor.
+func confirmationQuorum(workers int) int { return (workers + 2) / 3 }
+
+// successorQuorum returns how many of its workers a home must have reached to know that no earlier one is confirmed by
+// its workers any more.
+func successorQuorum(workers int) int { return (4*workers + 4) / 5 }
+
 // SuccessionTime returns how long after its successor has started, and has reached its workers, a home may keep
 // runs alive under leases of a length.
 func SuccessionTime(maxLease time.Duration) time.Duration {
@@ -64,8 +71,8 @@
 	h.recordQuorum(now)
 }
 
-// confirmedByWorkersAt returns when half of the workers accepted requests, or the zero time if they have not. The
-// time of a request counts, since its response may be under way for any time.
+// confirmedByWorkersAt returns when confirmationQuorum of the workers accepted requests, or the zero time if they have
+// not. The time of a request counts, since its response may be under way for any time.
 func (h *Home) confirmedByWorkersAt() time.Time {
 	var times []time.Time
 	for _, w := range h.workers {
@@ -77,10 +84,10 @@
 		return time.Time{}
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
-	return times[(len(times)-1)/2]
+	return times[confirmationQuorum(len(times))-1]
 }
 
-// recordQuorum records when successorQuorum of the workers had reported. A list without workers has to be complete.
+// recordQuorum records when enough workers had reported. A list without workers has to be complete.
 func (h *Home) recordQuorum(now time.Time) {
 	if !h.quorumAt.IsZero() || len(h.workers) == 0 && !h.listComplete {
 		return
@@ -91,7 +98,7 @@
 			reported++
 		}
 	}
-	if 4*reported >= successorQuorum*len(h.workers) {
+	if reported >= successorQuorum(len(h.workers)) {
 		h.quorumAt = now
 	}
 }
--- a/home/worker.go
+++ b/home/worker.go
@@ -78,8 +78,9 @@
 	assignments map[string]assignment
 	reported    bool // it has reported its runs
 	reportedAt  time.Time
-	acceptedAt  time.Time     // when the last renewal that it accepted was sent
-	removed     bool          // from the list of workers
+	acceptedAt  time.Time // when the last renewal that it accepted was sent
+	removed     bool      // from the list of workers
+	removedAt   time.Time
 	resolving   bool          // a goroutine resolves unconfirmed runs
 	checking    bool          // a progress check is in flight
 	asking      chan struct{} // holds an element while the worker is asked before a start
