watch, fleet: read the list of workers at once for a new home

A home that takes its list of workers for complete only if it was read since its start waits for the request in progress, which waits for a change, and for the next one.

Change: Cache.ReadNow replaces the request that waits by one that does not, and tells when the cache holds all changes of the time of the call.

--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -195,7 +195,7 @@
 	in.mu.Lock()
 	in.localHomes[dataCentre] = h
 	in.mu.Unlock()
-	in.workerTable.Refresh() // for the workers that the earlier home knows and this instance does not
+	in.background.Go(in.readHomeWorkers)
 	in.log.Info().Str("home", dataCentre).Int64("token", token).Int64("listMillisAgo", time.Since(in.workerTable.AsOf()).Milliseconds()).Msg("home taken")
 	in.heartbeats.Announce()
 	in.changed.notify()
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -80,6 +80,16 @@
 	h.SetWorkers(workers, complete)
 }
 
+// readHomeWorkers reads the list of workers at once for a home that has just started: the earlier home may know of
+// workers that this instance does not.
+func (in *Instance) readHomeWorkers() {
+	select {
+	case <-in.workerTable.ReadNow():
+		in.completeHomeWorkers()
+	case <-in.ctx.Done():
+	}
+}
+
 // completeHomeWorkers passes the workers to the homes of this instance that wait for a complete list of them.
 func (in *Instance) completeHomeWorkers() {
 	for dc, h := range in.homesByCentre() {
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -57,6 +58,7 @@
 	group        *Group // nil if the cache is in none
 	slot         int
 	giveUp       chan struct{} // holds an element when the request that waits for a change is to be sent again
+	readNow      chan struct{} // holds an element when it is to be replaced by one that does not wait
 
 	mu          sync.Mutex
 	rows        map[string]table.Row
@@ -64,6 +66,7 @@
 	loadedAt    time.Time // first complete read of the table
 	currentAt   time.Time // last response after which no further changes were pending
 	asOf        time.Time // the cache holds all changes that the store had then
+	awaited     []awaitedRead
 	reachable   bool      // the last request to the store succeeded
 	outageSince time.Time // start of the last outage of the store
 }
@@ -80,7 +83,8 @@
 	}
 	return &Cache{
 		name: name, source: source, pollInterval: pollInterval, onChange: onChange, log: log,
-		done: make(chan struct{}), refresh: make(chan struct{}, 1), giveUp: make(chan struct{}, 1), rows: map[string]table.Row{},
+		done: make(chan struct{}), refresh: make(chan struct{}, 1), giveUp: make(chan struct{}, 1), readNow: make(chan struct{}, 1),
+		rows: map[string]table.Row{},
 	}
 }
 
@@ -92,6 +96,40 @@
 	}
 }
 
+// awaitedRead is a call of ReadNow that has not been served.
+type awaitedRead struct {
+	since time.Time
+	done  chan struct{}
+}
+
+// ReadNow requests the next changes without waiting for any, in place of a request that waits. The channel is closed
+// when the cache holds all changes that the store had at the time of the call.
+func (c *Cache) ReadNow() <-chan struct{} {
+	done := make(chan struct{})
+	c.mu.Lock()
+	c.awaited = append(c.awaited, awaitedRead{time.Now(), done})
+	c.mu.Unlock()
+	select {
+	case c.readNow <- struct{}{}:
+	default:
+	}
+	c.Refresh()
+	return done
+}
+
+// endAwaited closes the channels of the reads that the cache has served.
+func (c *Cache) endAwaited() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaited = slices.DeleteFunc(c.awaited, func(a awaitedRead) bool {
+		served := !c.asOf.Before(a.since)
+		if served {
+			close(a.done)
+		}
+		return served
+	})
+}
+
 // Staleness returns the time since the cache last held all changes that the
 // store had. Before the first read of the table it is many years.
 func (c *Cache) Staleness() time.Duration {
@@ -166,6 +204,9 @@
 			listed = false
 		}
 
+		if errors.Is(err, errReplaced) {
+			continue
+		}
 		c.recordRequest(err, more)
 		if c.group != nil && timedOut(err) {
 			c.group.repeatRequests()
@@ -270,12 +311,16 @@
 // follow reads the next changes, and reports whether more may be pending. After a failed request
 // it does not wait for a change, so that the store counts as reachable as soon as it responds.
 func (c *Cache) follow(ctx context.Context) (more bool, err error) {
+	select {
+	case <-c.readNow: // awaited has it
+	default:
+	}
 	c.mu.Lock()
 	after, wait := c.version, FeedWait
 	if c.group != nil {
 		wait = c.group.wait(c.slot, time.Now())
 	}
-	if !c.reachable {
+	if !c.reachable || len(c.awaited) > 0 {
 		wait = 0
 	}
 	c.mu.Unlock()
@@ -292,8 +337,11 @@
 	return changes.More, nil
 }
 
+// errReplaced is returned for a request that waited for a change when ReadNow was called.
+var errReplaced = errors.New("the request was replaced by one that does not wait")
+
 // watch requests the changes after a version. It gives up a request that waits for a change when the group
-// asks for that; the request then ends by its own timeout, and its response is dropped.
+// or ReadNow asks for that; the request then ends by its own timeout, and its response is dropped.
 func (c *Cache) watch(ctx context.Context, after int64, wait time.Duration) (table.Changes, error) {
 	if c.group == nil || wait == 0 {
 		return c.source.Watch(ctx, c.name, after, wait)
@@ -316,6 +364,8 @@
 		return r.changes, r.err
 	case <-c.giveUp:
 		return table.Changes{}, errGivenUp
+	case <-c.readNow:
+		return table.Changes{}, errReplaced
 	}
 }
 
@@ -351,6 +401,7 @@
 	}
 	c.mu.Unlock()
 
+	defer c.endAwaited()
 	if len(changed) == 0 && !notifyIfEmpty {
 		return
 	}
