proof: soak hand-overs beside new workers, isolated homes and links that flap

The soak had no workers that are added while an instance is stopped, no home that is cut off from the others and the store while a worker is cut off from them, and no link that is back for a moment. Seeds from 20,000 draw from these too; earlier ones draw as before. loseWorkers no longer reads the list of workers outside the test's goroutine, since it may grow now.

--- a/proof/disruption_test.go
+++ b/proof/disruption_test.go
@@ -29,13 +29,17 @@
 var disruptionSeeds = []uint64{
 	1, 2,
 	10_000, // the first seed with losses of a whole data centre and of instances that are not in the list
+	20_000, // the first seed with homes that hand over beside new workers, are isolated, or have links that flap
 }
 
-// Seeds below firstSiteSeed draw from the first disruptions only, as many as there were when those
-// seeds were first used, so that they draw the same ones as at that time.
+// Seeds draw from the first disruptions only, as many as there were when those seeds were first used, so that they
+// draw the same ones as at that time.
 const (
 	firstSiteSeed      = 10_000
 	earlierDisruptions = 36
+
+	firstHandOverSeed = 20_000
+	siteDisruptions   = 44
 )
 
 const (
@@ -86,11 +90,8 @@
 // newDisruptionSoak returns a soak with nine workers and six instances in three data centres.
 func newDisruptionSoak(t *testing.T, seed uint64) *soak {
 	s := newEmptySoak(t, seed)
+	s.needs, s.runTime = needsOfTask, runTimeOfTask
 	s.addAll(disruptionWorkers, disruptionInstances)
-	for _, w := range s.workers {
-		w.Needs = needsOfTask
-		w.SetRunTime(runTimeOfTask)
-	}
 	return s
 }
 
@@ -239,8 +240,37 @@
 		s.raise(s.millis(300, 4000), &i.storeProxy.holdAll)
 	}},
 	{"pauseHomeLong", func(s *soak) { s.pauseFor(s.randomHome(), s.millis(2900, 3100)) }},
+
+	{"stopBesideNewWorkers", func(s *soak) {
+		dataCentre := s.randomInstance().dataCentre
+		for range min(2, maxAddedWorkers-len(s.workers)+len(disruptionWorkers)) {
+			s.addWorker(len(s.workers), dataCentre)
+			time.Sleep(s.millis(0, 300))
+		}
+		s.end(s.homeOf(dataCentre), syscall.SIGTERM, s.millis(0, 900))
+	}},
+	{"isolateHome", func(s *soak) { s.isolate(s.randomHome(), s.millis(1200, 4500)) }},
+	{"isolateHomeAndEnd", func(s *soak) {
+		home := s.randomHome()
+		s.isolate(home, s.millis(1200, 4500))
+		signal := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[s.random.IntN(2)]
+		time.AfterFunc(s.millis(1000, 3000), func() { s.end(home, signal, 500*time.Millisecond) })
+	}},
+	{"flap", func(s *soak) {
+		dataCentre := s.randomInstance().dataCentre
+		first, gap, second := s.millis(1100, 2200), s.millis(100, 600), s.millis(1100, 3500)
+		links := s.dataCentreLinks(dataCentre)
+		cut := func(d time.Duration) {
+			s.fault(links, d, func(fp *faultProxy) flags { return flags{&fp.holdAll, &fp.unreachable, &fp.dropDatagrams} })
+		}
+		cut(first)
+		time.AfterFunc(first+gap, func() { cut(second) })
+	}},
 }
 
+// maxAddedWorkers bounds the workers that are added in a run.
+const maxAddedWorkers = 12
+
 // flags are switches of faults.
 type flags []*atomic.Bool
 
@@ -326,6 +356,30 @@
 	s.fault(to, d, func(fp *faultProxy) flags { return flags{&fp.holdResponses} })
 }
 
+// isolate cuts an instance off from the others and from the store, but not from the workers, and a worker of its data
+// centre off from the others for a little longer.
+func (s *soak) isolate(i *soakInstance, d time.Duration) {
+	s.fault(s.peerLinks(i), d, func(fp *faultProxy) flags { return flags{&fp.holdAll, &fp.dropDatagrams} })
+	s.raise(d, &i.storeProxy.holdAll)
+	worker := s.workers[s.random.IntN(len(s.workers))].ID
+	paths := s.linksOf(func(from, to string) bool { return to == worker && from != i.name })
+	s.fault(paths, d+s.millis(500, 2500), func(fp *faultProxy) flags { return flags{&fp.holdAll} })
+}
+
+// dataCentreLinks returns the links between a data centre and the others, and to the store.
+func (s *soak) dataCentreLinks(dataCentre string) []*faultProxy {
+	inside, links := map[string]bool{}, []*faultProxy{}
+	for _, i := range s.instances {
+		if i.dataCentre == dataCentre {
+			inside[i.name], links = true, append(links, i.storeProxy)
+		}
+	}
+	for n, w := range s.workers {
+		inside[w.ID] = s.dataCentres[n] == dataCentre
+	}
+	return append(links, s.linksOf(func(from, to string) bool { return from != callersEnd && inside[from] != inside[to] })...)
+}
+
 // onlyInstance returns the instance that is the only one of its data centre.
 func (s *soak) onlyInstance() *soakInstance { return s.instances[len(s.instances)-1] }
 
@@ -339,13 +393,14 @@
 	for _, dc := range slices.Sorted(maps.Keys(byDataCentre)) {
 		w := byDataCentre[dc][s.random.IntN(len(byDataCentre[dc]))]
 		crash, d := s.random.IntN(2) == 0, s.millis(300, 2000)
+		worker, server, proxy := s.workers[w], s.workerServers[w], s.workerProxies[w]
 		time.AfterFunc(s.millis(0, int(limit.Milliseconds())), func() {
 			if crash {
-				s.workers[w].Crash()
-				s.workerServers[w].CloseClientConnections()
+				worker.Crash()
+				server.CloseClientConnections()
 				return
 			}
-			s.raise(d, &s.workerProxies[w].holdAll)
+			s.raise(d, &proxy.holdAll)
 		})
 	}
 }
@@ -385,10 +440,13 @@
 func chosenDisruptions(t *testing.T, seed uint64) []disruption {
 	t.Helper()
 	text := os.Getenv("FOXTAILMUX_FAULTS")
-	if text == "" && seed < firstSiteSeed {
+	switch {
+	case text != "":
+	case seed < firstSiteSeed:
 		return disruptions[:earlierDisruptions]
-	}
-	if text == "" {
+	case seed < firstHandOverSeed:
+		return disruptions[:siteDisruptions]
+	default:
 		return disruptions
 	}
 	var list []disruption
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -97,6 +97,8 @@
 	moreCallers   string // further settings of the instances, such as ", maxConnections: 9"
 	moreLimits    string
 	spec          string
+	needs         func(task string) model.Resources // of tasks on workers that are added
+	runTime       func(task string) time.Duration
 	store         *stand.Store
 	ledger        *fakes.Ledger
 	workers       []*fakes.LeasedWorker
@@ -215,6 +217,8 @@
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), store: stand.NewStore(), ledger: fakes.NewLedger(),
 		submissions: map[string][]submitted{}, links: map[linkKey]*faultProxy{}, targets: map[string]string{},
 		faultKinds: faultKinds(seed), spec: "s",
+		needs:   func(string) model.Resources { return model.Resources{MilliCores: taskMilliCores} },
+		runTime: func(task string) time.Duration { return time.Duration(40+10*(len(task)%7)) * time.Millisecond },
 	}
 	s.putConfig()
 	return s
@@ -238,8 +242,7 @@
 func (s *soak) addWorker(i int, dc string) {
 	id := fmt.Sprintf("w%d", i)
 	w := fakes.NewLeasedWorker(id, model.Resources{MilliCores: 64_000, MemoryMB: 1 << 10}, s.ledger)
-	w.Needs = func(string) model.Resources { return model.Resources{MilliCores: taskMilliCores} }
-	w.RunTime = func(task string) time.Duration { return time.Duration(40+10*(len(task)%7)) * time.Millisecond }
+	w.Needs, w.RunTime = s.needs, s.runTime
 	server := httptest.NewServer(stand.Worker{Leased: w})
 	s.t.Cleanup(func() {
 		server.CloseClientConnections() // lease renewals may still wait for ended runs
