home: show in the state dump whether a home is in force and knows all runs

foxtailmux state tells nothing of why a home starts no task, or holds one back, since both depend on its workers and on the store now. TestHomeOfADataCentreThatIsAloneGoesOn and TestTaskIsStartedAgainAfterTheLossOfItsWorker look at the new fields.

--- a/home/state.go
+++ b/home/state.go
@@ -12,6 +12,8 @@
 type State struct {
 	DataCentre string                 `json:"dataCentre"`
 	Token      int64                  `json:"token"`
+	InForce    bool                   `json:"inForce"`   // it may extend leases and start tasks
+	RunsKnown  bool                   `json:"runsKnown"` // no worker can have an unreported run of an earlier home
 	Jobs       int                    `json:"jobs"`
 	Waiting    int                    `json:"waitingJobs"`
 	Runs       int                    `json:"runs"`
@@ -40,20 +42,22 @@
 func (h *Home) State() State {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	now := time.Now()
 	s := State{
 		DataCentre: h.options.DataCentre,
 		Token:      h.options.Token,
+		InForce:    h.isInForce(now),
+		RunsKnown:  h.allRunsKnown(now),
 		Jobs:       len(h.jobs),
 		Waiting:    len(h.waiting),
 		Runs:       h.runCount(),
 		Drained:    h.isDrained(),
 		Workers:    map[string]WorkerState{},
-		Shares:     h.shareStates(time.Now()),
+		Shares:     h.shareStates(now),
 	}
 	if h.options.LearnSpeeds {
 		s.Speeds = h.speedKinds()
 	}
-	now := time.Now()
 	for id, w := range h.workers {
 		s.Workers[id] = WorkerState{
 			Addr: w.info.Addr, State: w.info.State, Reported: w.reported, Removed: w.removed,
--- a/home/tenure_test.go
+++ b/home/tenure_test.go
@@ -220,10 +220,14 @@
 		if o.Result != home.Refused || o.RetryAfter <= 0 || time.Since(began) > 10*time.Millisecond {
 			t.Errorf("job with a ninth of the workers: %+v after %v", o, time.Since(began))
 		}
+		inForce := []bool{h.State().InForce}
 		for _, cut := range paths {
 			cut.Store(false)
 		}
 		time.Sleep(time.Second)
+		if diff := cmp.Diff([]bool{false, true}, append(inForce, h.State().InForce)); diff != "" {
+			t.Errorf("in force without the workers and with them (-want +got):\n%s", diff)
+		}
 		if diff := cmp.Diff(home.Succeeded, resultOf(submit(h, dc.longJob("all", 1, runTime)))); diff != "" {
 			t.Errorf("job with all workers (-want +got):\n%s", diff)
 		}
@@ -300,6 +304,9 @@
 		if diff := cmp.Diff(0, dc.ledger.Starts("a.0.0.0")); diff != "" {
 			t.Errorf("starts while the worker is listed (-want +got):\n%s", diff)
 		}
+		if h.State().RunsKnown {
+			t.Error("the runs of the worker count as known")
+		}
 		delete(dc.listed, "w0")
 		h.SetWorkers(dc.listed, false)
 		if diff := cmp.Diff(home.Succeeded, <-done); diff != "" {
