--- a/home/tenure_test.go
+++ b/home/tenure_test.go
@@ -47,8 +47,8 @@
 	return e.LeasedWorker.Renew(r, timeout)
 }
 
-// isolation is a data centre whose home can be cut off from the store and from the other instances, and of which
-// each home has its own paths to the workers.
+// isolation is a data centre whose first home can be cut off from the store, and of which each home has its own paths
+// to the workers.
 type isolation struct {
 	*testCentre
 	paths       map[string]*atomic.Bool // cut, by worker, of the home that is created next
@@ -58,6 +58,7 @@
 func newIsolation(t *testing.T, workers int) *isolation {
 	i := &isolation{testCentre: newTestCentre(t, workers)}
 	i.resetPaths()
+	i.store = i.lastConfirmedAt
 	i.connect = func(w model.Worker, _ func(time.Duration)) home.Endpoint {
 		return pathEndpoint{i.workers[w.ID], i.paths[w.ID]}
 	}
@@ -74,10 +75,11 @@
 	return before
 }
 
-// cutStore cuts the homes that are created with confirmedAt off from the store.
+// cutStore cuts the present homes off from the store, but not later ones.
 func (i *isolation) cutStore() {
 	now := time.Now()
 	i.confirmedAt.Store(&now)
+	i.store = nil
 }
 
 // lastConfirmedAt is when the store last named a home.
@@ -104,7 +106,6 @@
 func TestHomeThatIsCutOffKeepsNoRunAliveThatItsSuccessorRepeats(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dc := newIsolation(t, 5)
-		dc.store = dc.lastConfirmedAt
 		earlier := dc.readyHome(1)
 		defer dc.close(earlier)
 		s := dc.longJob("a", 1, 10*time.Second)
@@ -115,7 +116,6 @@
 		dc.cutStore()
 		dc.resetPaths()
 		dc.paths[at].Store(true)
-		dc.store = nil
 		time.Sleep(heartbeatTimeout)
 		later := dc.newHome(2)
 		defer dc.close(later)
@@ -150,7 +150,6 @@
 		for laterReach := range workers + 1 {
 			synctest.Test(t, func(t *testing.T) {
 				dc := newIsolation(t, workers)
-				dc.store = dc.lastConfirmedAt
 				earlier := dc.readyHome(1)
 				defer dc.close(earlier)
 				s := dc.longJob("a", 2*workers, 9*time.Second)
@@ -163,7 +162,6 @@
 					paths[id].Store(i >= earlierReach)
 					dc.paths[id].Store(i < workers-laterReach)
 				}
-				dc.store = nil
 				time.Sleep(heartbeatTimeout)
 				later := dc.newHome(2)
 				defer dc.close(later)
@@ -183,7 +181,6 @@
 func TestHomeOfADataCentreThatIsAloneGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dc := newIsolation(t, 9)
-		dc.store = dc.lastConfirmedAt
 		h := dc.readyHome(1)
 		defer dc.close(h)
 		long := dc.longJob("long", 1, 6*time.Second)
@@ -238,7 +235,6 @@
 func TestWorkersAreAskedOnlyWhileTheStoreIsSilent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dc := newIsolation(t, 1)
-		dc.store = dc.lastConfirmedAt
 		h := dc.readyHome(1)
 		defer dc.close(h)
 		count := func(d time.Duration) int {
@@ -266,7 +262,6 @@
 func TestLastLeaseEndsWithinTheSuccessionTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		dc := newIsolation(t, 8)
-		dc.store = dc.lastConfirmedAt
 		h := dc.readyHome(1)
 		defer dc.close(h)
 		go submit(h, dc.longJob("a", 1, 10*time.Second))
