home: hold nothing back at the first home of a data centre

Cause: mine, not the load. The submission counted as resumed, since the home that had announced the job had been replaced by then, and went to a home that was 2.5 s old and whose list of workers counts as incomplete for 15 s. No home had ever been there before it ("seen":0 in its claim), so nothing can be left.

Change: a home whose claim found no row of an earlier one takes all runs for known. TestFirstHomeHoldsNothingBack; the claims are checked in TestNoHomeIsClaimedBeforeTheOperatorsTableIsRead.

--- a/fleet/claim.go
+++ b/fleet/claim.go
@@ -65,7 +65,7 @@
 		in.mu.Unlock()
 		return
 	}
-	in.claiming[dataCentre] = true
+	in.claiming[dataCentre], in.claimedVersion[dataCentre] = true, seenVersion
 	in.mu.Unlock()
 
 	in.background.Go(func() {
@@ -77,6 +77,14 @@
 	})
 }
 
+// isFirstClaim reports whether the last claim of a home, which has succeeded, found no row of an earlier home.
+func (in *Instance) isFirstClaim(dataCentre string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	version, ok := in.claimedVersion[dataCentre]
+	return ok && version == 0
+}
+
 // claimRetryDelay follows a failed claim. It keeps load off a store in trouble and leaves
 // time for the change feed to deliver a claim whose response was lost.
 const claimRetryDelay = 250 * time.Millisecond
--- a/fleet/drain_test.go
+++ b/fleet/drain_test.go
@@ -64,7 +64,7 @@
 	s.add(ownRow(t, in), table.Row{Key: homeKey("kochi"), Value: []byte(`{"instance":"lost","incarnation":"1"}`)})
 	waitFor(t, "not registered", func() bool { return in.isRegistered() && in.workerTable.IsLoaded() })
 	in.fencedTokens, in.claiming, in.homeChangedAt = map[string]int64{}, map[string]bool{}, map[string]time.Time{}
-	in.workerCounts = map[string]int{}
+	in.workerCounts, in.claimedVersion = map[string]int{}, map[string]int64{}
 
 	in.reviewHomes()
 	in.background.Wait()
@@ -76,6 +76,14 @@
 	if diff := cmp.Diff([]int{0, 1}, []int{before, s.commits}); diff != "" {
 		t.Errorf("claims before and after (-want +got):\n%s", diff)
 	}
+	if in.isFirstClaim("kochi") || in.isFirstClaim("tvm") {
+		t.Error("the claim of a home that another instance was, or of none, counts as the first")
+	}
+	in.claim("tvm", 0)
+	in.background.Wait()
+	if !in.isFirstClaim("tvm") {
+		t.Error("the claim of a home without a row does not count as the first")
+	}
 }
 
 // An instance that the store turns away gets the requests from a peer, and a later take-back.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -83,6 +83,7 @@
 	localHomes        map[string]*home.Home // homes that this instance is, by data centre
 	fencedTokens      map[string]int64      // highest token of a closed home, by data centre
 	claiming          map[string]bool
+	claimedVersion    map[string]int64         // of the row that the last claim replaces, by data centre; 0 without one
 	cancelling        map[int64]int            // requests that are not delivered yet, by number of the submission that they cancel
 	lastAnnounced     int64                    // number of the last of them in the latest heartbeat
 	homeSeenAt        time.Time                // when a home was last alive
@@ -136,21 +137,23 @@
 		workersNeeded: make(chan struct{}),
 		configured:    make(chan struct{}),
 
-		localHomes:    map[string]*home.Home{},
-		fencedTokens:  map[string]int64{},
-		claiming:      map[string]bool{},
-		cancelling:    map[int64]int{},
-		homeChangedAt: map[string]time.Time{},
-		staleSince:    map[string]time.Time{},
-		knownWorkers:  map[string]model.Worker{},
-		workerCounts:  map[string]int{},
-		missingSince:  map[string]time.Time{},
-		reservations:  map[string]reservation{},
-		reachability:  map[string]*reachability{},
-		workerLeftAt:  map[string]time.Time{},
-		links:         map[linkKey]*plan.Link{},
-		keptSpecs:     map[home.Key]*keptSpec{},
-		workerClients: map[string]*workerClient{},
+		localHomes:   map[string]*home.Home{},
+		fencedTokens: map[string]int64{},
+		claiming:     map[string]bool{},
+
+		claimedVersion: map[string]int64{},
+		cancelling:     map[int64]int{},
+		homeChangedAt:  map[string]time.Time{},
+		staleSince:     map[string]time.Time{},
+		knownWorkers:   map[string]model.Worker{},
+		workerCounts:   map[string]int{},
+		missingSince:   map[string]time.Time{},
+		reservations:   map[string]reservation{},
+		reachability:   map[string]*reachability{},
+		workerLeftAt:   map[string]time.Time{},
+		links:          map[linkKey]*plan.Link{},
+		keptSpecs:      map[home.Key]*keptSpec{},
+		workerClients:  map[string]*workerClient{},
 	}
 	in.stopSettings.Store(&s.Stop)
 	in.store = adapter.NewStore(s.Platform.Addr, s.Platform.Timeout, in.meter.Bytes(meter.ToStore))
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -175,6 +175,7 @@
 	h := home.New(home.Options{
 		DataCentre:     dataCentre,
 		Token:          token,
+		First:          in.isFirstClaim(dataCentre),
 		MaxLease:       in.settings.Platform.MaxLease,
 		Connect:        in.connect,
 		Link:           in.link,
--- a/home/adopt.go
+++ b/home/adopt.go
@@ -11,7 +11,9 @@
 const LeaseMargin = 250 * time.Millisecond
 
 // allRunsKnown reports whether no worker can still have an unreported run of an earlier home.
-func (h *Home) allRunsKnown(now time.Time) bool { return h.earlierLeasesEnded(now) || h.allReported() }
+func (h *Home) allRunsKnown(now time.Time) bool {
+	return h.options.First || h.earlierLeasesEnded(now) || h.allReported()
+}
 
 // workersKnown reports whether the workers that responded are all that can be expected to.
 func (h *Home) workersKnown(now time.Time) bool {
--- a/home/home.go
+++ b/home/home.go
@@ -66,12 +66,13 @@
 // cancelled. Drained, which may be nil, returns the operator's request to drain the data centre; it must
 // not call the home. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
 // and 1 mean that it makes no difference. LearnSpeeds makes the home learn how fast each worker runs tasks.
-// ConfirmedAt returns a time at which the store named this home, the latest that is known; it must not call the home,
+// First reports that the data centre has had no home before, whose runs might be left. ConfirmedAt returns a time at which the store named this home, the latest that is known; it must not call the home,
 // and nil stands for a store that always does.
 // Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
 	Token          int64
+	First          bool
 	MaxLease       time.Duration
 	Connect        func(w model.Worker, late func(took time.Duration)) Endpoint
 	FreeDataCentre func(milliCores int) (dataCentre string, ok bool)
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -60,6 +60,7 @@
 	stall          atomic.Int64 // nanoseconds for which the process has stood still
 	connect        func(w model.Worker, late func(took time.Duration)) home.Endpoint
 	drained        atomic.Pointer[drain.Request] // request to drain the data centre
+	first          bool                          // home of the data centre; set before it
 	store          func() time.Time              // when the store last confirmed the home; set before it, nil for always
 }
 
@@ -87,6 +88,7 @@
 	h := home.New(home.Options{
 		DataCentre:     "kochi",
 		Token:          token,
+		First:          dc.first,
 		MaxLease:       time.Second,
 		Connect:        dc.connect,
 		ConfirmedAt:    dc.store,
--- a/home/tenure_test.go
+++ b/home/tenure_test.go
@@ -312,3 +312,23 @@
 		}
 	})
 }
+
+// The first home of a data centre has no runs of others to wait for, also if it does not reach a worker.
+func TestFirstHomeHoldsNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, first := range []bool{false, true} {
+			dc := newTestCentre(t, 3)
+			dc.first = first
+			dc.workers["w0"].SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+			h := dc.readyHome(1)
+			s := submission("a", 1)
+			s.Resumed = true
+			go submit(h, s)
+			time.Sleep(100 * time.Millisecond)
+			if diff := cmp.Diff(first, dc.ledger.Starts("a.0.0.0") > 0); diff != "" {
+				t.Errorf("first home %t, started (-want +got):\n%s", first, diff)
+			}
+			dc.close(h)
+		}
+	})
+}
