--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -273,7 +273,7 @@
 const (
 	minPort   = 20_000
 	maxPort   = 32_000
-	portBlock = 600
+	portBlock = 800
 )
 
 var portRandom = rand.New(rand.NewPCG(uint64(os.Getpid()), uint64(time.Now().UnixNano())))
