--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -23,8 +23,9 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken int, err error){
-	"other-kind": otherKind,
-	"cancelled":  cancelled,
+	"other-kind":  otherKind,
+	"cancelled":   cancelled,
+	"stray-entry": strayEntry,
 }
 
 func main() { os.Exit(run()) }
