--- a/review/_stand3/client.go
+++ b/review/_stand3/client.go
@@ -55,23 +55,24 @@
 }
 
 // submit submits a job and waits for its answer, at most for the job's timeout and a second.
-func (c *client) submit(i *instance, j job) answer {
+func (c *client) submit(i *instance, j job) answer { return c.submitAt(i.addr(callersPort), i.name, j) }
+
+func (c *client) submitAt(addr, name string, j job) answer {
 	body, _ := json.Marshal(map[string]any{"spec": j.Spec, "steps": j.Steps, "best-effort": true})
-	return c.send(i, http.MethodPost, j, body)
+	return c.send(addr, name, http.MethodPost, j, body)
 }
 
-
-func (c *client) send(i *instance, method string, j job, body []byte) answer {
+func (c *client) send(addr, name, method string, j job, body []byte) answer {
 	ctx, stop := context.WithTimeout(context.Background(), j.Timeout+time.Second)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+i.addr(callersPort)+"/"+j.Queue+"/"+j.ID, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+"/"+j.Queue+"/"+j.ID, bytes.NewReader(body))
 	if err != nil {
 		return answer{at: time.Now()}
 	}
 	req.Host = queueHost
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Timeout-Ms", strconv.FormatInt(j.Timeout.Milliseconds(), 10))
-	c.record.printf("client sends %s %s to %s", method, j.ID, i.name)
+	c.record.printf("client sends %s %s to %s", method, j.ID, name)
 	resp, err := c.http.Do(req)
 	a := answer{}
 	if err == nil {
--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -25,6 +25,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken int, err error){
 	"other-kind":  otherKind,
 	"stray-entry": strayEntry,
+	"lost-twice":  lostTwice,
 	"thin-link":   thinLink,
 }
 
