--- a/proof/disruption_test.go
+++ b/proof/disruption_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -55,6 +56,7 @@
 	share             int // percentage of the jobs
 	tasks, milliCores int
 	runTime, spread   time.Duration // tasks run for runTime and up to spread longer
+	timeout           time.Duration // of the caller, disruptionTimeout if it is 0
 }
 
 var jobKinds = []jobKind{
@@ -64,19 +66,19 @@
 }
 
 // kindOfTask returns the kind of the job of a task, and the number of the task in it.
-func kindOfTask(task string) (kind jobKind, number int) {
+func (s *soak) kindOfTask(task string) (kind jobKind, number int) {
 	id, _, _ := strings.Cut(task, ".")
 	number, _ = strconv.Atoi(task[strings.LastIndexByte(task, '.')+1:])
-	return jobKinds[int(id[len(id)-1]-'0')%len(jobKinds)], number
+	return s.kinds[int(id[len(id)-1]-'0')%len(s.kinds)], number
 }
 
-func needsOfTask(task string) model.Resources {
-	kind, _ := kindOfTask(task)
+func (s *soak) needsOfTask(task string) model.Resources {
+	kind, _ := s.kindOfTask(task)
 	return model.Resources{MilliCores: kind.milliCores}
 }
 
-func runTimeOfTask(task string) time.Duration {
-	kind, number := kindOfTask(task)
+func (s *soak) runTimeOfTask(task string) time.Duration {
+	kind, number := s.kindOfTask(task)
 	return kind.runTime + time.Duration(number%5)*kind.spread/4
 }
 
@@ -90,11 +92,16 @@
 // newDisruptionSoak returns a soak with nine workers and six instances in three data centres.
 func newDisruptionSoak(t *testing.T, seed uint64) *soak {
 	s := newEmptySoak(t, seed)
-	s.needs, s.runTime = needsOfTask, runTimeOfTask
+	s.useKinds(jobKinds, jobInterval)
 	s.addAll(disruptionWorkers, disruptionInstances)
 	return s
 }
 
+// useKinds sets the kinds of the jobs and the mean time between two.
+func (s *soak) useKinds(kinds []jobKind, interval time.Duration) {
+	s.kinds, s.jobInterval, s.needs, s.runTime = kinds, interval, s.needsOfTask, s.runTimeOfTask
+}
+
 // startJobs submits jobs until the context is done: one by one, and bursts.
 func (s *soak) startJobs(ctx context.Context, seed uint64) *sync.WaitGroup {
 	random := rand.New(rand.NewPCG(seed, 1))
@@ -110,7 +117,7 @@
 		})
 	}
 	jobs.Go(func() {
-		for began, bursts := time.Now(), 1; ctx.Err() == nil; time.Sleep(time.Duration(random.ExpFloat64() * float64(jobInterval))) {
+		for began, bursts := time.Now(), 1; ctx.Err() == nil; time.Sleep(time.Duration(random.ExpFloat64() * float64(s.jobInterval))) {
 			submit()
 			if time.Since(began) > time.Duration(bursts)*burstInterval {
 				bursts++
@@ -125,14 +132,14 @@
 
 func (s *soak) newJobOfAKind(random *rand.Rand) soakJob {
 	index, n := 0, random.IntN(100)
-	for n >= jobKinds[index].share {
-		n -= jobKinds[index].share
+	for n >= s.kinds[index].share {
+		n -= s.kinds[index].share
 		index++
 	}
-	kind := jobKinds[index]
+	kind := s.kinds[index]
 	return soakJob{
 		id: fmt.Sprintf("%015x%d", s.jobCount.Add(1), index), tasks: kind.tasks, milliCores: kind.milliCores,
-		estimate: kind.runTime + kind.spread/2, timeout: disruptionTimeout,
+		estimate: kind.runTime + kind.spread/2, timeout: cmp.Or(kind.timeout, disruptionTimeout),
 	}
 }
 
--- a/proof/faultproxy_test.go
+++ b/proof/faultproxy_test.go
@@ -19,6 +19,7 @@
 	target    string
 
 	holdAll       atomic.Bool // the bytes of connections in both directions
+	retransmit    atomic.Bool // held bytes are delivered when TCP would have sent them again
 	holdRequests  atomic.Bool // those to the target
 	holdResponses atomic.Bool
 	holdDatagrams atomic.Bool
@@ -27,6 +28,7 @@
 	delayReads    atomic.Bool
 	reset         atomic.Bool // connections are closed when bytes arrive
 	stutter       atomic.Bool // send each response twice, the second time late
+	fillers       []net.Conn  // fill the queue of the listener while dials are closed
 
 	mu      sync.Mutex
 	silence chan struct{} // closed when the open connections go silent
@@ -39,6 +41,8 @@
 	maxStutter   = 60 * time.Millisecond // longest delay of a second response
 	holdInterval = 10 * time.Millisecond // between two looks at whether bytes are still held
 
+	minRetransmission = 200 * time.Millisecond // after which TCP sends bytes again, and doubles the time
+
 	maxDatagramBytes = 2048
 )
 
@@ -95,7 +99,7 @@
 
 func (fp *faultProxy) serve() {
 	for {
-		in, err := fp.listener.Accept()
+		in, err := fp.accept()
 		if err != nil {
 			return
 		}
@@ -155,9 +159,7 @@
 		if fp.delayReads.Load() {
 			time.Sleep(readDelay)
 		}
-		for fp.holdAll.Load() || held.Load() {
-			time.Sleep(holdInterval)
-		}
+		fp.waitWhileHeld(held)
 		select {
 		case <-silence:
 			<-fp.closed
@@ -170,6 +172,19 @@
 	}
 }
 
+// waitWhileHeld waits until bytes that have just been sent pass the link.
+func (fp *faultProxy) waitWhileHeld(held *atomic.Bool) {
+	interval := minRetransmission
+	for fp.holdAll.Load() || held.Load() {
+		if !fp.retransmit.Load() {
+			time.Sleep(holdInterval)
+			continue
+		}
+		time.Sleep(interval)
+		interval *= 2
+	}
+}
+
 func (fp *faultProxy) serveDatagrams() {
 	to, err := net.Dial("udp", fp.target)
 	if err != nil {
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -99,6 +99,9 @@
 	spec          string
 	needs         func(task string) model.Resources // of tasks on workers that are added
 	runTime       func(task string) time.Duration
+	kinds         []jobKind     // of jobs of startJobs
+	jobInterval   time.Duration // mean time between them
+	pickInstance  func(random *rand.Rand, submission int) *soakInstance
 	store         *stand.Store
 	ledger        *fakes.Ledger
 	workers       []*fakes.LeasedWorker
@@ -220,6 +223,7 @@
 		needs:   func(string) model.Resources { return model.Resources{MilliCores: taskMilliCores} },
 		runTime: func(task string) time.Duration { return time.Duration(40+10*(len(task)%7)) * time.Millisecond },
 	}
+	s.pickInstance = func(random *rand.Rand, _ int) *soakInstance { return s.instances[random.IntN(len(s.instances))] }
 	s.putConfig()
 	return s
 }
@@ -454,12 +458,12 @@
 // submit submits a job, and submits it again until it gets a response other than status 502 or
 // 504, at most maxSubmissions times, as the platform's callers do.
 func (s *soak) submit(client *http.Client, random *rand.Rand, job soakJob) {
-	for range maxSubmissions {
+	for n := range maxSubmissions {
 		leaveAfter := job.timeout
 		if s.callersLeave.Load() {
 			leaveAfter = time.Duration(20+random.IntN(400)) * time.Millisecond
 		}
-		switch s.post(client, job, s.instances[random.IntN(len(s.instances))], leaveAfter) {
+		switch s.post(client, job, s.pickInstance(random, n), leaveAfter) {
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
 			time.Sleep(resendDelay)
 		default:
