--- a/home/start.go
+++ b/home/start.go
@@ -60,12 +60,11 @@
 // start sends a start and handles its reply. A start without a response is sent again with the
 // same run number, so that the worker carries it out only once.
 func (w *worker) start(info model.Worker, s lease.Start, path startPath) {
-	if !w.askIfIdle() {
-		w.handleNotAsked(s)
-		return
-	}
 	for sends := 1; ; sends++ {
 		reply, err := w.sendStart(info, s, path)
+		if err == nil && reply.Refusal == lease.OtherIncarnation {
+			_ = w.renew(false) // learns of the restart before the task is placed anew
+		}
 		if !w.mayResend(&s, sends, err, path) {
 			w.handleStartReply(s, reply, err, sends > 1, path)
 			return
--- a/home/worker.go
+++ b/home/worker.go
@@ -1,6 +1,7 @@
 package home
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -43,11 +44,6 @@
 	// than the one that last responded.
 	describeRetry = 250 * time.Millisecond
 
-	// maxSilence is the time without a response after which a worker is asked for its incarnation before a
-	// start. Endpoints close connections that were idle for little longer, and without one a restart of the
-	// worker does not show.
-	maxSilence = 4 * time.Second
-
 	// ackDelay is how long the acknowledgement of the last ended runs on an idle worker is
 	// delayed. It needs a request of its own.
 	ackDelay = 500 * time.Millisecond
@@ -81,9 +77,8 @@
 	acceptedAt  time.Time // when the last renewal that it accepted was sent
 	removed     bool      // from the list of workers
 	removedAt   time.Time
-	resolving   bool          // a goroutine resolves unconfirmed runs
-	checking    bool          // a progress check is in flight
-	asking      chan struct{} // holds an element while the worker is asked before a start
+	resolving   bool // a goroutine resolves unconfirmed runs
+	checking    bool // a progress check is in flight
 }
 
 func newWorker(h *Home, info model.Worker) *worker {
@@ -94,7 +89,6 @@
 		ctx:         ctx,
 		cancel:      cancel,
 		notify:      make(chan struct{}, 1),
-		asking:      make(chan struct{}, 1),
 		tracker:     lease.NewTracker(info.Capacity, h.options.MaxLease),
 		assignments: map[string]assignment{},
 		speed:       h.joinSpeeds(info),
@@ -140,6 +134,12 @@
 	return row == 0 || reported == 0 || row == reported
 }
 
+// pickedIncarnation returns the incarnation that a start is meant for: the one that the row describes, or the one that
+// responds if the row names none.
+func (w *worker) pickedIncarnation() int64 {
+	return cmp.Or(w.info.Incarnation, w.tracker.Incarnation())
+}
+
 // RequestBytes is the size on the wire of a request without the specification of its task:
 // headers, names and the overhead of the network.
 const RequestBytes = 420
--- a/lease/message.go
+++ b/lease/message.go
@@ -11,6 +11,10 @@
 	Until int64  `json:"until"`
 	Token int64  `json:"token"` // fencing token of the home
 
+	// Incarnation is that of the worker which the home has picked. No other one may get the start: it may have less
+	// capacity or other labels. 0 stands for any.
+	Incarnation int64 `json:"incarnation,omitempty"`
+
 	// Earliest is the least value of the worker's clock when the start is sent, 0 if unknown. A response from
 	// before belongs to an earlier request.
 	Earliest int64 `json:"earliest,omitempty"`
@@ -39,7 +43,8 @@
 // Reasons of a refusal. Fenced: the worker has seen a higher fencing token, so there is a later
 // home. Outdated: a run with this number or a higher one was stopped or has ended. Late: the
 // lease was over on arrival. NoCapacity: the worker's capacity is in use. Unhealthy: the worker
-// accepts no work. OtherWorker: another worker responds at the address.
+// accepts no work. OtherWorker: another worker responds at the address. OtherIncarnation: the worker has
+// restarted, and got nothing.
 const (
 	Accepted    Refusal = ""
 	Fenced      Refusal = "fenced"
@@ -49,6 +54,8 @@
 	Unhealthy   Refusal = "unhealthy"
 	OtherWorker Refusal = "otherWorker"
 	Rejected    Refusal = "rejected" // any other reason
+
+	OtherIncarnation Refusal = "otherIncarnation"
 )
 
 // Reply is the response to a start or a stop. Clock is the worker's clock in milliseconds, 0 if
