--- a/fleet/workers_test.go
+++ b/fleet/workers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,15 +29,42 @@
 	return model.Worker{DataCentre: string(r.Value)}, nil
 }
 
-// Guards against a worker that stays in use by an earlier row although its row names no worker any more,
-// and against one that is out of use although its row is back.
-func TestWorkerWhoseEntryIsOddIsOutOfUse(t *testing.T) {
-	in := &Instance{
-		adapter: rowAdapter{}, tables: TableNames{Workers: "workers"}, changed: newNotifier(),
+// incarnationAdapter is an adapter whose rows are the number of an incarnation.
+type incarnationAdapter struct{ Adapter }
+
+func (incarnationAdapter) DecodeWorker(r table.Row) (model.Worker, error) {
+	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	return model.Worker{DataCentre: "kochi", Incarnation: n}, err
+}
+
+// newWorkerList returns an instance that knows no worker yet.
+func newWorkerList(a Adapter) *Instance {
+	return &Instance{
+		adapter: a, tables: TableNames{Workers: "workers"}, changed: newNotifier(),
 		log:          &logger.Logger{Logger: log.Logger{Writer: log.IOWriter{Writer: io.Discard}}},
 		knownWorkers: map[string]model.Worker{}, workerCounts: map[string]int{}, missingSince: map[string]time.Time{},
 		workerLeftAt: map[string]time.Time{}, localHomes: map[string]*home.Home{},
 	}
+}
+
+// Guards against a worker over its capacity: the row of another writer, without the incarnation that all rows of the
+// worker name, replaced what is known of the worker (review/13).
+func TestRowWithoutTheIncarnationOfItsWorkerIsNotUsed(t *testing.T) {
+	in := newWorkerList(incarnationAdapter{})
+	var got []int64
+	for _, value := range []string{"0", "7", "0", "8"} {
+		in.onWorkers([]table.Row{{Key: "workers/w", Value: []byte(value), Version: 1}})
+		got = append(got, in.knownWorkers["w"].Incarnation)
+	}
+	if diff := cmp.Diff([]int64{0, 7, 7, 8}, got); diff != "" {
+		t.Errorf("incarnations (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a worker that stays in use by an earlier row although its row names no worker any more,
+// and against one that is out of use although its row is back.
+func TestWorkerWhoseEntryIsOddIsOutOfUse(t *testing.T) {
+	in := newWorkerList(rowAdapter{})
 	write := func(value string) {
 		in.onWorkers([]table.Row{{Key: "workers/w", Value: []byte(value), Version: 1}, {Key: "workers/other", Value: []byte("kochi"), Version: 1}})
 	}
