--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -185,6 +185,7 @@
 		RefreshWorkers: in.workerTable.Refresh,
 		LastMessage:    in.lastMessage,
 		OriginTimeout:  beat.HeartbeatTimeout,
+		ResubmitDelay:  in.settings.Platform.ResubmitDelay,
 		Drained:        func() (drain.Request, bool) { return in.drainOf(dataCentre) },
 		FarFactor:      in.settings.Placement.FarFactor,
 		LearnSpeeds:    in.settings.Placement.Speeds,
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -178,7 +178,7 @@
 
 // startWaitingTasks starts the waiting tasks of a job that fit on the available workers.
 func (h *Home) startWaitingTasks(j *job, p *pass, now time.Time) {
-	stillWaiting := false
+	stillWaiting, originSilent := false, h.isOriginSilent(j, now)
 	fullStep := -1 // step that fits on no worker
 	for i := range j.tasks {
 		t := &j.tasks[i]
@@ -188,7 +188,7 @@
 		if t.step != fullStep && p.isUnplaced(j, t.step) {
 			fullStep = t.step
 		}
-		if t.step == fullStep || !j.isReady(t.step) || h.isHeldBack(t, p) {
+		if t.step == fullStep || !j.isReady(t.step) || originSilent || h.isHeldBack(t, p) {
 			stillWaiting = true
 			continue
 		}
@@ -275,10 +275,10 @@
 	j.trail.addRun(t, false)
 	h.activity.starts++
 	step := j.batch.Steps[t.step]
-	until := w.tracker.GrantLease(now)
+	w.assign(j, t)
+	until := w.tracker.GrantLease(now, w.leaseLimit(now))
 	w.tracker.RecordStart(lease.Run{Task: t.name, Number: t.run, Needs: step.Needs}, until, now)
 	w.health.RecordStart()
-	w.assign(j, t)
 	h.recordPlacement(j, t)
 	h.options.Observer.TaskStarted()
 	h.options.Observer.QueueWait(now.Sub(t.readyAt))
--- a/home/finish.go
+++ b/home/finish.go
@@ -75,16 +75,14 @@
 }
 
 // cancelOrphaned cancels the jobs of origins that were not heard for OriginTimeout, so that none of their
-// runs is left when the callers submit the jobs again. The submission of a job counts as a message: it may
-// come before the next heartbeat of an instance that has just started or was paused. A home that is given up
-// leaves the jobs to the next one.
+// runs is left when the callers submit the jobs again. A home that is given up leaves the jobs to the next one.
 func (h *Home) cancelOrphaned(now time.Time) {
 	if h.options.LastMessage == nil || h.fenced {
 		return
 	}
 	for _, j := range h.jobs {
-		last := later(h.options.LastMessage(j.lastSubmission.Origin, j.lastSubmission.Incarnation), j.sentAt)
-		if now.Sub(last) > h.options.OriginTimeout {
+		h.recordHeard(j, now)
+		if now.Sub(j.heardAt) > h.options.OriginTimeout {
 			h.abort(j, Outcome{Result: Cancelled, Reason: "the instance of its caller is not heard"})
 		}
 	}
--- a/home/home.go
+++ b/home/home.go
@@ -63,7 +63,8 @@
 // the home. Shares makes the home divide the capacity of a service over its queues while it is
 // short. LastMessage returns when an incarnation of an instance was last heard, and the zero time
 // for one that has a successor; after OriginTimeout without a message the jobs of an origin are
-// cancelled. Drained, which may be nil, returns the operator's request to drain the data centre; it must
+// cancelled. ResubmitDelay is the time after which a caller without a response submits its job again; with 0, runs may
+// outlive the last message of their origin for any time. Drained, which may be nil, returns the operator's request to drain the data centre; it must
 // not call the home. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
 // and 1 mean that it makes no difference. LearnSpeeds makes the home learn how fast each worker runs tasks.
 // First reports that the data centre has had no home before, whose runs might be left. ConfirmedAt returns a time at which the store named this home, the latest that is known; it must not call the home,
@@ -81,6 +82,7 @@
 	ConfirmedAt    func() time.Time
 	LastMessage    func(instance, incarnation string) time.Time
 	OriginTimeout  time.Duration
+	ResubmitDelay  time.Duration
 	Drained        func() (drain.Request, bool)
 	FarFactor      float64
 	LearnSpeeds    bool
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -94,6 +94,7 @@
 		ConfirmedAt:    dc.store,
 		LastMessage:    func(instance, incarnation string) time.Time { return dc.lastMessage(instance, incarnation) },
 		OriginTimeout:  heartbeatTimeout,
+		ResubmitDelay:  1300 * time.Millisecond,
 		Drained:        dc.drainRequest,
 		LearnSpeeds:    true,
 		Link:           dc.link,
--- a/home/job.go
+++ b/home/job.go
@@ -19,6 +19,8 @@
 	arrivedAt      time.Time     // at its origin
 	waitedBefore   time.Duration // estimated wait of its caller before that, in earlier submissions
 	sentAt         time.Time     // by its origin, when it was last submitted here
+	heardAt        time.Time     // when its origin was last heard, as of heardCheckedAt
+	heardCheckedAt time.Time
 	ageAtEntry     time.Duration // when it was first submitted here
 	transit        time.Duration // of that submission, or UnknownTransit
 	deadline       time.Time
--- a/home/renew.go
+++ b/home/renew.go
@@ -139,7 +139,7 @@
 	// A closed home has told its successor when its leases end.
 	expires := w.hasOnlyInheritedRuns() || w.tracker.HasMissedStop() || w.home.closed || w.home.isGivenUp() || !w.home.isInForce(now)
 	if !expires {
-		request.Until = w.tracker.GrantLease(now)
+		request.Until = w.tracker.GrantLease(now, w.leaseLimit(now))
 	}
 	switch {
 	case !wait || w.tracker.Len() == 0:
@@ -160,9 +160,9 @@
 
 // renewalWait returns how long the worker may hold back its response to the next renewal to
 // wait for the end of a run: until shortly after the first end that is expected, so that a lost
-// response is noticed soon.
+// response is noticed soon. Two waits fit into a lease.
 func (w *worker) renewalWait(now time.Time) time.Duration {
-	wait, least := maxRenewalWait, minRenewalWait
+	wait, least := min(maxRenewalWait, (w.leaseLimit(now).Sub(now)-requestTimeout)/2), minRenewalWait
 	if w.isLossy(now) {
 		wait, least = lossyRenewalWait, lossyRenewalWait
 	}
--- a/home/start.go
+++ b/home/start.go
@@ -89,7 +89,7 @@
 	if !h.resendBudget.Withdraw() {
 		return false
 	}
-	until, ok := w.tracker.RecordResend(s.Task, s.Run, now)
+	until, ok := w.tracker.RecordResend(s.Task, s.Run, now, w.leaseLimit(now))
 	if !ok {
 		return false
 	}
--- a/lease/outdated_test.go
+++ b/lease/outdated_test.go
@@ -56,11 +56,11 @@
 // 292 million years, which counted as over.
 func TestNoLeaseIsGrantedByAnUnknownClock(t *testing.T) {
 	tr := newTracker()
-	tr.RecordStart(lease.Run{Task: "a", Number: 1}, tr.GrantLease(at(0)), at(0))
+	tr.RecordStart(lease.Run{Task: "a", Number: 1}, tr.GrantLease(at(0), at(0).Add(time.Hour)), at(0))
 	for i := range 4 {
 		tr.IsOutdated(int64(1000+10*i), at(10*i))
 	}
-	until := tr.GrantLease(at(35))
+	until := tr.GrantLease(at(35), at(35).Add(time.Hour))
 	tr.RecordResponse(1030, at(40))
 	ended := tr.ExpireRuns(at(40))
 	if until > 1035+1000 || len(ended) > 0 {
--- a/lease/tracker.go
+++ b/lease/tracker.go
@@ -73,9 +73,10 @@
 func (t *Tracker) SetCapacity(capacity model.Resources) { t.capacity = capacity }
 
 // GrantLease returns the end of the lease for a start or renewal that is sent now, on the
-// worker's clock in milliseconds, and records it as granted.
-func (t *Tracker) GrantLease(now time.Time) int64 {
-	leaseEnd := t.Clock.At(now) + t.maxLease.Milliseconds()
+// worker's clock in milliseconds, and records it as granted. It is certainly over at the local time latest.
+func (t *Tracker) GrantLease(now, latest time.Time) int64 {
+	length := min(t.maxLease, time.Duration(float64(latest.Sub(now))/(1+maxDrift)))
+	leaseEnd := t.Clock.At(now) + max(length, 0).Milliseconds()
 	t.lastLeaseEnd = max(t.lastLeaseEnd, leaseEnd)
 	return leaseEnd
 }
@@ -131,15 +132,15 @@
 }
 
 // RecordResend records that a start without a response is sent again, and returns the end of
-// its new lease. The run keeps its number, so that the worker carries out only one of the two.
+// its new lease, which is over at the local time latest. The run keeps its number, so that the worker carries out only one of the two.
 // It reports false if the run is not tracked or its start has a response.
-func (t *Tracker) RecordResend(task string, run int64, now time.Time) (leaseEnd int64, ok bool) {
+func (t *Tracker) RecordResend(task string, run int64, now, latest time.Time) (leaseEnd int64, ok bool) {
 	e := t.find(task, run)
 	if e == nil || e.state != startSent {
 		return 0, false
 	}
 	t.rememberLateStart(e.Run, now)
-	e.leaseEnd = t.GrantLease(now)
+	e.leaseEnd = t.GrantLease(now, latest)
 	return e.leaseEnd, true
 }
 
--- a/lease/tracker_test.go
+++ b/lease/tracker_test.go
@@ -34,7 +34,7 @@
 }
 
 func recordStart(tr *lease.Tracker, task string, run int64, now time.Time) {
-	tr.RecordStart(lease.Run{Task: task, Number: run, Needs: needs}, tr.GrantLease(now), now)
+	tr.RecordStart(lease.Run{Task: task, Number: run, Needs: needs}, tr.GrantLease(now, now.Add(time.Hour)), now)
 }
 
 func TestRunReservesItsNeedsUntilItsEndIsReported(t *testing.T) {
@@ -163,7 +163,7 @@
 	tr := newTracker()
 	recordStart(tr, "a", 1, at(0))
 	tr.ConfirmStart("a", 1, at(1))
-	tr.GrantLease(at(500)) // a renewal without a response
+	tr.GrantLease(at(500), at(500).Add(time.Hour)) // a renewal without a response
 	if ended := tr.ExpireRuns(at(1540)); len(ended) != 0 {
 		t.Errorf("runs end although the renewal may have been carried out: %v", ended)
 	}
@@ -207,7 +207,7 @@
 	if tr.LastEndSeen() != 1 {
 		t.Errorf("last end %d, want 1 since the sequence starts anew", tr.LastEndSeen())
 	}
-	if got := tr.GrantLease(at(11)); got != 1010 {
+	if got := tr.GrantLease(at(11), at(11).Add(time.Hour)); got != 1010 {
 		t.Errorf("lease until %d on the new clock", got)
 	}
 }
@@ -259,7 +259,7 @@
 	recordStart(tr, "ended", 1, at(2))
 	recordStart(tr, "runs", 2, at(2))
 	for task, run := range map[string]int64{"ended": 1, "runs": 2} {
-		if until, ok := tr.RecordResend(task, run, at(32)); !ok || until != 6032 {
+		if until, ok := tr.RecordResend(task, run, at(32), at(1_000_000)); !ok || until != 6032 {
 			t.Errorf("%s is sent again until %d, %v", task, until, ok)
 		}
 		tr.ConfirmStart(task, run, at(33))
@@ -343,7 +343,7 @@
 			case 5:
 				tr.ExpireRuns(at(now))
 			case 7:
-				tr.RecordResend(task, run-1, at(now))
+				tr.RecordResend(task, run-1, at(now), at(1_000_000))
 			case 8:
 				tr.MarkUnwanted(task, run-1)
 			case 9:
--- a/setup/check.go
+++ b/setup/check.go
@@ -22,6 +22,7 @@
 	maxFarFactor         = 100       // beyond it no task should run far from its data
 	maxMemory            = 1 << 24   // MiB
 	minDuration          = time.Millisecond
+	minResubmitDelay     = 800 * time.Millisecond // leaves a home leases of 0.4 s
 	maxDuration          = time.Hour
 )
 
@@ -124,6 +125,7 @@
 		{"callers.idleTimeout", checkDuration(s.Callers.IdleTimeout, minDuration)},
 		{"platform.timeout", checkDuration(s.Platform.Timeout, minDuration)},
 		{"platform.maxLease", checkDuration(s.Platform.MaxLease, minDuration)},
+		{"platform.resubmitDelay", checkDuration(s.Platform.ResubmitDelay, minResubmitDelay)},
 		{"stop.drainDelay", checkDuration(s.Stop.DrainDelay, 0)},
 		{"stop.limit", checkDuration(s.Stop.Limit, minDuration)},
 		{"stop.limit", s.checkStopOrder()},
--- a/setup/flags.go
+++ b/setup/flags.go
@@ -41,6 +41,7 @@
 	fs.StringVar(&s.Platform.Addr, "platform.addr", s.Platform.Addr, "IP:port of the platform")
 	fs.DurationVar(&s.Platform.Timeout, "platform.timeout", s.Platform.Timeout, "time for a request to the platform")
 	fs.StringVar(&s.Platform.Adapter, "platform.adapter", s.Platform.Adapter, "plug-in that speaks a users' platform")
+	fs.DurationVar(&s.Platform.ResubmitDelay, "platform.resubmitDelay", s.Platform.ResubmitDelay, "time after which callers submit a job again that got no response")
 	fs.DurationVar(&s.Platform.MaxLease, "platform.maxLease", s.Platform.MaxLease, "longest lease that workers grant")
 	fs.Float64Var(&s.Placement.FarFactor, "placement.farFactor", s.Placement.FarFactor, "run time of a task outside the rack of its data over that in it; 0 is no difference")
 	bindLimits(fs, &s.Limits)
--- a/setup/settings.go
+++ b/setup/settings.go
@@ -54,12 +54,15 @@
 // the object store and the list of instances. Timeout bounds one request.
 // Adapter names the plug-in that implements the protocol of a users' platform;
 // without one the protocol of package table is used. MaxLease is the longest
-// lease that the workers of a users' platform grant.
+// lease that the workers of a users' platform grant, and ResubmitDelay the time after which its callers submit a job
+// again that got no response.
 type Platform struct {
 	Addr     string        `yaml:"addr" json:"addr"`
 	Timeout  time.Duration `yaml:"timeout" json:"timeout"`
 	Adapter  string        `yaml:"adapter" json:"adapter"`
 	MaxLease time.Duration `yaml:"maxLease" json:"maxLease"`
+
+	ResubmitDelay time.Duration `yaml:"resubmitDelay" json:"resubmitDelay"`
 }
 
 // Placement configures which jobs a home starts where and when.
@@ -149,6 +152,8 @@
 			Addr:     "127.0.0.1:8703",
 			Timeout:  2 * time.Second,
 			MaxLease: time.Second,
+
+			ResubmitDelay: 1300 * time.Millisecond,
 		},
 		Limits: Limits{
 			OpenJobs:          5000,
