--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -173,6 +174,7 @@
 	leasedResponseTime = time.Millisecond
 	leasedFailureTime  = 5 * time.Millisecond
 	initialClockMillis = 100_000 // of a worker's clock at its start
+	clockRounding      = 2       // in milliseconds of the clock, by which a timer for the end of a lease may be early
 
 	minLateDelay = 2 * time.Second
 	maxLateDelay = 12 * time.Second
@@ -191,6 +193,8 @@
 	RunTime  func(task string) time.Duration
 	Fails    func(task string) bool
 
+	ClockRate float64 // of the worker's clock, in seconds by it a second
+
 	ledger    *Ledger
 	startedAt time.Time
 
@@ -225,7 +229,7 @@
 		ID: id, Capacity: capacity, ledger: ledger, startedAt: time.Now(), incarnation: time.Now().UnixMilli(),
 		Needs:   func(string) model.Resources { return model.Resources{} },
 		RunTime: func(string) time.Duration { return 50 * time.Millisecond },
-		Fails:   func(string) bool { return false },
+		Fails:   func(string) bool { return false }, ClockRate: 1,
 		random:  rand.New(rand.NewPCG(xxhash.Sum64String(id), 0)),
 		runs:    map[string]*leasedRun{}, lastRun: map[string]int64{}, runEnded: make(chan struct{}),
 	}
@@ -281,7 +285,7 @@
 
 // clock returns the worker's clock in milliseconds.
 func (w *LeasedWorker) clock() int64 {
-	return initialClockMillis + time.Since(w.startedAt).Milliseconds()
+	return initialClockMillis + int64(float64(time.Since(w.startedAt).Milliseconds())*w.ClockRate)
 }
 
 // receive simulates the arrival of a request and returns the fault switches. It
@@ -412,14 +416,18 @@
 		return
 	}
 	w.leaseUntil = until
-	time.AfterFunc(time.Duration(until-w.clock())*time.Millisecond, w.expireLease)
+	left := float64(until-w.clock()) / w.ClockRate // rounded up: at the end of the lease the clock has to show it
+	time.AfterFunc(time.Duration(math.Ceil(left))*time.Millisecond, w.expireLease)
 }
 
 // expireLease ends all runs if the lease has not been extended since.
 func (w *LeasedWorker) expireLease() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.clock() < w.leaseUntil {
+	if left := w.leaseUntil - w.clock(); left > 0 {
+		if left <= clockRounding {
+			time.AfterFunc(time.Millisecond, w.expireLease)
+		}
 		return
 	}
 	for task, r := range w.runs {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -51,6 +51,7 @@
 	workerTable   *watch.Cache
 	configTable   *watch.Cache
 	homeTable     *watch.Cache
+	homesRead     <-chan struct{} // closed when the last read by confirmHomes has been served
 	instanceTable *watch.Cache
 
 	peers           *peer.Group
--- a/fleet/maintain.go
+++ b/fleet/maintain.go
@@ -182,6 +182,7 @@
 		FreeDataCentre: func(milliCores int) (string, bool) { return in.capacityElsewhere(dataCentre, milliCores) },
 		OnFenced:       func() { in.onFenced(dataCentre, token) },
 		ConfirmedAt:    func() time.Time { return in.homeConfirmedAt(dataCentre, token) },
+		Confirm:        in.confirmHomes,
 		RefreshWorkers: in.workerTable.Refresh,
 		LastMessage:    in.lastMessage,
 		OriginTimeout:  beat.HeartbeatTimeout,
--- a/fleet/rows.go
+++ b/fleet/rows.go
@@ -51,6 +51,20 @@
 	return asOf
 }
 
+// confirmHomes reads the homes' table at once, unless such a read is under way.
+func (in *Instance) confirmHomes() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.homesRead != nil {
+		select {
+		case <-in.homesRead:
+		default:
+			return
+		}
+	}
+	in.homesRead = in.homeTable.ReadNow()
+}
+
 // initialReadWindow is the time after the first read of a table in which its rows count
 // as older than this instance.
 const initialReadWindow = 50 * time.Millisecond
--- a/home/home.go
+++ b/home/home.go
@@ -68,7 +68,7 @@
 // not call the home. FarFactor is how many times as long a task takes on a worker outside the rack of its data; 0
 // and 1 mean that it makes no difference. LearnSpeeds makes the home learn how fast each worker runs tasks.
 // First reports that the data centre has had no home before, whose runs might be left. ConfirmedAt returns a time at which the store named this home, the latest that is known; it must not call the home,
-// and nil stands for a store that always does.
+// and nil stands for a store that always does. Confirm asks the store for that; it must not block or call the home.
 // Clock returns the time since boot, suspensions included; the default is pause.SinceBoot.
 type Options struct {
 	DataCentre     string
@@ -80,6 +80,7 @@
 	OnFenced       func()
 	RefreshWorkers func()
 	ConfirmedAt    func() time.Time
+	Confirm        func()
 	LastMessage    func(instance, incarnation string) time.Time
 	OriginTimeout  time.Duration
 	ResubmitDelay  time.Duration
@@ -141,6 +142,7 @@
 	fenced            bool
 	listComplete      bool // the list has all workers that may have runs of an earlier home
 	inForceUntil      time.Time
+	storeConfirmedAt  time.Time // when the store last named this home
 	wasInForce        bool      // at the last tick
 	asksWorkers       bool      // whether there is a later home
 	quorumAt          time.Time // when successorQuorum of the workers had reported
@@ -190,6 +192,9 @@
 	if o.ConfirmedAt == nil {
 		o.ConfirmedAt = time.Now
 	}
+	if o.Confirm == nil {
+		o.Confirm = func() {}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Home{
 		options:       o,
@@ -347,7 +352,7 @@
 	h.uneven = false
 	for id, w := range h.workers {
 		h.uneven = h.uneven || w.speed.Factor() != 1
-		h.handleEnds(w, w.tracker.ExpireRuns(now), now)
+		h.handleEnds(w, w.expireRuns(now), now)
 		w.checkProgress(now)
 		if w.removed && w.tracker.Len() == 0 && (w.reported || h.allRunsKnown(now) || now.Sub(w.removedAt) > maxUnreported) {
 			w.cancel()
--- a/home/tenure.go
+++ b/home/tenure.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"foxtailmux/lease"
 	"foxtailmux/watch"
 )
 
@@ -52,6 +53,7 @@
 // reviewTenure brings up to date until when the home is in force, and has its workers asked if the store is silent.
 func (h *Home) reviewTenure(now time.Time) {
 	confirmedAt := later(h.startedAt, h.options.ConfirmedAt())
+	h.storeConfirmedAt = confirmedAt
 	asks := now.Sub(confirmedAt) > maxStoreSilence
 	if asks {
 		confirmedAt = later(confirmedAt, h.confirmedByWorkersAt())
@@ -103,6 +105,20 @@
 	}
 }
 
+// expireRuns ends the runs of a worker that does not respond as soon as their leases are certainly over: those that this
+// home has granted have expired, and the store has confirmed since that there is no later home, which may have adopted
+// the runs and extended their leases.
+func (w *worker) expireRuns(now time.Time) []lease.EndedRun {
+	if !w.tracker.HasExpired(now) {
+		return nil
+	}
+	if !w.tracker.HasExpired(w.home.storeConfirmedAt) {
+		w.home.options.Confirm()
+		return nil
+	}
+	return w.tracker.ExpireRuns(now)
+}
+
 // earlierLeasesEnded reports whether all leases of earlier homes have certainly ended.
 func (h *Home) earlierLeasesEnded(now time.Time) bool {
 	return !h.quorumAt.IsZero() && now.Sub(later(h.startedAt, h.quorumAt)) > SuccessionTime(h.options.MaxLease)
--- a/lease/report.go
+++ b/lease/report.go
@@ -125,12 +125,17 @@
 // ExpireRuns ends all runs of an unreachable worker as soon as every lease that was ever
 // granted to it is over on its clock.
 func (t *Tracker) ExpireRuns(now time.Time) []EndedRun {
-	if len(t.runs) == 0 || !t.Clock.Known() || now.Before(t.ExpiresAt()) {
+	if !t.HasExpired(now) {
 		return nil
 	}
 	return t.endAllAsLost()
 }
 
+// HasExpired reports whether there are runs, and every lease that was ever granted to them is over at a local time.
+func (t *Tracker) HasExpired(at time.Time) bool {
+	return len(t.runs) > 0 && t.Clock.Known() && !at.Before(t.ExpiresAt())
+}
+
 // ExpiresAt returns when every lease that was granted is over.
 func (t *Tracker) ExpiresAt() time.Time { return t.Clock.PassedAt(t.lastLeaseEnd).Add(expiryMargin) }
 
