--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -230,8 +230,8 @@
 		Needs:   func(string) model.Resources { return model.Resources{} },
 		RunTime: func(string) time.Duration { return 50 * time.Millisecond },
 		Fails:   func(string) bool { return false }, ClockRate: 1,
-		random:  rand.New(rand.NewPCG(xxhash.Sum64String(id), 0)),
-		runs:    map[string]*leasedRun{}, lastRun: map[string]int64{}, runEnded: make(chan struct{}),
+		random: rand.New(rand.NewPCG(xxhash.Sum64String(id), 0)),
+		runs:   map[string]*leasedRun{}, lastRun: map[string]int64{}, runEnded: make(chan struct{}),
 	}
 }
 
