--- a/proof/lost_caller_test.go
+++ b/proof/lost_caller_test.go
@@ -67,11 +67,15 @@
 			if strings.Contains(name, "forwarded") {
 				next = s.instances[slices.IndexFunc(s.instances, func(i *soakInstance) bool { return i.dataCentre == "tvm" && i != next })]
 			}
-			time.AfterFunc(originLostAt, func() {
+			s.restarts.Go(func() {
+				time.Sleep(originLostAt)
 				s.callersLink(origin).resetClients()
 				s.losePower(origin, lostFor)
 			})
-			time.AfterFunc(nextLostAt, func() { c.loseNext(s) })
+			s.restarts.Go(func() {
+				time.Sleep(nextLostAt)
+				c.loseNext(s)
+			})
 			if diff := cmp.Diff(0, s.submitOnce(origin, heldJob, estimate, c.callerTimeout)); diff != "" {
 				t.Errorf("status of the first submission (-want +got):\n%s", diff)
 			}
