platform, home: use no worker whose row names no incarnation

A start is bound to the incarnation that its worker's row names. A row without one left the start unbound: it was sent to whatever process held the address, with the guard of closed connections alone, and that guard holds neither for starts in parallel nor for an origin.

The platform writes the start of a worker into each of its rows, so a row without it is incomplete, as one without an address is. It now names no worker to use, and the row before it counts until it has been missing for the usual time. With that no start is unbound: the home takes the incarnation from the row alone, and compares it with the one that responds without exceptions.

The stand-ins write the incarnation into the rows as the platform does.

--- a/fakes/leased.go
+++ b/fakes/leased.go
@@ -337,7 +337,7 @@
 // Start handles a start request. If the fault switches suppress the response, it
 // returns ErrNoResponse after the timeout.
 func (w *LeasedWorker) Start(s lease.Start, timeout time.Duration) (lease.Reply, error) {
-	if s.Incarnation != 0 && s.Incarnation != w.currentIncarnation() {
+	if s.Incarnation != w.currentIncarnation() {
 		return lease.Reply{Refusal: lease.OtherIncarnation}, nil
 	}
 	f, ok := w.receive(timeout, func() { w.applyStart(s, true) })
--- a/fakes/leased_test.go
+++ b/fakes/leased_test.go
@@ -18,7 +18,6 @@
 // clock of the old one, is far from over: the soak's seeds 7105 and 7002 then saw tasks on two
 // workers and workers above their capacity.
 func TestCrashedWorkerForgetsUnexecutedRequests(t *testing.T) {
-	start := lease.Start{Task: "a", Run: 1, Until: 1 << 40, Token: 1}
 	faults := map[string]fakes.LeasedWorkerFaults{
 		"delayed":   {StartDelay: time.Second},
 		"late":      {LateShare: 1},
@@ -30,6 +29,7 @@
 				ledger := fakes.NewLedger()
 				w := fakes.NewLeasedWorker("w0", model.Resources{MilliCores: 1000}, ledger)
 				w.SetFaults(f)
+				start := lease.Start{Task: "a", Run: 1, Until: 1 << 40, Token: 1, Incarnation: w.Incarnation()}
 				replies := make(chan error, 1)
 				go func() {
 					_, err := w.Start(start, 50*time.Millisecond)
@@ -74,7 +74,7 @@
 		for n, pause := range []time.Duration{0, 20 * time.Millisecond, time.Second} {
 			time.Sleep(pause)
 			w := fakes.NewLeasedWorker(fmt.Sprintf("w%d", n), model.Resources{MilliCores: 1000}, ledger)
-			start := lease.Start{Task: "a", Run: int64(n + 1), Until: 1 << 40, Token: int64(n + 11)}
+			start := lease.Start{Task: "a", Run: int64(n + 1), Until: 1 << 40, Token: int64(n + 11), Incarnation: w.Incarnation()}
 			if _, err := w.Start(start, time.Second); err != nil {
 				t.Fatal(err)
 			}
--- a/fleet/supersede_test.go
+++ b/fleet/supersede_test.go
@@ -247,7 +247,7 @@
 		DataCentre: "kochi", Token: 1, MaxLease: in.settings.Platform.MaxLease, Link: plan.NewLink(0), Observer: in.meter, Log: &in.log.Logger,
 		Connect: func(model.Worker, func(time.Duration)) home.Endpoint { return worker }, OnFenced: func() {}, RefreshWorkers: func() {},
 	})
-	h.SetWorkers(map[string]model.Worker{"w": {ID: "w", Addr: "w", DataCentre: "kochi", State: model.Live, Capacity: capacity}}, true)
+	h.SetWorkers(map[string]model.Worker{"w": {ID: "w", Addr: "w", DataCentre: "kochi", State: model.Live, Capacity: capacity, Incarnation: worker.Incarnation()}}, true)
 	s := resubmitted("a")
 	s.Batch.Steps, s.Route = []model.Step{{Replicas: 1}}, model.Route{Stretch: 2, Allowance: time.Second}
 	go h.Submit(t.Context(), s)
--- a/fleet/workers.go
+++ b/fleet/workers.go
@@ -5,8 +5,6 @@
 	"strings"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"foxtailmux/home"
 	"foxtailmux/model"
 	"foxtailmux/table"
@@ -16,10 +14,6 @@
 // that expired while the store was unavailable are back within two seconds.
 const missingGrace = 2200 * time.Millisecond
 
-// errNoIncarnation is the error for a row that names no incarnation of a worker that has named one before: it is of
-// another writer.
-var errNoIncarnation = eris.New("the row names no incarnation")
-
 // onWorkers handles changes of the workers' table.
 func (in *Instance) onWorkers(rows []table.Row) {
 	now := time.Now()
@@ -31,9 +25,6 @@
 			continue
 		}
 		w, err := in.adapter.DecodeWorker(row)
-		if err == nil && w.Incarnation == 0 && in.knownWorkers[id].Incarnation != 0 {
-			err = errNoIncarnation
-		}
 		if err != nil {
 			in.log.Warn().Err(err).Int64("version", row.Version).Msg("worker row not decoded")
 			in.recordMissing(id, now)
--- a/fleet/workers_test.go
+++ b/fleet/workers_test.go
@@ -34,6 +34,9 @@
 
 func (incarnationAdapter) DecodeWorker(r table.Row) (model.Worker, error) {
 	n, err := strconv.ParseInt(string(r.Value), 10, 64)
+	if err == nil && n == 0 {
+		err = errors.New("no incarnation")
+	}
 	return model.Worker{DataCentre: "kochi", Incarnation: n}, err
 }
 
--- a/home/dispatch.go
+++ b/home/dispatch.go
@@ -283,7 +283,7 @@
 	h.options.Observer.TaskStarted()
 	h.options.Observer.QueueWait(now.Sub(t.readyAt))
 
-	s := lease.Start{Task: t.name, Run: t.run, Spec: j.batch.Spec, Until: until, Token: h.options.Token, Incarnation: w.pickedIncarnation()}
+	s := lease.Start{Task: t.name, Run: t.run, Spec: j.batch.Spec, Until: until, Token: h.options.Token, Incarnation: w.info.Incarnation}
 	info, path := w.info, j.startPath
 	h.recordSend(s, path, now)
 	h.spawn(func() { w.start(info, s, path) })
--- a/home/handover_test.go
+++ b/home/handover_test.go
@@ -111,6 +111,7 @@
 			w.SetFaults(fakes.LeasedWorkerFaults{LoseResponses: true})
 		case 2:
 			w.Crash()
+			dc.describe(w.ID)
 		}
 		series.handOver(time.Duration(draw.IntN(3)*draw.IntN(200)) * time.Millisecond)
 		time.AfterFunc(400*time.Millisecond, func() { w.SetFaults(fakes.LeasedWorkerFaults{}) })
--- a/home/home_test.go
+++ b/home/home_test.go
@@ -79,7 +79,7 @@
 		w.Needs = func(string) model.Resources { return model.Resources{MilliCores: taskSize, MemoryMB: 64} }
 		w.RunTime = func(string) time.Duration { return runTime }
 		dc.workers[id] = w
-		dc.listed[id] = model.Worker{ID: id, Addr: id, DataCentre: "kochi", Pool: "desk", State: model.Live, Capacity: capacity}
+		dc.listed[id] = model.Worker{ID: id, Addr: id, DataCentre: "kochi", Pool: "desk", State: model.Live, Capacity: capacity, Incarnation: w.Incarnation()}
 	}
 	return dc
 }
@@ -295,7 +295,9 @@
 			go func() { done <- resultOf(submit(h, submission(fmt.Sprintf("j%d", i), 2))) }()
 			time.Sleep(100 * time.Millisecond)
 			if i%4 == 3 {
-				dc.workers[fmt.Sprintf("w%d", i/4%4)].Crash()
+				id := fmt.Sprintf("w%d", i/4%4)
+				dc.workers[id].Crash()
+				dc.setRow(h, id)
 			}
 		}
 		succeeded := 0
--- a/home/left_test.go
+++ b/home/left_test.go
@@ -107,6 +107,7 @@
 			}
 		}
 		dc.workers[restarted].Crash()
+		dc.describe(restarted)
 		closed := time.Now()
 		later := dc.newHome(2)
 		defer dc.close(later)
@@ -238,6 +239,7 @@
 				for id, w := range dc.workers {
 					if id != silent {
 						w.Crash()
+						dc.describe(id)
 					}
 					w.SetRunTime(func(string) time.Duration { return 100 * time.Millisecond })
 				}
--- a/home/probe_test.go
+++ b/home/probe_test.go
@@ -99,6 +99,9 @@
 				for _, e := range endpoints {
 					set(e, false)
 				}
+				for id := range dc.workers {
+					dc.setRow(h, id)
+				}
 				time.Sleep(time.Second)
 				if diff := cmp.Diff(home.Succeeded, resultOf(submit(h, submission("after", 4)))); diff != "" {
 					t.Errorf("result after the outage (-want +got):\n%s", diff)
--- a/home/record_test.go
+++ b/home/record_test.go
@@ -167,7 +167,7 @@
 		w.Needs = func(string) model.Resources { return model.Resources{} }
 		w.RunTime = func(string) time.Duration { return time.Millisecond }
 		for i := range int64(endsPerReport + 100) {
-			run := lease.Start{Task: fmt.Sprintf("%s-%d.0.0.%d", id, token, i), Run: token<<24 + i, Token: token, Until: math.MaxInt64}
+			run := lease.Start{Task: fmt.Sprintf("%s-%d.0.0.%d", id, token, i), Run: token<<24 + i, Token: token, Until: math.MaxInt64, Incarnation: w.Incarnation()}
 			if reply, err := w.Start(run, time.Second); err != nil || reply.Refusal != lease.Accepted {
 				r.Fatalf("start of %s: %+v, %v", run.Task, reply, err)
 			}
--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -14,10 +14,15 @@
 
 // setRow replaces the row of a worker with one that describes its present incarnation.
 func (dc *testCentre) setRow(h *home.Home, id string) {
+	dc.describe(id)
+	h.SetWorkers(dc.listed, true)
+}
+
+// describe makes the row of a worker that the next homes read describe its present incarnation.
+func (dc *testCentre) describe(id string) {
 	w := dc.listed[id]
 	w.Capacity, w.Incarnation = dc.workers[id].Capacity, dc.workers[id].Incarnation()
 	dc.listed[id] = w
-	h.SetWorkers(dc.listed, true)
 }
 
 // Guards against a worker above its capacity: it has restarted as a smaller one under its id, its next
--- a/home/worker.go
+++ b/home/worker.go
@@ -1,7 +1,6 @@
 package home
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -129,16 +128,7 @@
 
 // isDescribed reports whether the row of the worker describes the incarnation that responds. A worker
 // may restart under its id with less capacity or other labels.
-func (w *worker) isDescribed() bool {
-	row, reported := w.info.Incarnation, w.tracker.Incarnation()
-	return row == 0 || reported == 0 || row == reported
-}
-
-// pickedIncarnation returns the incarnation that a start is meant for: the one that the row describes, or the one that
-// responds if the row names none.
-func (w *worker) pickedIncarnation() int64 {
-	return cmp.Or(w.info.Incarnation, w.tracker.Incarnation())
-}
+func (w *worker) isDescribed() bool { return w.info.Incarnation == w.tracker.Incarnation() }
 
 // RequestBytes is the size on the wire of a request without the specification of its task:
 // headers, names and the overhead of the network.
--- a/lease/message.go
+++ b/lease/message.go
@@ -12,8 +12,8 @@
 	Token int64  `json:"token"` // fencing token of the home
 
 	// Incarnation is that of the worker which the home has picked. No other one may get the start: it may have less
-	// capacity or other labels. 0 stands for any.
-	Incarnation int64 `json:"incarnation,omitempty"`
+	// capacity or other labels.
+	Incarnation int64 `json:"incarnation"`
 
 	// Earliest is the least value of the worker's clock when the start is sent, 0 if unknown. A response from
 	// before belongs to an earlier request.
@@ -98,7 +98,7 @@
 }
 
 // Report is a worker's response to a renewal. Incarnation identifies the incarnation of the
-// worker, 0 if the response did not carry it.
+// worker.
 type Report struct {
 	Reply
 	Incarnation int64
--- a/proof/config_storm_test.go
+++ b/proof/config_storm_test.go
@@ -53,7 +53,7 @@
 // hasQueue reports whether an instance serves a version's queue.
 func hasQueue(t *testing.T, i *soakInstance, version int) bool {
 	t.Helper()
-	req, err := stand.NewJobRequest(i.callersAddr, "", 1, 1, 0, jobTimeout, "")
+	req, err := stand.NewJobRequest(i.callersAddr, "", 1, 1, 0, jobTimeout, "", "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/proof/cut_peers_test.go
+++ b/proof/cut_peers_test.go
@@ -58,7 +58,7 @@
 
 			ctx, leave := context.WithCancel(t.Context())
 			defer leave()
-			req, err := stand.NewJobRequest(origin.callersAddr, id, 2, taskMilliCores, runTime, callerTimeout, s.spec)
+			req, err := stand.NewJobRequest(origin.callersAddr, id, 2, taskMilliCores, runTime, callerTimeout, s.spec, "")
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/proof/disruption_test.go
+++ b/proof/disruption_test.go
@@ -208,9 +208,7 @@
 	{"callersLeave", func(s *soak) { s.raise(s.millis(300, 1500), &s.callersLeave) }},
 
 	{"workerCrash", func(s *soak) {
-		w := s.random.IntN(len(s.workers))
-		s.workers[w].Crash()
-		s.workerServers[w].CloseClientConnections()
+		s.crashWorker(s.random.IntN(len(s.workers)))
 	}},
 	{"workerCut", func(s *soak) { s.raise(s.millis(300, 3000), &s.randomWorkerProxy().holdAll) }},
 	{"workerReset", func(s *soak) { s.raise(s.millis(300, 1000), &s.randomWorkerProxy().reset) }},
@@ -400,11 +398,10 @@
 	for _, dc := range slices.Sorted(maps.Keys(byDataCentre)) {
 		w := byDataCentre[dc][s.random.IntN(len(byDataCentre[dc]))]
 		crash, d := s.random.IntN(2) == 0, s.millis(300, 2000)
-		worker, server, proxy := s.workers[w], s.workerServers[w], s.workerProxies[w]
+		proxy := s.workerProxies[w]
 		time.AfterFunc(s.millis(0, int(limit.Milliseconds())), func() {
 			if crash {
-				worker.Crash()
-				server.CloseClientConnections()
+				s.crashWorker(w)
 				return
 			}
 			s.raise(d, &proxy.holdAll)
--- a/proof/flapping_test.go
+++ b/proof/flapping_test.go
@@ -178,22 +178,22 @@
 func (s *soak) expireRows(dataCentre string, d time.Duration) func() {
 	var timers []*time.Timer
 	var reports []time.Duration
-	for n, row := range s.rows {
+	for n := range s.workers {
 		if s.dataCentres[n] != dataCentre {
 			continue
 		}
 		silent := maxMissedReports*reportInterval - s.millis(0, int(reportInterval.Milliseconds()))
-		timers = append(timers, time.AfterFunc(silent, func() { s.store.Delete(row.key) }))
+		timers = append(timers, time.AfterFunc(silent, func() { s.store.Delete(s.row(n).key) }))
 		reports = append(reports, s.millis(0, int(reportInterval.Milliseconds())))
 	}
 	return func() {
 		n := 0
-		for w, row := range s.rows {
+		for w := range s.workers {
 			if s.dataCentres[w] != dataCentre {
 				continue
 			}
 			if !timers[n].Stop() {
-				time.AfterFunc(reports[n], func() { s.store.Put(row.key, row.value) })
+				time.AfterFunc(reports[n], func() { s.writeRow(w) })
 			}
 			n++
 		}
--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -107,8 +107,7 @@
 	workers       []*fakes.LeasedWorker
 	workerServers []*httptest.Server
 	workerProxies []*faultProxy
-	rows          []workerRow // the workers' rows in the store
-	dataCentres   []string    // of the workers
+	dataCentres   []string // of the workers
 	instances     []*soakInstance
 	version       int
 	jobCount      atomic.Int64
@@ -133,6 +132,7 @@
 	id                string
 	tasks, milliCores int
 	estimate, timeout time.Duration
+	label             string // that workers need, "" for none
 }
 
 // submitted is a submission of a job. The status is 0 without a response.
@@ -258,9 +258,26 @@
 	s.mu.Lock()
 	s.targets[c.addr()] = id
 	s.mu.Unlock()
-	key, value := stand.WorkerRow(id, c.addr(), dc, 64_000)
-	s.rows, s.dataCentres = append(s.rows, workerRow{key, value}), append(s.dataCentres, dc)
-	s.store.Put(key, value)
+	s.dataCentres = append(s.dataCentres, dc)
+	s.writeRow(i)
+}
+
+// row returns the row by which the present incarnation of a worker describes itself.
+func (s *soak) row(w int) workerRow {
+	key, value := stand.WorkerRow(s.workers[w].ID, s.workerProxies[w].addr(), s.dataCentres[w], "a", 64_000, s.workers[w].Incarnation())
+	return workerRow{key, value}
+}
+
+func (s *soak) writeRow(w int) {
+	row := s.row(w)
+	s.store.Put(row.key, row.value)
+}
+
+// crashWorker ends the process of a worker with its connections. The next one starts at once, and writes its row.
+func (s *soak) crashWorker(w int) {
+	s.workers[w].Crash()
+	s.workerServers[w].CloseClientConnections()
+	s.writeRow(w)
 }
 
 // putConfig stores the next version of the platform's configuration.
@@ -493,7 +510,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), leaveAfter)
 	defer cancel()
 	addr := s.callersLink(i).addr()
-	req, err := stand.NewJobRequest(addr, job.id, job.tasks, job.milliCores, job.estimate, job.timeout, s.spec)
+	req, err := stand.NewJobRequest(addr, job.id, job.tasks, job.milliCores, job.estimate, job.timeout, s.spec, job.label)
 	if err != nil {
 		s.t.Error(err)
 		return 0, false
@@ -536,8 +553,7 @@
 		worker.SetFaults(fakes.LeasedWorkerFaults{Stalled: true})
 		until(func() { worker.SetFaults(fakes.LeasedWorkerFaults{}) })
 	case 6:
-		worker.Crash()
-		s.workerServers[w].CloseClientConnections() // those of a process end with it
+		s.crashWorker(w)
 	case 7:
 		proxy.holdAll.Store(true)
 		until(func() { proxy.holdAll.Store(false) })
@@ -553,9 +569,8 @@
 	case 11:
 		s.putConfig()
 	case 12:
-		row := s.rows[w]
-		s.store.Delete(row.key)
-		until(func() { s.store.Put(row.key, row.value) })
+		s.store.Delete(s.row(w).key)
+		until(func() { s.writeRow(w) })
 	case 13:
 		for _, w := range s.workers {
 			w.SetFaults(fakes.LeasedWorkerFaults{LateShare: 0.3})
--- a/proof/odd_test.go
+++ b/proof/odd_test.go
@@ -17,7 +17,7 @@
 // odd entries there, one of them in place of a worker's own (reported by operators of similar systems).
 func TestOddEntriesAmongTheWorkersStopNoInstance(t *testing.T) {
 	s := newFleet(t, []string{"kochi", "kochi", "tvm"}, []string{"kochi", "tvm"})
-	usual := s.rows[0].value
+	usual := s.row(0).value
 	odd := map[string]string{
 		"deep":     strings.Replace(usual, `"labels":["a","r1"]`, `"labels":`+strings.Repeat("[", 20_000)+strings.Repeat("]", 20_000), 1),
 		"number":   strings.Replace(usual, `"cpu":64000`, `"cpu":1e400`, 1),
@@ -34,7 +34,7 @@
 		}
 		s.store.Put("servers/odd-"+name, odd[name])
 	}
-	s.store.Put(s.rows[1].key, odd["negative"])
+	s.store.Put(s.row(1).key, odd["negative"])
 	time.Sleep(3 * time.Second) // until the worker without an own entry is out of use
 
 	began := s.workers[1].Renewals()
@@ -47,9 +47,9 @@
 	if n := s.workers[1].Renewals() - began; n > 0 {
 		t.Errorf("%d renewals to a worker whose entry was overwritten", n)
 	}
-	key, value := stand.WorkerRow("late", s.workerProxies[1].addr(), "tvm", 64_000)
+	key, value := stand.WorkerRow("late", s.workerProxies[1].addr(), "tvm", "a", 64_000, s.workers[1].Incarnation())
 	s.store.Put(key, value) // the table is still followed
-	s.store.Put(s.rows[1].key, s.rows[1].value)
+	s.writeRow(1)
 	waitFor(t, "the worker whose entry is back is used again", func() bool { return s.workers[1].Renewals() > began })
 	for _, i := range s.instances {
 		if i.process().ended() {
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -49,7 +49,7 @@
 	for _, i := range s.instances {
 		statuses := map[string]int{}
 		for _, prefix := range []string{"/q/", "/new/"} {
-			req, err := stand.NewJobRequest(i.callersAddr, "00000000000000aa", 1, taskMilliCores, 70*time.Millisecond, jobTimeout, s.spec)
+			req, err := stand.NewJobRequest(i.callersAddr, "00000000000000aa", 1, taskMilliCores, 70*time.Millisecond, jobTimeout, s.spec, "")
 			if err != nil {
 				t.Fatal(err)
 			}
