--- a/fleet/originstart.go
+++ b/fleet/originstart.go
@@ -66,15 +66,17 @@
 type startResponse struct {
 	Reply      lease.Reply `json:"reply"`
 	Problem    string      `json:"problem,omitempty"`
-	Sent       bool        `json:"sent,omitempty"` // the worker may have received the start
-	JobRemoved bool        `json:"gone,omitempty"` // the job is no longer at its origin
+	Sent       bool        `json:"sent,omitempty"`       // the worker may have received the start
+	Connecting bool        `json:"connecting,omitempty"` // no connection to the worker was ready in time
+	JobRemoved bool        `json:"gone,omitempty"`       // the job is no longer at its origin
 	Drains     *drain.Set  `json:"drains,omitempty"`
 }
 
 // workerError reports that an origin got no response from a worker to a start.
 type workerError struct {
-	problem string
-	sent    bool
+	problem    string
+	sent       bool
+	connecting bool
 }
 
 // Error returns the error text from the origin.
@@ -83,6 +85,9 @@
 // Sent reports whether the worker may have received the start.
 func (e *workerError) Sent() bool { return e.sent }
 
+// Connecting reports whether the start was not sent since no connection to the worker was ready in time.
+func (e *workerError) Connecting() bool { return e.connecting }
+
 // keepsSpec reports whether a job is sent to a home without its specification.
 func (in *Instance) keepsSpec(owner, dataCentre string, s home.Submission) bool {
 	if dataCentre != in.self.DataCentre || s.Batch.Spec == "" {
@@ -157,7 +162,7 @@
 	case resp.JobRemoved:
 		return lease.Reply{}, &home.OriginError{Op: op, JobUnknown: true, Err: eris.New("the job is not there")}
 	case resp.Problem != "":
-		return lease.Reply{}, &workerError{problem: resp.Problem, sent: resp.Sent}
+		return lease.Reply{}, &workerError{resp.Problem, resp.Sent, resp.Connecting}
 	}
 	if resp.Drains != nil {
 		in.applyDrains(*resp.Drains, "peer "+origin, false) // before the home starts the task again
@@ -188,7 +193,12 @@
 	reply, err := endpoint.Start(r.Start, max(r.Timeout, queued))
 	if err != nil {
 		var delivery interface{ Sent() bool }
-		return startResponse{Problem: err.Error(), Sent: !errors.As(err, &delivery) || delivery.Sent()}, nil
+		var connection interface{ Connecting() bool }
+		return startResponse{
+			Problem:    err.Error(),
+			Sent:       !errors.As(err, &delivery) || delivery.Sent(),
+			Connecting: errors.As(err, &connection) && connection.Connecting(),
+		}, nil
 	}
 	return startResponse{Reply: reply}, nil
 }
--- a/fleet/originstart_test.go
+++ b/fleet/originstart_test.go
@@ -111,6 +111,12 @@
 // Sent reports that the start was not sent.
 func (unsentError) Sent() bool { return false }
 
+// connectingError is the failure of a start for which no connection was ready in time.
+type connectingError struct{ unsentError }
+
+// Connecting reports that no connection was ready.
+func (connectingError) Connecting() bool { return true }
+
 func TestOriginReportsWhetherAStartMayHaveArrived(t *testing.T) {
 	cases := []struct {
 		err  error
@@ -118,6 +124,7 @@
 	}{
 		{errors.New("no answer"), startResponse{Problem: "no answer", Sent: true}},
 		{unsentError{errors.New("no connection")}, startResponse{Problem: "no connection"}},
+		{connectingError{unsentError{errors.New("later")}}, startResponse{Problem: "later", Connecting: true}},
 	}
 	for _, c := range cases {
 		in := newOrigin(&recordingWorker{err: c.err})
--- a/home/start.go
+++ b/home/start.go
@@ -33,6 +33,19 @@
 	return !errors.As(err, &sender) || sender.Sent()
 }
 
+// isConnecting reports whether a request failed since no connection to the worker was ready in time.
+func isConnecting(err error) bool {
+	var c interface{ Connecting() bool }
+	return errors.As(err, &c) && c.Connecting()
+}
+
+// seemsToBe reports whether the worker is of that incarnation, as far as its reports tell.
+func (w *worker) seemsToBe(incarnation int64) bool {
+	w.home.mu.Lock()
+	defer w.home.mu.Unlock()
+	return w.tracker.Incarnation() == incarnation
+}
+
 // recordResponseTime records the time of a response to a start, without the time that the
 // request queued for the links, and adds to the budget of resends.
 func (h *Home) recordResponseTime(took time.Duration) {
@@ -133,6 +146,10 @@
 	a, ok := w.assignments[s.Task]
 	var origin *OriginError
 	switch {
+	case isConnecting(err): // whether the worker responds is up to the renewals, of which there are some while it has a run
+		if ok && a.task.run == s.Run {
+			a.task.markTried(w.info.ID)
+		}
 	case !errors.As(err, &origin):
 		w.recordNoResponse("start", err, now)
 	case ok && a.task.run == s.Run:
