home: keep a worker that is away while its late starts may be carried out

A start that got no response may be carried out up to 12 s late, also by the next incarnation of the worker, and a stop that is sent to a new incarnation keeps it from that. But a home forgot a worker that was away, with its late starts, as soon as its runs had ended: after its return nothing was stopped, and a start could run on another kind.

A worker that is away is now kept until its late starts are over.

Before: TestLateStartIsStoppedOnAWorkerThatWasAway, no stop is sent to a worker that is back after 7 s.

--- a/home/home.go
+++ b/home/home.go
@@ -354,7 +354,7 @@
 		h.uneven = h.uneven || w.speed.Factor() != 1
 		h.handleEnds(w, w.expireRuns(now), now)
 		w.checkProgress(now)
-		if w.removed && w.tracker.Len() == 0 && (w.reported || h.allRunsKnown(now) || now.Sub(w.removedAt) > maxUnreported) {
+		if w.removed && w.tracker.Len() == 0 && !w.tracker.HasLateStarts(now) && (w.reported || h.allRunsKnown(now) || now.Sub(w.removedAt) > maxUnreported) {
 			w.cancel()
 			w.speed.Leave()
 			delete(h.workers, id)
--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -1,6 +1,7 @@
 package home_test
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 
 	"foxtailmux/fakes"
 	"foxtailmux/home"
+	"foxtailmux/lease"
 	"foxtailmux/model"
 )
 
@@ -141,3 +143,47 @@
 		}
 	})
 }
+
+// stopRecorder is an endpoint that records the tasks whose stop was requested.
+type stopRecorder struct {
+	*fakes.LeasedWorker
+	mu    sync.Mutex
+	tasks map[string]bool
+}
+
+// Stop records the task.
+func (e *stopRecorder) Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error) {
+	e.mu.Lock()
+	e.tasks[s.Task] = true
+	e.mu.Unlock()
+	return e.LeasedWorker.Stop(s, timeout)
+}
+
+// Guards against a start that is carried out late by the next incarnation of a worker, of another kind: it left the start
+// without a response, and was away for so long that the home had forgotten it.
+func TestLateStartIsStoppedOnAWorkerThatWasAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		dc := newTestCentre(t, 1)
+		endpoint := &stopRecorder{LeasedWorker: dc.workers["w0"], tasks: map[string]bool{}}
+		dc.connect = func(model.Worker, func(time.Duration)) home.Endpoint { return endpoint }
+		h := dc.readyHome(1)
+		defer dc.close(h)
+		endpoint.SetFaults(fakes.LeasedWorkerFaults{Unresponsive: true})
+		submit(h, submission("a", 1))
+		h.SetWorkers(map[string]model.Worker{}, true)
+		time.Sleep(7 * time.Second) // a start may be carried out 12 s late
+		clear(endpoint.tasks)
+		endpoint.SetFaults(fakes.LeasedWorkerFaults{})
+		endpoint.Crash()
+		dc.setRow(h, "w0")
+		time.Sleep(100 * time.Millisecond)
+		if diff := cmp.Diff(map[string]bool{"a.0.0.0": true}, endpoint.tasks); diff != "" {
+			t.Errorf("tasks whose stop the next incarnation was sent (-want +got):\n%s", diff)
+		}
+		h.SetWorkers(map[string]model.Worker{}, true)
+		time.Sleep(12 * time.Second)
+		if diff := cmp.Diff(0, len(h.State().Workers)); diff != "" {
+			t.Errorf("workers kept after that (-want +got):\n%s", diff)
+		}
+	})
+}
--- a/lease/late.go
+++ b/lease/late.go
@@ -29,6 +29,12 @@
 	}
 }
 
+// HasLateStarts reports whether a start without a response may still be carried out.
+func (t *Tracker) HasLateStarts(now time.Time) bool {
+	t.pruneLateStarts(now)
+	return len(t.lateStarts) > 0
+}
+
 // resetForRestart handles a new incarnation of the worker, whose clock and sequence of ended
 // runs start anew. Runs that are absent from its report are removed like any other missing run.
 // A start without a response may still reach the new incarnation, with a lease on the clock of
