home: eject no worker over a start for its earlier incarnation

A worker that had restarted, and whose new row was read while a start for its earlier incarnation was under way, got that start's refusal counted as one of work. A single one ejects it for a second: where it was the only worker, callers' jobs waited that long.

A refusal as `otherIncarnation` marks a worker only if it still seems to be the incarnation that was meant; its next one is as good as any.

Before: TestStartForAnEarlierIncarnationEjectsNoWorker, the job takes 1.072 s, its objective is 156 ms.

--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -187,3 +187,22 @@
 		}
 	})
 }
+
+// Guards against a worker that is not used for a second after its restart, since the one start that was meant for its
+// earlier incarnation counted as a refusal of work.
+func TestStartForAnEarlierIncarnationEjectsNoWorker(t *testing.T) {
+	withHome(t, 1, func(t *testing.T, dc *testCentre, h *home.Home) {
+		dc.workers["w0"].Crash()
+		result := make(chan home.Result, 1)
+		began := time.Now()
+		go func() { result <- resultOf(submit(h, submission("a", 2))) }()
+		time.Sleep(20 * time.Millisecond)
+		dc.setRow(h, "w0")
+		if diff := cmp.Diff(home.Succeeded, <-result); diff != "" {
+			t.Errorf("result (-want +got):\n%s", diff)
+		}
+		if took := time.Since(began); took > objective {
+			t.Errorf("the job took %v, its objective is %v", took, objective)
+		}
+	})
+}
--- a/home/start.go
+++ b/home/start.go
@@ -75,7 +75,7 @@
 func (w *worker) start(info model.Worker, s lease.Start, path startPath) {
 	for sends := 1; ; sends++ {
 		reply, err := w.sendStart(info, s, path)
-		if err == nil && reply.Refusal == lease.OtherIncarnation {
+		if err == nil && reply.Refusal == lease.OtherIncarnation && w.seemsToBe(s.Incarnation) {
 			_ = w.renew(false) // learns of the restart before the task is placed anew
 		}
 		if !w.mayResend(&s, sends, err, path) {
@@ -166,7 +166,10 @@
 
 // handleStartRefusal handles a start that the worker refused.
 func (w *worker) handleStartRefusal(s lease.Start, refusal lease.Refusal, resent bool, now time.Time) {
-	if refusal != lease.Late && refusal != lease.Outdated {
+	switch {
+	case refusal == lease.Late, refusal == lease.Outdated:
+	case refusal == lease.OtherIncarnation && w.tracker.Incarnation() != s.Incarnation: // the next one is as good as any
+	default:
 		w.health.RecordUnavailable(now)
 	}
 	switch {
