fleet: bind the starts of a home that names no incarnation

During a roll-out an origin may send starts for a home of a version before, which names no incarnation, so that nothing tied the start to one. The origin now takes the incarnation that its own row of the worker describes.

Weighed: to refuse such starts, which fails every job on a thin link whose home is an older instance. What stays open is a home of such a version whose row is older than the origin's.

Before: TestOriginBindsTheStartsOfAHomeThatNamesNoIncarnation, the start is sent with incarnation 0, which stands for any.

--- a/fleet/drain_test.go
+++ b/fleet/drain_test.go
@@ -119,7 +119,7 @@
 	in.keepSpec(home.Submission{Batch: model.Batch{ID: "j", Spec: "x"}})
 	start := func(drainVersion int64) any {
 		params, err := json.Marshal(startRequest{
-			Job: home.Key{ID: "j"}, DataCentre: "kochi", DrainVersion: drainVersion, Start: lease.Start{Token: laterToken},
+			Job: home.Key{ID: "j"}, DataCentre: "kochi", DrainVersion: drainVersion, Start: lease.Start{Token: laterToken, Incarnation: 4},
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/fleet/originstart.go
+++ b/fleet/originstart.go
@@ -187,6 +187,9 @@
 	if !ok {
 		return startResponse{JobRemoved: true}, nil
 	}
+	if r.Start.Incarnation == 0 { // homes of earlier versions name none
+		r.Start.Incarnation = in.describedIncarnation(r.Worker)
+	}
 
 	r.Start.Spec = spec
 	queued := in.link.RecordSend(home.RequestBytes+len(spec), time.Now())
@@ -203,6 +206,13 @@
 	return startResponse{Reply: reply}, nil
 }
 
+// describedIncarnation returns the incarnation that a worker's row describes, 0 if there is no row.
+func (in *Instance) describedIncarnation(worker string) int64 {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.knownWorkers[worker].Incarnation
+}
+
 // clientAndKeptSpec returns the client of a worker and the specification of a job, and
 // false if the job is not here.
 func (in *Instance) clientAndKeptSpec(r startRequest) (home.Endpoint, string, bool) {
--- a/fleet/originstart_test.go
+++ b/fleet/originstart_test.go
@@ -61,7 +61,7 @@
 	t.Helper()
 	params, err := json.Marshal(startRequest{
 		Job: home.Key{ID: job}, DataCentre: "kochi", Worker: "w", Addr: "a", Timeout: time.Second,
-		Start: lease.Start{Task: job + ".0.0.0", Run: 3, Until: 99, Token: token, Earliest: 5},
+		Start: lease.Start{Task: job + ".0.0.0", Run: 3, Until: 99, Token: token, Incarnation: 4, Earliest: 5},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -97,14 +97,31 @@
 		t.Error(diff)
 	}
 	sent := []lease.Start{
-		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken, Earliest: 5},
-		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken + 1, Earliest: 5},
+		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken, Incarnation: 4, Earliest: 5},
+		{Task: "j.0.0.0", Run: 3, Spec: "what to run", Until: 99, Token: laterToken + 1, Incarnation: 4, Earliest: 5},
 	}
 	if diff := cmp.Diff(sent, w.starts); diff != "" {
 		t.Error(diff)
 	}
 }
 
+// Guards against a start that reaches a worker after its restart: a home of an earlier version names no incarnation, so that
+// nothing tied its starts to one.
+func TestOriginBindsTheStartsOfAHomeThatNamesNoIncarnation(t *testing.T) {
+	w := &recordingWorker{}
+	in := newOrigin(w)
+	in.keepSpec(home.Submission{Batch: model.Batch{ID: "j", Spec: "x"}})
+	in.knownWorkers = map[string]model.Worker{"w": {ID: "w", Incarnation: 4}}
+	params := []byte(`{"job":{"id":"j"},"dataCentre":"kochi","worker":"w","addr":"a","start":{"task":"j.0.0.0","run":3,"until":99,"token":20},"timeout":30000000}`)
+	if _, err := in.serveStart(t.Context(), params); err != nil {
+		t.Fatal(err)
+	}
+	sent := []lease.Start{{Task: "j.0.0.0", Run: 3, Spec: "x", Until: 99, Token: laterToken, Incarnation: 4}}
+	if diff := cmp.Diff(sent, w.starts); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // unsentError is the failure of a start that was not sent.
 type unsentError struct{ error }
 
