--- a/Makefile
+++ b/Makefile
@@ -5,10 +5,13 @@
 # The checks test the programs of this tree.
 unexport FOXTAILMUX_BIN
 
-# Site files that regress plays: the large one in place of the oldest two.
-SITES = large/mfat-quotes-large further-grown/kiskadee-pos-grown further/kiskadee-pos \
-	grown/mfat-quotes-grown grown/tihizvok-lj-grown
-JOBS = 3
+# Site files in force, which regress plays one after the other. Those of LARGE_SITES have 60 machines or more.
+SITES = sites/mfat-quotes sites/tihizvok-lj further/kiskadee-pos grown/tihizvok-lj-grown further-grown/kiskadee-pos-grown \
+	grown/mfat-quotes-grown demands/cotatie-quotes-grown demands/ovn-alumni-grown large/mfat-quotes-large
+LARGE_SITES = large/mfat-quotes-large
+HUNT_DAYS = 40
+LARGE_HUNT_DAYS = 8
+JOBS = 4
 
 .PHONY: all setup build demo check regress format lint test bench fuzz clean
 
@@ -45,10 +48,14 @@
 	@if [ -s KNOWN-RED.txt ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
 	go test -race -count=1 -timeout $(HANG) $(if $(RED),-skip '$(RED)') ./...
 
-# Scores the users' deployments: make regress BENCH=PROGRAM KIT=FOLDER
+# Scores the users' deployments and hunts for broken rules on them: make regress BENCH=PROGRAM KIT=FOLDER
 regress:
 	@test -n "$(BENCH)" -a -n "$(KIT)" || { echo "usage: make regress BENCH=PROGRAM KIT=FOLDER"; exit 2; }
-	@for s in $(SITES); do $(BENCH) score $(KIT)/$$s.toml --jobs $(JOBS) --why "regression" || exit 1; done
+	@failed=; for s in $(SITES); do \
+		days=$(HUNT_DAYS); case " $(LARGE_SITES) " in *" $$s "*) days=$(LARGE_HUNT_DAYS);; esac; \
+		$(BENCH) score $(KIT)/$$s.toml --jobs $(JOBS) --why "regression" || failed="$$failed score:$$s"; \
+		$(BENCH) hunt $(KIT)/$$s.toml --days $$days --jobs $(JOBS) --why "regression" || failed="$$failed hunt:$$s"; \
+	done; test -z "$$failed" || { echo "failed:$$failed"; exit 1; }
 
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
