--- a/home/restart_test.go
+++ b/home/restart_test.go
@@ -1,6 +1,7 @@
 package home_test
 
 import (
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -151,6 +152,20 @@
 	tasks map[string]bool
 }
 
+// forget clears the record.
+func (e *stopRecorder) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.tasks)
+}
+
+// recorded returns the tasks.
+func (e *stopRecorder) recorded() map[string]bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return maps.Clone(e.tasks)
+}
+
 // Stop records the task.
 func (e *stopRecorder) Stop(s lease.Stop, timeout time.Duration) (lease.Reply, error) {
 	e.mu.Lock()
@@ -172,12 +187,12 @@
 		submit(h, submission("a", 1))
 		h.SetWorkers(map[string]model.Worker{}, true)
 		time.Sleep(7 * time.Second) // a start may be carried out 12 s late
-		clear(endpoint.tasks)
+		endpoint.forget()
 		endpoint.SetFaults(fakes.LeasedWorkerFaults{})
 		endpoint.Crash()
 		dc.setRow(h, "w0")
 		time.Sleep(100 * time.Millisecond)
-		if diff := cmp.Diff(map[string]bool{"a.0.0.0": true}, endpoint.tasks); diff != "" {
+		if diff := cmp.Diff(map[string]bool{"a.0.0.0": true}, endpoint.recorded()); diff != "" {
 			t.Errorf("tasks whose stop the next incarnation was sent (-want +got):\n%s", diff)
 		}
 		h.SetWorkers(map[string]model.Worker{}, true)
