--- a/proof/otherkind_test.go
+++ b/proof/otherkind_test.go
@@ -38,6 +38,7 @@
 	kind   string
 	server *http.Server
 	leased *fakes.LeasedWorker
+	row    *time.Timer // writes the row of the present incarnation
 }
 
 // boot starts an incarnation of a kind, and writes its row after a delay.
@@ -62,14 +63,13 @@
 	w.soak.mu.Lock()
 	w.soak.targets[w.addr] = w.id
 	w.soak.mu.Unlock()
-	incarnation := w.leased.Incarnation()
-	time.AfterFunc(rowDelay, func() {
-		w.soak.store.Put(stand.WorkerRow(w.id, w.addr, w.dataCentre, kind, 64_000, incarnation))
-	})
+	key, row := stand.WorkerRow(w.id, w.addr, w.dataCentre, kind, 64_000, w.leased.Incarnation())
+	w.row = time.AfterFunc(rowDelay, func() { w.soak.store.Put(key, row) })
 }
 
 // crash ends the incarnation with its connections.
 func (w *kindWorker) crash() {
+	w.row.Stop()
 	_ = w.server.Close()
 	w.leased.Crash()
 }
